Measure lateness up to the aim: answers within half of it counted as crowding

Shedding took an answer for fully late once it had used half its aim. Calls through two tiers use a third of it with nothing crowded (karta: 147 ms of 400 ms, counted 0.42 late), so the level stood near 0.2 and most were refused.

--- a/basaltspindle/policy.py
+++ b/basaltspindle/policy.py
@@ -208,13 +208,13 @@
         return self._level
 
     def _lateness(self, elapsed: float, request: _Request) -> float:
-        """How far a call is from its easy time to half its aim, squared: work as such is not lateness."""
-        easy, half = self._easy[request.cls.name], request.cls.aim_ms / 2
-        return min(max(elapsed / request.heft - easy, 0.0) / (half - easy), 1.0) ** 2
+        """How far a call is from its easy time to its aim, squared: work as such is not lateness."""
+        easy, aim = self._easy[request.cls.name], request.cls.aim_ms
+        return min(max(elapsed / request.heft - easy, 0.0) / (aim - easy), 1.0) ** 2
 
     def _silence(self, elapsed: float, request: _Request) -> float:
-        """What a call without an answer tells: it fades from half its aim on, to weigh as one answer does."""
-        over = max(elapsed / request.heft - request.cls.aim_ms / 2, 0.0)
+        """What a call without an answer tells: it fades from its aim on, to weigh as one answer does."""
+        over = max(elapsed / request.heft - request.cls.aim_ms, 0.0)
         return self._lateness(elapsed, request) * math.exp(-over / PRESSURE_MS)
 
     def _weigh(self, lateness: float, news: float, now: float) -> None:
