Handle SIGHUP: reread the configuration and watch discovery at its new address

Discovery is now asked for the whole list at the new address at once. A file that can't be used is logged and changes nothing.

--- a/basaltspindle/__main__.py
+++ b/basaltspindle/__main__.py
@@ -7,6 +7,7 @@
 import os
 import signal
 import sys
+from collections.abc import Callable
 
 import uvloop
 
@@ -14,13 +15,31 @@
 from basaltspindle.net.driver import Driver
 
 
-async def serve(config: Config) -> None:
+def load(path: str, note: Callable[[str], None]) -> Config:
+    """The configuration as the file holds it now; OSError or ValueError if it can't be used."""
+    with open(path, encoding="utf-8") as file:
+        return read_config(file.read(), note)
+
+
+def reload(path: str, driver: Driver) -> None:
+    """Follow the file after SIGHUP; one that can't be used changes nothing."""
+    try:
+        config = load(path, driver.log.write)
+    except (OSError, ValueError) as error:
+        driver.log.write(f"the configuration stays as it was: {' '.join(str(error).split())}")
+        return
+    driver.replace(config)
+    driver.log.write("the configuration was replaced")
+
+
+async def serve(config: Config, path: str) -> None:
     """Balance until SIGTERM, then until all that was taken is answered."""
     loop = asyncio.get_running_loop()
     stop = asyncio.Event()
     for number in (signal.SIGTERM, signal.SIGINT):
         loop.add_signal_handler(number, stop.set)
     driver = Driver(config, loop)
+    loop.add_signal_handler(signal.SIGHUP, reload, path, driver)
     loop.set_exception_handler(lambda _, context: driver.log.write(f"in the event loop: {context!r}"[:2000]))
     driver.start()
     gc.collect()
@@ -36,8 +55,7 @@
     try:
         if not path:
             raise ConfigError("LB_CONFIG is not set")
-        with open(path, encoding="utf-8") as file:
-            config = read_config(file.read(), notes.append)
+        config = load(path, notes.append)
     except (OSError, ValueError) as error:
         print(f"basaltspindle: configuration: {' '.join(str(error).split())}", file=sys.stderr)
         return 2
@@ -45,7 +63,7 @@
         print(f"basaltspindle: {note}", file=sys.stderr)
     try:
         with asyncio.Runner(loop_factory=uvloop.new_event_loop) as runner:
-            runner.run(serve(config))
+            runner.run(serve(config, path))
     except OSError as error:
         print(f"basaltspindle: can't serve on {config.listen}: {error}", file=sys.stderr)
         return 1
--- a/basaltspindle/net/discovery.py
+++ b/basaltspindle/net/discovery.py
@@ -10,7 +10,7 @@
 
 import httptools
 
-from basaltspindle.net.config import Config, ServerList, read_list
+from basaltspindle.net.config import Address, Config, ServerList, read_list
 from basaltspindle.net.upstreams import Answer, ResponseReader, TooLarge
 
 WAIT_MS = 30_000  # of one watch call: each call costs discovery work, and news ends it at once
@@ -75,7 +75,7 @@
     def __init__(
         self, config: Config, on_news: Callable[[ServerList], None], on_failed: Callable[[], None]
     ) -> None:
-        self._config, self._on_news, self._on_failed = config, on_news, on_failed
+        self._address, self._on_news, self._on_failed = config.discovery, on_news, on_failed
         self._asked = config.settings.list_is_asked
         self._index = config.known.index if config.known.endpoints else -1
         self._random = random.Random(config.seed)
@@ -92,6 +92,18 @@
         if self._task is None or self._task.done():
             self._task = asyncio.get_running_loop().create_task(self._watch())
 
+    def move(self, address: Address) -> None:
+        """Discovery is elsewhere from now on: ask there at once, for the whole list."""
+        if address == self._address:
+            return
+        self._address, self._index = address, -1
+        if self._task is not None:
+            self._task.cancel()
+        if self._link is not None:
+            self._link.close()
+        self._task = self._link = None
+        self.subscribe()
+
     async def _watch(self) -> None:
         while True:
             try:
@@ -114,7 +126,7 @@
         if self._index >= 0:
             wait_s = WAIT_MS / 1000 * (1 - SPREAD * self._random.random())
             path += f"?after={self._index}&wait_ms={wait_s * 1000:.0f}"
-        host, port = self._config.discovery
+        host, port = self._address
         async with asyncio.timeout(wait_s + ANSWER_S):
             if self._link is None or self._link.closed:
                 loop = asyncio.get_running_loop()
--- a/basaltspindle/net/driver.py
+++ b/basaltspindle/net/driver.py
@@ -98,6 +98,10 @@
         self._sweep()
         self.callers.start()
 
+    def replace(self, config: Config) -> None:
+        """Follow a configuration that the platform has replaced: only discovery's address may differ."""
+        self._discovery.move(config.discovery)
+
     def _sweep(self) -> None:
         self._loop.call_later(SWEEP_S, self._sweep)
         self.upstreams.close_old()
--- a/tests/test_net.py
+++ b/tests/test_net.py
@@ -3,7 +3,10 @@
 from __future__ import annotations
 
 import asyncio
+import os
+import signal
 import socket
+import sys
 from typing import Any
 
 import pytest
@@ -13,6 +16,7 @@
 from tests.loopback import (
     PATIENCE_S,
     Asked,
+    ListServer,
     Rig,
     Upstream,
     config_text,
@@ -522,6 +526,30 @@
     run(scenario())
 
 
+def test_a_replaced_configuration_moves_the_watch_and_ends_nothing(tmp_path: Any) -> None:
+    """SIGHUP ended the balancer, as it does a program that does not handle it."""
+
+    async def scenario() -> None:
+        old, new, path = ListServer(), ListServer(), tmp_path / "config.json"
+        path.write_text(config_text(await old.start(), []))
+        program = await asyncio.create_subprocess_exec(
+            sys.executable, "-m", "basaltspindle", env=os.environ | {"LB_CONFIG": str(path)}
+        )
+        try:
+            await old.calls.get()
+            for text in ("no configuration", config_text(await new.start(), [])):
+                path.write_text(text)
+                program.send_signal(signal.SIGHUP)
+            assert await new.calls.get() == "GET /v1/servers HTTP/1.1"
+            new.tell(9, snapshot=True)
+            assert (await new.calls.get()).startswith("GET /v1/servers?after=9&")
+        finally:
+            program.kill()
+            await program.wait()
+
+    run(scenario())
+
+
 def test_the_watch_survives_any_answer() -> None:
     """An answer that broke the reader in an unforeseen way ended the watch, and nobody asked again."""
 
