Let marked repeats use up no share of their tenant

Clients repeat a refused request up to four times at once, and each repeat was taken off the tenant's share: the front saw 50 tries a second of a tenant that asked for 21, of a part of 29. Dear requests then passed for excess, worth a twentieth, and were shed before cheap ones of the other tenant.

--- a/basaltspindle/policy.py
+++ b/basaltspindle/policy.py
@@ -178,15 +178,15 @@
             self._hint += (event.hint_ms - self._hint) / OFFER_CALLS if self._hint else event.hint_ms
             request.size = event.hint_ms / self._hint
         self._retry_budget = min(RETRY_BURST, self._retry_budget + RETRY_BUDGET)
-        if self._settings.calling_tier == 0 and not self._admitted(request, event.tenant, now):
+        if self._settings.calling_tier == 0 and not self._admitted(request, event, now):
             self._shed(request, "answers take too long: shedding the least worth first", now)
         elif not self._try_send(request, now):
             self._shed(request, "no server may take a call: refusing", now)
 
-    def _admitted(self, request: _Request, tenant: str | None, now: float) -> bool:
+    def _admitted(self, request: _Request, event: face.RequestArrived, now: float) -> bool:
         """Shed load by worth: the level is the part of the work offered that is let in, the dearest first."""
         worth = request.cls.worth
-        worth *= self._settings.over_share_worth if self._over_share(tenant, now) else 1.0
+        worth *= self._settings.over_share_worth if self._over_share(event, now) else 1.0
         self._offered = {known: work * (1 - 1 / OFFER_CALLS) for known, work in self._offered.items()}
         self._offered[worth] = self._offered.get(worth, 0.0) + self._work[request.cls.name]
         dearer = sum(count for known, count in self._offered.items() if known > worth)
@@ -327,14 +327,14 @@
         if not request.owed and not request.is_out():
             self._requests.pop(request.id, None)
 
-    def _over_share(self, tenant: str | None, now: float) -> bool:
-        """Whether this tenant is past our part of its share; its excess is worth little."""
-        rate = self._quota.get(tenant or "")
-        if rate is None or tenant is None:
+    def _over_share(self, event: face.RequestArrived, now: float) -> bool:
+        """Whether this tenant is past our part of its share: its excess is worth little; a repeat asks no more."""
+        tenant = event.tenant or ""
+        if (rate := self._quota.get(tenant)) is None:
             return False
         level, seen = self._share.get(tenant, (QUOTA_BURST_MS * rate, now))
         level = min(QUOTA_BURST_MS * rate, level + (now - seen) * rate)
-        self._share[tenant] = (level - 1 if level >= 1 else level, now)
+        self._share[tenant] = (level - 1 if level >= 1 and not event.is_repeat else level, now)
         return level < 1
 
     # ---- the rules: no doubled effect -----------------------------------------------------------
--- a/tests/test_policy.py
+++ b/tests/test_policy.py
@@ -412,6 +412,18 @@
     assert let_in["small"] > 1.5 * let_in["big"] > 0
 
 
+def test_repeats_use_up_no_share_of_their_tenant() -> None:
+    """Refused callers asked again up to four times, and what was asked for once passed for excess."""
+    desk = Desk(1, tenants=(Tenant("big", 2.0),), over_share_worth=0.1)
+
+    def over(repeat: bool) -> bool:
+        return desk.balancer._over_share(RequestArrived(1, "read", 900, "big", repeat), desk.now)
+
+    assert not any(over(repeat=True) for _ in range(20))
+    assert [over(repeat=False) for _ in range(5)] == [False] * 4 + [True], "two seconds of its share at once"
+    assert over(repeat=True), "a repeat of excess is excess"
+
+
 def test_one_of_many_balancers_keeps_to_a_stable_part_of_the_servers() -> None:
     """Calls spread over all servers are too few at each to learn it or to use a connection twice."""
     parts = []
