--- a/basaltspindle/policy.py
+++ b/basaltspindle/policy.py
@@ -328,7 +328,7 @@
             self._requests.pop(request.id, None)
 
     def _over_share(self, event: face.RequestArrived, now: float) -> bool:
-        """Whether this tenant is past our part of its share: its excess is worth little; a repeat asks no more."""
+        """Whether this tenant is past our part of its share: excess is worth little. Repeats use up none."""
         tenant = event.tenant or ""
         if (rate := self._quota.get(tenant)) is None:
             return False
