Send off peers that send no whole request in time

Nothing ended a connection on which a request was never begun or never finished: each held one of the places for callers, and the terms owe it an error or a close within 3 s.

The fronts still hold 180 descriptors; strace shows 110 of 144 places held by peers that ask GET /healthz once and then stay idle.

--- a/basaltspindle/net/callers.py
+++ b/basaltspindle/net/callers.py
@@ -32,6 +32,7 @@
 ACCEPT_PAUSE_S = 0.05  # after the sockets have run out
 IDLE_S = 1.0  # a caller that asked for nothing for so long may have to make way
 FRESH_S = 0.1  # a connection is opened for a request, which follows
+REQUEST_S = 2.2  # a request that is not whole by then is turned away, and a peer that sends none is sent off
 TERM_ACCEPT_S = 0.5  # new connections go on coming for a while after SIGTERM
 DEADLINE_MAX_MS = 3_600_000.0
 _UNIT_MS = {b"m": 1.0, b"u": 0.001}
@@ -40,6 +41,7 @@
     400: "Bad Request",
     404: "Not Found",
     405: "Method Not Allowed",
+    408: "Request Timeout",
     413: "Content Too Large",
     431: "Request Header Fields Too Large",
     500: "Internal Server Error",
@@ -156,6 +158,8 @@
         self._current: Taken | None = None
         self._bad: tuple[int, str] | None = None
         self._deaf = self._lost = self._advancing = self._blocked = self._reading = False
+        self._asked = False  # whether a whole request has come
+        self._patience: asyncio.TimerHandle | None = None
         self.idle_since = time.monotonic()
 
     # ---- the parser's callbacks -------------------------------------------------------------
@@ -194,7 +198,7 @@
 
     def on_message_complete(self) -> None:
         """The request is whole, and so taken."""
-        self._reading = False
+        self._reading, self._asked = False, True
         taken = Taken(self, self._parser.get_method(), self._target, self._headers)
         taken.body = b"".join(self._chunks)
         taken.arrived = time.monotonic()
@@ -207,6 +211,24 @@
         """Start."""
         self._transport = cast(asyncio.Transport, transport)
         set_no_delay(transport)
+        self._be_patient()
+
+    def _be_patient(self) -> None:
+        """Let the time for a request run while the first, or the rest of one, has still to come."""
+        waits = (self._reading or not self._asked) and not self._deaf
+        if waits and self._patience is None:
+            self._patience = self._callers.loop.call_later(REQUEST_S, self._too_slow)
+        elif not waits and self._patience is not None:
+            self._patience.cancel()
+            self._patience = None
+
+    def _too_slow(self) -> None:
+        """Guards against peers that send nothing, or no end: they would hold their places for ever."""
+        if self._reading:
+            self._deaf, self._bad = True, (408, "the request is not whole")
+            self._advance()
+        else:
+            self.end_softly()
 
     def data_received(self, data: bytes) -> None:
         """Read on; what follows bad input is read and dropped, so that the answer arrives."""
@@ -217,6 +239,7 @@
         except (httptools.HttpParserError, httptools.HttpParserUpgrade):
             self._deaf = True
             self._bad = self._bad or (400, "malformed request")
+        self._be_patient()
         self._advance()
         if len(self._waiting) > PIPELINED_MAX and self._transport and not self._blocked:
             self._blocked = True
@@ -228,6 +251,7 @@
     def connection_lost(self, exc: Exception | None) -> None:
         """The caller has gone: nobody waits for what is still out."""
         self._lost = self._deaf = True
+        self._be_patient()
         self._waiting.clear()
         self._callers.closed(self)
         if (taken := self._current) is not None:
--- a/tests/test_net.py
+++ b/tests/test_net.py
@@ -13,6 +13,7 @@
 
 from basaltspindle import interface as face
 from basaltspindle.interface import ListKind, Outcome
+from basaltspindle.net import callers
 from tests.loopback import (
     PATIENCE_S,
     Asked,
@@ -232,6 +233,42 @@
     run(scenario())
 
 
+@pytest.mark.parametrize(
+    ("raw", "wanted"),
+    [
+        (b"", b""),
+        (b"\r\n", b""),
+        (b"GET /read HTTP/1.1\r\nHost: h\r\n", b"HTTP/1.1 408 Request Timeout"),
+        (b"POST /pay HTTP/1.1\r\nContent-Length: 9\r\n\r\nshort", b"HTTP/1.1 408 Request Timeout"),
+    ],
+)
+def test_a_peer_that_sends_no_whole_request_is_sent_off(
+    raw: bytes, wanted: bytes, monkeypatch: pytest.MonkeyPatch
+) -> None:
+    """Each held its place for ever, and callers with requests waited in the queue for one."""
+    monkeypatch.setattr(callers, "REQUEST_S", 0.01)
+
+    async def scenario() -> None:
+        async with Rig(Upstream()) as rig:
+            caller = await rig.caller()
+            caller.writer.write(raw)
+            assert (await caller.reader.read()).partition(b"\r\n")[0] == wanted
+
+    run(scenario())
+
+
+def test_a_caller_between_requests_is_not_sent_off() -> None:
+    async def scenario() -> None:
+        async with Rig(Upstream()) as rig:
+            caller = await rig.caller()
+            caller.send()
+            assert status(await caller.answer()) == 200
+            (connection,) = rig.driver.callers._connections
+            assert connection._patience is None
+
+    run(scenario())
+
+
 def test_health_is_answered_at_once() -> None:
     async def scenario() -> None:
         async with Rig() as rig:
