Count a call turned away by a full queue as a sign of crowding

An attempt that never ran weighed nothing when load is shed, and a full queue's answer, which says outright that a server is crowded, is one of those.

--- a/basaltspindle/policy.py
+++ b/basaltspindle/policy.py
@@ -329,8 +329,7 @@
 
     def _over_share(self, event: face.RequestArrived, now: float) -> bool:
         """Whether this tenant is past our part of its share: excess is worth little. Repeats use up none."""
-        tenant = event.tenant or ""
-        if (rate := self._quota.get(tenant)) is None:
+        if (rate := self._quota.get(tenant := event.tenant or "")) is None:
             return False
         level, seen = self._share.get(tenant, (QUOTA_BURST_MS * rate, now))
         level = min(QUOTA_BURST_MS * rate, level + (now - seen) * rate)
@@ -429,7 +428,8 @@
             self._work[cls.name] += (elapsed - self._work[cls.name]) / OFFER_CALLS
             server.served += request.size
         elif outcome not in (Outcome.CANCELLED, Outcome.NOT_SENT):
-            self._weigh(1.0, attempt.ran * self._silence(elapsed, request), now)
+            full = outcome is Outcome.REJECTED  # its own word that it is crowded
+            self._weigh(1.0, max(full, attempt.ran * self._silence(elapsed, request)), now)
             server.busy += max(attempt.ends - now, 0.0)
         server.in_flight -= 1
 
--- a/tests/test_policy.py
+++ b/tests/test_policy.py
@@ -367,6 +367,20 @@
     assert sum(bool(sent(desk.ask()[1])) for _ in range(100)) < 20
 
 
+def test_full_queues_shed_before_answers_come_late() -> None:
+    """Seventy calls in five seconds were turned away by full queues, and nothing was shed for it."""
+    desk = Desk(4)
+    serve_in(desk, 50.0, READ, 20)
+    for _ in range(10):
+        request, actions = desk.ask(READ)
+        attempt = 0
+        while sent(actions):
+            desk.now += 5
+            actions = desk.end(request, attempt, sent(actions)[0].server, Outcome.REJECTED)
+            attempt += 1
+    assert desk.balancer._let_in(desk.now) < 1.0
+
+
 def test_shedding_lifts_within_seconds_once_the_crowd_is_gone() -> None:
     """The level once rose with answers alone, and those were few because it was low."""
     desk = Desk(8)
