Say with every refusal when to come back, where the settings allow it

No refusal carried Retry-After, so clients repeated a refused request up to four times, each within 1 ms, and were refused each time.

--- a/basaltspindle/policy.py
+++ b/basaltspindle/policy.py
@@ -33,6 +33,7 @@
 EASE, FULL = 0.17, 0.34  # mean lateness (a square) up to which all, and from which on the least, is let in
 SUBSET_MIN = 12  # servers that a balancer keeps to at the least: losing a few must leave a choice
 SUBSET_COVER = 30  # balancers that keep to each server: their chance parts then even out to a fifth
+AWAY_PART = 0.1  # of the aim: so long a refused caller is asked to stay away, to be back in time for it
 LEVEL_MIN = 0.05  # let in whatever happens, so that recovery is seen
 LIST_RETRY_MS = 500.0  # first pause before the list is asked again, doubled at each failure
 
@@ -310,7 +311,8 @@
     def _give_up(self, request: _Request) -> None:
         request.owed = False
         harmless = request.cls.effect is Effect.SAFE or not any(a.ran for a in request.attempts)
-        self._actions.append(face.Refuse(request.id) if harmless else face.Fail(request.id))
+        away = min(AWAY_PART * request.cls.aim_ms, self._settings.max_retry_after_ms)
+        self._actions.append(face.Refuse(request.id, away) if harmless else face.Fail(request.id))
         self._drop_if_over(request)
 
     def _cancel_rest(self, request: _Request) -> None:
@@ -383,13 +385,11 @@
         zones: dict[str, float] = {}
         for server, c in zip(able, capacity, strict=True):
             zones[server.member.zone] = zones.get(server.member.zone, 0.0) + c
-        own = self._settings.zone
-        if not own or own not in zones or len(zones) < 2:
+        if not (own := self._settings.zone) or own not in zones or len(zones) < 2:
             return capacity
         part = sum(zones.values()) / len(zones)
         over = {zone: max(c - part, 0.0) for zone, c in zones.items()}
-        room = sum(over.values())  # 0 where all are alike but for rounding
-        spill = max(part - zones[own], 0.0) / room if room else 0.0
+        spill = max(part - zones[own], 0.0) / (sum(over.values()) or 1.0)  # all may be alike
         weight = {z: (min(c, part) if z == own else spill * over[z]) / c for z, c in zones.items()}
         return [weight[s.member.zone] * c for s, c in zip(able, capacity, strict=True)]
 
--- a/tests/test_policy.py
+++ b/tests/test_policy.py
@@ -367,6 +367,14 @@
     assert sum(bool(sent(desk.ask()[1])) for _ in range(100)) < 20
 
 
+def test_a_refusal_says_when_to_come_back_where_the_settings_allow_it() -> None:
+    """Refused callers asked again within a millisecond, up to four times, and were refused each time."""
+    for longest, wanted in ((0.0, 0.0), (60.0, 60.0), (2_000.0, 100.0)):
+        desk = Desk(0, max_retry_after_ms=longest)
+        request, actions = desk.ask(READ)
+        assert Refuse(request, wanted) in actions
+
+
 def test_full_queues_shed_before_answers_come_late() -> None:
     """Seventy calls in five seconds were turned away by full queues, and nothing was shed for it."""
     desk = Desk(4)
