Fail a silent watch 1.5 s past its wait, before its news counts as told

By the protocol all that discovery has to tell counts as told 2 s after the wait of a watch is over, whether or not it arrived. A silent watch was kept for 5 s, which left no time to ask anew within the grace for drains.

No recording shows this; found by reading the code against the protocol.

--- a/basaltspindle/net/discovery.py
+++ b/basaltspindle/net/discovery.py
@@ -15,7 +15,8 @@
 
 WAIT_MS = 30_000  # of one watch call: each call costs discovery work, and news ends it at once
 SPREAD = 0.2  # part by which waits differ, so that balancers that started together do not call together
-ANSWER_S = 5.0  # past its wait, a call that is not answered has failed; discovery itself gives up sooner
+ANSWER_S = 5.0  # a call that is not answered by then has failed; discovery itself gives up sooner
+OVERDUE_S = 1.5  # so long past its wait a watch has failed: 2 s past it, all changes count as told
 PUSH_PAUSE_S = 0.5  # before the agent on this machine is called again, where lists are pushed
 LIST_MAX = 4 * 1024 * 1024
 
@@ -122,12 +123,13 @@
             self._on_news(news)
 
     async def _call(self) -> ServerList:
-        path, wait_s = "/v1/servers", 0.0
+        path, limit_s = "/v1/servers", ANSWER_S
         if self._index >= 0:
             wait_s = WAIT_MS / 1000 * (1 - SPREAD * self._random.random())
+            limit_s = wait_s + OVERDUE_S
             path += f"?after={self._index}&wait_ms={wait_s * 1000:.0f}"
         host, port = self._address
-        async with asyncio.timeout(wait_s + ANSWER_S):
+        async with asyncio.timeout(limit_s):
             if self._link is None or self._link.closed:
                 loop = asyncio.get_running_loop()
                 _, self._link = await loop.create_connection(_Link, host, port)
--- a/tests/test_net.py
+++ b/tests/test_net.py
@@ -13,7 +13,7 @@
 
 from basaltspindle import interface as face
 from basaltspindle.interface import ListKind, Outcome
-from basaltspindle.net import callers
+from basaltspindle.net import callers, discovery
 from tests.loopback import (
     PATIENCE_S,
     Asked,
@@ -587,6 +587,22 @@
     run(scenario())
 
 
+def test_a_watch_with_no_answer_fails_before_its_news_counts_as_told(monkeypatch: pytest.MonkeyPatch) -> None:
+    """All changes count as told 2 s after a watch's wait, and a silent one was kept for 5 s."""
+    assert discovery.OVERDUE_S < 2.0
+    monkeypatch.setattr(discovery, "WAIT_MS", 10)
+    monkeypatch.setattr(discovery, "OVERDUE_S", 0.01)
+
+    async def scenario() -> None:
+        async with Rig(Upstream()) as rig:
+            told = listen_to(rig)
+            await rig.discovery.calls.get()
+            assert "after=7" in await rig.discovery.calls.get(), "asked anew"
+            assert any(e.kind is ListKind.FAILED for e in told if isinstance(e, face.ListUpdate))
+
+    run(scenario())
+
+
 def test_the_watch_survives_any_answer() -> None:
     """An answer that broke the reader in an unforeseen way ended the watch, and nobody asked again."""
 
