Keep the first response when a second one comes with it

An upstream that sent two responses at once had the caller given the second, which was made for no request of the caller's. The first is the answer now, and the connection is not used again.

--- a/basaltspindle/net/upstreams.py
+++ b/basaltspindle/net/upstreams.py
@@ -83,7 +83,8 @@
         return answer
 
     def on_message_begin(self) -> None:
-        """Forget the message before."""
+        """Forget the message before; one right behind an answer is for no request of ours."""
+        self.may_reuse = False
         self._headers: Headers = []
         self._chunks: list[bytes] = []
         self._size = self._head = 0
@@ -104,6 +105,8 @@
 
     def on_message_complete(self) -> None:
         """The message is whole; an interim one (100 and the like) is passed over."""
+        if self._answer is not None:
+            return
         # Asked here and not later: the parser forgets its flags once the message is over.
         self.may_reuse = self._parser.should_keep_alive()
         status = self._parser.get_status_code()
--- a/tests/test_upstreams.py
+++ b/tests/test_upstreams.py
@@ -165,6 +165,19 @@
     run(scenario())
 
 
+def test_a_second_response_behind_the_answer_is_dropped_with_its_connection() -> None:
+    """It took the place of the answer, and a caller was given what was made for no request of its own."""
+
+    async def scenario() -> None:
+        upstream = Upstream(response() + response(200, b"other"), response())
+        async with Rig(upstream) as rig:
+            assert (await rig.ask()).body == b"tile"
+            assert (await rig.ask()).body == b"tile"
+            assert upstream.connections == 2
+
+    run(scenario())
+
+
 def test_at_the_cap_the_longest_idle_makes_way_and_else_no_more_is_opened() -> None:
     async def scenario() -> None:
         upstream, other = Upstream(response(), silent), Upstream(silent)
