Let callers keep their connections after SIGTERM while time allows

A balancer told to end sent its callers away with its next answers. Callers now go on with the connections they have for 0.6 of the time that is left, and are sent away then.

--- a/basaltspindle/net/callers.py
+++ b/basaltspindle/net/callers.py
@@ -34,6 +34,7 @@
 FRESH_S = 0.1  # a connection is opened for a request, which follows
 REQUEST_S = 2.2  # a request that is not whole by then is turned away, and a peer that sends none is sent off
 TERM_ACCEPT_S = 0.5  # new connections go on coming for a while after SIGTERM
+TERM_STAY_PART = 0.6  # of the time after that, callers keep the connections they have: there may be no other
 DEADLINE_MAX_MS = 3_600_000.0
 _UNIT_MS = {b"m": 1.0, b"u": 0.001}
 _REASONS = {
@@ -315,7 +316,7 @@
             return
         self._current = None
         last = not self._waiting and not self._bad
-        self._write(status, headers, body, close=last and (self._callers.ending or not taken.keep_alive))
+        self._write(status, headers, body, close=last and (self._callers.closing or not taken.keep_alive))
         self._advance()
 
     def _write(self, status: int, headers: Headers, body: bytes, close: bool) -> None:
@@ -354,7 +355,7 @@
     ) -> None:
         self.loop, self.desk, self.report = loop, desk, report
         self.classes = frozenset([c.name for c in config.settings.classes])
-        self.ending = False
+        self.ending = self.closing = False
         self._longest_s = max(c.deadline_ms for c in config.settings.classes) / 1000
         self._cap = max(config.sockets // 2 - SPARE_SOCKETS, 4)
         self._connections: set[CallerConnection] = set()
@@ -426,8 +427,9 @@
     async def end(self) -> None:
         """After SIGTERM: take in what still comes, answer all of it, and close without losing any.
 
-        Answers ask callers to go elsewhere from now on. The listener closes when nothing new comes any
-        more, right after its queue has been emptied: what waits there would be reset.
+        The listener closes when nothing new comes any more, right after its queue has been emptied: what
+        waits there would be reset. Callers go on with the connections they have while there is time, for
+        the other balancers may be restarting too; then answers ask them to go elsewhere.
         """
         self.ending = True
         started = time.monotonic()
@@ -436,6 +438,9 @@
         self._pause()
         self._listener.close()
         longest_s = min(self._longest_s, TERM_LONGEST_S)
+        while self._connections and time.monotonic() - started < TERM_ACCEPT_S + TERM_STAY_PART * longest_s:
+            await asyncio.sleep(0.01)
+        self.closing = True
         while self._connections and time.monotonic() - started < TERM_ACCEPT_S + longest_s:
             for connection in self._connections:
                 if connection.idle_since < time.monotonic() - FRESH_S and connection.may_end():
