--- a/tests/test_net.py
+++ b/tests/test_net.py
@@ -365,7 +365,7 @@
 def test_the_end_answers_what_was_taken_and_takes_what_still_comes(monkeypatch: pytest.MonkeyPatch) -> None:
     """Callers were sent away at once, and found the other balancer restarting as well."""
     monkeypatch.setattr(callers, "TERM_STAY_PART", 0.0)
-    monkeypatch.setattr(callers, "TERM_ACCEPT_S", 2.0)
+    monkeypatch.setattr(callers, "TERM_ACCEPT_S", 1.0)
 
     async def scenario() -> None:
         upstream = Upstream(response(), silent, response())
