Answer operators on a console of its own, with health and the figures

`net/figures.py` counts at the driver's one place where a request ends and at the one where an attempt's last byte leaves. What the module avoids it tells itself. Bounds and heads of messages, which callers and upstreams shared by importing one from the other, move to `net/framing.py`.

Not taken: a thread for the console.

--- a/basaltspindle/__main__.py
+++ b/basaltspindle/__main__.py
@@ -18,7 +18,7 @@
 def load(path: str, note: Callable[[str], None]) -> Config:
     """The configuration as the file holds it now; OSError or ValueError if it can't be used."""
     with open(path, encoding="utf-8") as file:
-        return read_config(file.read(), note)
+        return read_config(file.read(), note, os.environ.get("LB_CONSOLE", ""))
 
 
 def reload(path: str, driver: Driver) -> None:
--- a/basaltspindle/net/callers.py
+++ b/basaltspindle/net/callers.py
@@ -14,16 +14,8 @@
 import httptools
 
 from basaltspindle.net.config import Config
-from basaltspindle.net.upstreams import (
-    BODY_MAX,
-    HEAD_MAX,
-    SPARE_SOCKETS,
-    Headers,
-    TooLarge,
-    end_to_end,
-    peek,
-    set_no_delay,
-)
+from basaltspindle.net.framing import HEAD_MAX, Headers, TooLarge, end_to_end, peek, response, set_no_delay
+from basaltspindle.net.upstreams import BODY_MAX, SPARE_SOCKETS
 
 BACKLOG = 2_048  # callers queue in the kernel while we are busy, instead of being turned away
 PIPELINED_MAX = 16  # requests read ahead on one connection; past that, reading waits
@@ -37,18 +29,6 @@
 TERM_STAY_PART = 0.6  # of the time after that, callers keep the connections they have: there may be no other
 DEADLINE_MAX_MS = 3_600_000.0
 _UNIT_MS = {b"m": 1.0, b"u": 0.001}
-_REASONS = {
-    200: "OK",
-    400: "Bad Request",
-    404: "Not Found",
-    405: "Method Not Allowed",
-    408: "Request Timeout",
-    413: "Content Too Large",
-    431: "Request Header Fields Too Large",
-    500: "Internal Server Error",
-    502: "Bad Gateway",
-    503: "Service Unavailable",
-}
 _HOPS = (b"x-deadline", b"expect")  # said anew for each attempt, or settled with the caller
 
 
@@ -322,11 +302,7 @@
     def _write(self, status: int, headers: Headers, body: bytes, close: bool) -> None:
         assert self._transport is not None
         self.idle_since = time.monotonic()
-        parts = [b"HTTP/1.1 %d %b\r\nContent-Length: %d\r\n" % (status, _reason(status), len(body))]
-        parts.extend([b"%b: %b\r\n" % pair for pair in headers])
-        parts.append(b"Connection: close\r\n\r\n" if close else b"\r\n")
-        parts.append(body)
-        self._transport.write(b"".join(parts))
+        self._transport.write(response(status, headers, body, close))
         if close:
             self.end_softly()
 
@@ -343,10 +319,6 @@
         self._callers.loop.call_later(LINGER_S, self._transport.abort)
 
 
-def _reason(status: int) -> bytes:
-    return _REASONS.get(status, "").encode()
-
-
 class Callers:
     """The listening socket and the connections that came in by it."""
 
--- a/basaltspindle/net/config.py
+++ b/basaltspindle/net/config.py
@@ -55,6 +55,7 @@
     discovery: Address
     seed: int
     sockets: int
+    console: Address | None
     known: ServerList
     settings: Settings
     connect_timeout_ms: float
@@ -121,10 +122,14 @@
     return str(value).lower() if isinstance(value, bool) else str(value)
 
 
-def read_config(text: str, note: Callable[[str], None]) -> Config:
-    """The configuration from its JSON text; ConfigError says in one line what is wrong with it."""
+def read_config(text: str, note: Callable[[str], None], console: str = "") -> Config:
+    """The configuration from its JSON text; ConfigError says in one line what is wrong with it.
+
+    `console` is where operators call if the text does not say.
+    """
     try:
         raw = json.loads(text)
+        console = raw.get("console") or console
         facts: wire.Fields = {}
         flatten(raw["settings"], "", facts)
         return Config(
@@ -133,6 +138,7 @@
             discovery=read_address(raw["discovery"]),
             seed=int(str(raw.get("seed", "0")), 16),
             sockets=int(raw.get("limits", {}).get("sockets", 1024)),
+            console=read_address(console) if console else None,
             known=read_list(raw.get("known") or {"index": 0, "snapshot": True, "endpoints": []}),
             settings=wire.read_settings(facts, note),
             connect_timeout_ms=wire.number(facts, "limits.connectTimeout", 250.0),
--- a/basaltspindle/net/discovery.py
+++ b/basaltspindle/net/discovery.py
@@ -11,7 +11,8 @@
 import httptools
 
 from basaltspindle.net.config import Address, Config, ServerList, read_list
-from basaltspindle.net.upstreams import Answer, ResponseReader, TooLarge
+from basaltspindle.net.framing import TooLarge
+from basaltspindle.net.upstreams import Answer, ResponseReader
 
 WAIT_MS = 30_000  # of one watch call at the most: each costs discovery work, and news ends it at once
 CALL_MS = 50  # of wait for each balancer of the tier: all together call about once in so long
--- a/basaltspindle/net/driver.py
+++ b/basaltspindle/net/driver.py
@@ -14,8 +14,11 @@
 from basaltspindle.interface import NEVER_RAN, ListKind, Outcome
 from basaltspindle.net.callers import Callers, Taken
 from basaltspindle.net.config import Config, ServerList
+from basaltspindle.net.console import Console
 from basaltspindle.net.discovery import Discovery
-from basaltspindle.net.upstreams import Answer, Attempt, Upstreams, end_to_end
+from basaltspindle.net.figures import Figures
+from basaltspindle.net.framing import end_to_end
+from basaltspindle.net.upstreams import Answer, Attempt, Upstreams
 from basaltspindle.policy import Balancer
 
 ANSWER_MS = 10.0  # the module is told so much less than the caller waits: its answer must still travel
@@ -84,6 +87,8 @@
         self.balancer = Balancer(config.settings, config.seed)
         self.upstreams = Upstreams(config, loop)
         self.callers = Callers(config, loop, self, self.log.exception)
+        self.console = Console(config.console, loop, self) if config.console else None
+        self._figures = Figures(c.name for c in config.settings.classes)
         self._discovery = Discovery(config, self._news, self._list_failed)
         self._requests: dict[int, _Request] = {}
         self._last = 0
@@ -97,6 +102,16 @@
         self._discovery.start()
         self._sweep()
         self.callers.start()
+        if self.console is not None:
+            self.console.start()
+
+    def is_serving(self) -> bool:
+        """Whether clients are taken."""
+        return not self.callers.ending
+
+    def figures(self) -> dict[str, object]:
+        """What operators read."""
+        return self._figures.report(self.upstreams.listed_count(), len(self.balancer.avoided()))
 
     def replace(self, config: Config) -> None:
         """Follow a configuration that the platform has replaced: only discovery's address may differ."""
@@ -154,6 +169,7 @@
         request = _Request(self._last, taken, self.clock.now() + left - ANSWER_MS)
         taken.request = request.id
         self._requests[request.id] = request
+        self._figures.taken()
         request.net = self._loop.call_later(max(left - NET_MS, 0.0) / 1000, self._rescue, request.id)
         self._tell(
             face.RequestArrived(
@@ -171,7 +187,7 @@
         """The caller has gone."""
         request = self._requests.get(taken.request)
         if request is not None and request.open:
-            self._close(request)
+            self._close(request, None)
             self._tell(face.ClientLeft(request.id), request)
 
     def close(self) -> None:
@@ -184,12 +200,15 @@
         request = self._requests.get(number) if number is not None else None
         if request is None or not request.open:
             return
-        self._close(request)
-        request.taken.answer(502 if request.ran or request.out else 503)
+        status = 502 if request.ran or request.out else 503
+        self._close(request, status)
+        request.taken.answer(status)
         self._tell(face.ClientLeft(request.id), request)  # it calls off what is out
 
-    def _close(self, request: _Request) -> None:
+    def _close(self, request: _Request, status: int | None) -> None:
+        """The one place where a request ends: with its final answer, or None where its client has left."""
         request.open = False
+        self._figures.ended(request.taken.class_name, status)
         if request.net is not None:
             request.net.cancel()
 
@@ -200,7 +219,7 @@
         request.out -= 1
         request.ran = request.ran or outcome not in NEVER_RAN
         if request.open and outcome is Outcome.SERVED and answer is not None:
-            self._close(request)
+            self._close(request, 200)
             request.taken.answer(200, end_to_end(answer.headers), answer.body)
         self._tell(face.AttemptEnded(request.id, index, server, outcome, not request.open), request)
 
@@ -247,7 +266,7 @@
     def _answer(self, number: int, status: int, headers: list[tuple[bytes, bytes]]) -> None:
         request = self._requests.get(number)
         if request is not None and request.open:
-            self._close(request)
+            self._close(request, status)
             request.taken.answer(status, headers)
 
     def _send(self, action: face.Send) -> None:
@@ -274,7 +293,9 @@
             def on_end(outcome: Outcome, answer: Answer | None) -> None:
                 self._ended(request, index, server, outcome, answer)
 
-            attempt = self.upstreams.attempt(server, max(timeout_ms, 0.0) / 1000, compose, on_end)
+            attempt = self.upstreams.attempt(
+                server, max(timeout_ms, 0.0) / 1000, compose, on_end, self._figures.forwarded
+            )
             outcome = Outcome.CONNECT_FAILED  # for a server that no list names any more
         request.attempts.append(attempt)
         if attempt is None:
--- /dev/null
+++ b/basaltspindle/net/figures.py
@@ -0,0 +1,50 @@
+"""The figures that operators read: what this process has done so far, counted from 0."""
+
+from __future__ import annotations
+
+from collections.abc import Iterable
+
+SERVED = 200
+REFUSALS = frozenset({429, 503})
+
+
+class Figures:
+    """Counts of requests by class and ending, and of attempts; the driver tells each ending once."""
+
+    def __init__(self, classes: Iterable[str]) -> None:
+        names = tuple(classes)
+        self._succeeded = dict.fromkeys(names, 0)
+        self._declined = dict.fromkeys(names, 0)
+        self._aborted = dict.fromkeys(names, 0)
+        self.forwards = self.outstanding = 0
+
+    def taken(self) -> None:
+        """A request is here, and owed an answer."""
+        self.outstanding += 1
+
+    def ended(self, class_name: str, status: int | None) -> None:
+        """A request has had its final answer; None where its client left before."""
+        self.outstanding -= 1
+        if status is None:
+            return
+        if status == SERVED:
+            counts = self._succeeded
+        else:
+            counts = self._declined if status in REFUSALS else self._aborted
+        counts[class_name] += 1
+
+    def forwarded(self) -> None:
+        """An attempt has been written whole to an upstream."""
+        self.forwards += 1
+
+    def report(self, discovered: int, ejected: int) -> dict[str, object]:
+        """All of it under the names that operators know."""
+        return {
+            "succeeded": self._succeeded,
+            "declined": self._declined,
+            "aborted": self._aborted,
+            "forwards": self.forwards,
+            "outstanding": self.outstanding,
+            "discovered": discovered,
+            "ejected": ejected,
+        }
--- a/basaltspindle/net/upstreams.py
+++ b/basaltspindle/net/upstreams.py
@@ -7,7 +7,6 @@
 from __future__ import annotations
 
 import asyncio
-import socket
 import time
 from collections.abc import Callable
 from typing import cast
@@ -16,44 +15,16 @@
 
 from basaltspindle.interface import Outcome, Readiness
 from basaltspindle.net.config import Address, Config, ServerList
+from basaltspindle.net.framing import HEAD_MAX, Headers, TooLarge, peek, set_no_delay
 
 BODY_MAX = 65_536  # the protocol's bound on a body
-HEAD_MAX = 65_536
 IDLE_PART = 0.8  # of the upstream's idle limit: a request that crosses its closing would end as a reset
 CALLERS_PART = 0.5  # of the sockets are kept for callers
-SPARE_SOCKETS = 48  # for the event loop, the logs, discovery and connections that are just closing
+SPARE_SOCKETS = 48  # for the event loop, the logs, discovery, the console and what is just closing
 DRAIN_PART = 0.5  # of the grace: the news may have waited in our buffer before it was read
-_HOP_BY_HOP = frozenset(
-    b"connection content-length keep-alive proxy-connection te trailer transfer-encoding upgrade".split()
-)
-
-Headers = list[tuple[bytes, bytes]]
 Done = Callable[[Outcome, "Answer | None"], None]
 
 
-def set_no_delay(transport: asyncio.BaseTransport) -> None:
-    """Send small messages at once."""
-    transport.get_extra_info("socket").setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
-
-
-def peek(transport: asyncio.BaseTransport) -> bytes | None:
-    """What the kernel holds that the loop has not read: a first byte, b"" for the end, None for nothing."""
-    wrapped = transport.get_extra_info("socket")
-    probe = socket.socket(wrapped.family, wrapped.type, wrapped.proto, wrapped.fileno())
-    try:
-        return probe.recv(1, socket.MSG_PEEK | socket.MSG_DONTWAIT)
-    except BlockingIOError:
-        return None
-    except OSError:
-        return b""
-    finally:
-        probe.detach()  # the file descriptor stays the transport's
-
-
-class TooLarge(Exception):
-    """A message that is larger than the protocol allows."""
-
-
 class Answer:
     """One whole response, ready to be passed on."""
 
@@ -114,11 +85,6 @@
             self._answer = Answer(status, self._headers, b"".join(self._chunks))
 
 
-def end_to_end(headers: Headers) -> Headers:
-    """The headers that are not about this one connection."""
-    return [(n, v) for n, v in headers if n not in _HOP_BY_HOP]
-
-
 def _meaning(answer: Answer) -> Outcome:
     if answer.status == 200:
         return Outcome.SERVED
@@ -130,10 +96,12 @@
 class Attempt:
     """One attempt at a server; `on_end` is called exactly once, whatever crosses what."""
 
-    __slots__ = ("_compose", "_connection", "_on_end", "_pool", "_task", "_timer")
+    __slots__ = ("_compose", "_connection", "_on_end", "_pool", "_task", "_timer", "on_written")
 
-    def __init__(self, pool: Pool, compose: Callable[[], bytes], on_end: Done) -> None:
-        self._pool, self._compose = pool, compose
+    def __init__(
+        self, pool: Pool, compose: Callable[[], bytes], on_written: Callable[[], None], on_end: Done
+    ) -> None:
+        self._pool, self._compose, self.on_written = pool, compose, on_written
         self._on_end: Done | None = on_end
         self._connection: Connection | None = None
         self._task: asyncio.Task[None] | None = None
@@ -227,7 +195,8 @@
 
     def resume_writing(self) -> None:
         """The last byte has left our buffer."""
-        self._written = self._attempt is not None
+        if self._attempt is not None and not self._written:
+            self._wrote(self._attempt)
 
     def carry(self, attempt: Attempt, request: bytes) -> None:
         """Send a request and wait for its response."""
@@ -235,7 +204,12 @@
         self._attempt, self._written = attempt, False
         self._reader = self._reader or ResponseReader()
         self._transport.write(request)
-        self._written = self._transport.get_write_buffer_size() == 0 and not self._transport.is_closing()
+        if self._transport.get_write_buffer_size() == 0 and not self._transport.is_closing():
+            self._wrote(attempt)
+
+    def _wrote(self, attempt: Attempt) -> None:
+        self._written = True
+        attempt.on_written()
 
     def is_written(self) -> bool:
         """Whether the last byte of the request has left."""
@@ -386,16 +360,25 @@
             pool.close_idle()
 
     def attempt(
-        self, server: str, timeout_s: float, compose: Callable[[], bytes], on_end: Done
+        self,
+        server: str,
+        timeout_s: float,
+        compose: Callable[[], bytes],
+        on_end: Done,
+        on_written: Callable[[], None] = lambda: None,
     ) -> Attempt | None:
         """Start an attempt, or None for a server that no list names any more."""
         pool = self._pools.get(server)
         if pool is None:
             return None
-        attempt = Attempt(pool, compose, on_end)
+        attempt = Attempt(pool, compose, on_written, on_end)
         attempt.start(timeout_s)
         return attempt
 
+    def listed_count(self) -> int:
+        """How many servers the list names now."""
+        return len(self._pools)
+
     def close_idle(self, server: str) -> None:
         """Close the idle connections to one server."""
         if pool := self._pools.get(server):
--- a/basaltspindle/policy.py
+++ b/basaltspindle/policy.py
@@ -44,13 +44,13 @@
     """What is known of one server: its list entry, our calls there and the evidence on its capacity."""
 
     __slots__ = (
-        *"busy chance chance_until in_flight member rank".split(),
+        *"busy chance chance_until in_flight listed member rank".split(),
         *"ready seen sends served size used".split(),
     )
 
     def __init__(self, member: face.Member, now: float, rank: float) -> None:
         self.member, self.rank = member, rank
-        self.ready, self.size, self.used = False, 1.0, math.inf
+        self.listed, self.ready, self.size, self.used = False, False, 1.0, math.inf
         self.in_flight = 0  # m of the design
         self.sends: deque[float] = deque()
         self.chance, self.chance_until = 0.0, -math.inf  # of one call more where a cold budget is a fraction
@@ -141,6 +141,11 @@
                 self._made(event)[0].streaming = True
         return self._actions
 
+    def avoided(self) -> list[str]:
+        """The listed servers that get no new work though the list calls them ready."""
+        kept = set(self._near)
+        return [name for name, s in self._servers.items() if s.listed and s.ready and s not in kept]
+
     # ---- the list -------------------------------------------------------------------------------
 
     def _listed(self, event: face.ListUpdate, now: float) -> None:
@@ -158,13 +163,14 @@
             self._actions.append(face.Log("server list is back"))
         if event.kind is not ListKind.DELTA:
             for known in self._servers.values():
-                known.ready = False  # missing from a whole list means gone
+                known.listed = known.ready = False  # missing from a whole list means gone
         for member in event.members:
             if (server := self._servers.get(member.server)) is None:
                 server = self._servers[member.server] = _Server(member, now, self._random.random())
             if member.up_since_ms > server.member.up_since_ms:
                 server.forget(now)  # the same name, a new process
             server.member, server.ready = member, member.readiness is face.Readiness.READY
+            server.listed = member.readiness is not face.Readiness.GONE
             server.size = member.size if 0 < member.size < math.inf else 1.0  # a list may give odd ones
         self._servers = {name: s for name, s in self._servers.items() if s.ready or s.in_flight}
         self._ready = [s for s in self._servers.values() if s.ready]
--- a/tests/loopback.py
+++ b/tests/loopback.py
@@ -112,7 +112,7 @@
     return base | {"status": "in_service", "since_ms": 0} | more
 
 
-def config_text(discovery: str, entries: list[dict[str, Any]], **settings: Any) -> str:
+def config_text(discovery: str, entries: list[dict[str, Any]], console: str = "", **settings: Any) -> str:
     classes = [
         {"name": "read", "target": 2000.0, "deadline": 5000.0, "effect": "retryable", "worth": 2.0},
         {"name": "pay", "target": 2000.0, "deadline": 5000.0, "effect": "fragile", "worth": 1.0},
@@ -137,6 +137,7 @@
             "name": "n1",
             "listen": "127.0.0.1:0",
             "discovery": discovery,
+            "console": console,
             "seed": "8c1f30d27a5be964",
             "limits": {"cores": 1.0, "memory_mb": 192, "sockets": 1024},
             "known": {"index": 7, "snapshot": True, "endpoints": entries},
@@ -148,8 +149,8 @@
 class Rig:
     """A balancer in this process, with its upstreams and discovery."""
 
-    def __init__(self, *upstreams: Upstream, **settings: Any) -> None:
-        self.upstreams, self._settings = upstreams, settings
+    def __init__(self, *upstreams: Upstream, console: str = "127.0.0.1:0", **settings: Any) -> None:
+        self.upstreams, self._console, self._settings = upstreams, console, settings
         self.discovery = ListServer()
         self.entries: list[dict[str, Any]] = []
         self.driver: Driver
@@ -157,7 +158,7 @@
     async def __aenter__(self) -> Rig:
         for i, upstream in enumerate(self.upstreams):
             self.entries.append(entry(f"s{i}", await upstream.start()))
-        text = config_text(await self.discovery.start(), self.entries, **self._settings)
+        text = config_text(await self.discovery.start(), self.entries, self._console, **self._settings)
         self.driver = Driver(read_config(text, lambda note: None), asyncio.get_running_loop())
         self.driver.start()
         return self
