Hand the listening socket and what was learned to the process that takes over

Design: the serving process waits at a Unix socket in `$TMPDIR`. The next one connects before its loop runs and is sent the listening socket itself (SCM_RIGHTS), the list and what the module has learned. It asks discovery for the whole list, says that it is ready, and hears that the older one accepts no more; then it accepts and says yes. So there is one queue, never closed. The older one answers with `Connection: close` from then on and tells until it ends how many descriptors it keeps to; the new one holds so many less. If the new one dies, the older one accepts again. The older one leaves the budget of cold servers to the new one as long as it has warm ones. Where the Unix socket fails, both listen with SO_REUSEPORT, which is set where a console is configured and nowhere else.

Not taken: SO_REUSEPORT alone. Two queues exist while both run, and closing one resets what waits there.

--- a/basaltspindle/__main__.py
+++ b/basaltspindle/__main__.py
@@ -14,6 +14,7 @@
 
 from basaltspindle.net.config import Config, ConfigError, read_config
 from basaltspindle.net.driver import Driver
+from basaltspindle.net.handover import Legacy, ask_predecessor
 
 
 def load(path: str, note: Callable[[str], None]) -> Config:
@@ -33,14 +34,13 @@
     driver.log.write("the configuration was replaced")
 
 
-async def serve(config: Config, path: str) -> None:
+async def serve(config: Config, path: str, folder: Path | None, legacy: Legacy | None) -> None:
     """Balance until SIGTERM, then until all that was taken is answered."""
     loop = asyncio.get_running_loop()
     stop = asyncio.Event()
     for number in (signal.SIGTERM, signal.SIGINT):
         loop.add_signal_handler(number, stop.set)
-    folder = os.environ.get("TMPDIR")
-    driver = Driver(config, loop, Path(folder) if folder else None)
+    driver = Driver(config, loop, folder, legacy)
     loop.add_signal_handler(signal.SIGHUP, reload, path, driver)
     loop.set_exception_handler(lambda _, context: driver.log.write(f"in the event loop: {context!r}"[:2000]))
     driver.start()
@@ -63,9 +63,12 @@
         return 2
     for note in notes:
         print(f"basaltspindle: {note}", file=sys.stderr)
+    folder = Path(os.environ["TMPDIR"]) if os.environ.get("TMPDIR") else None
+    # Processes are replaced by operators: where none can call, nothing of it is tried.
+    legacy = ask_predecessor(folder) if config.console else None
     try:
         with asyncio.Runner(loop_factory=uvloop.new_event_loop) as runner:
-            runner.run(serve(config, path))
+            runner.run(serve(config, path, folder, legacy))
     except OSError as error:
         print(f"basaltspindle: can't serve on {config.listen}: {error}", file=sys.stderr)
         return 1
--- a/basaltspindle/interface.py
+++ b/basaltspindle/interface.py
@@ -240,8 +240,23 @@
     """When it was put back: it counts as started no sooner, for it is restarted while it is out."""
 
 
+@dataclass(frozen=True, slots=True)
+class Succession:
+    """Whether another process of this balancer has taken over: this one only serves what it still gets."""
+
+    taken_over: bool
+
+
 Event = (
-    ListUpdate | RequestArrived | AnswerStarted | AttemptEnded | ClientLeft | ProbeEnded | TimerDue | Cordoned
+    ListUpdate
+    | RequestArrived
+    | AnswerStarted
+    | AttemptEnded
+    | ClientLeft
+    | ProbeEnded
+    | TimerDue
+    | Cordoned
+    | Succession
 )
 
 
--- a/basaltspindle/net/callers.py
+++ b/basaltspindle/net/callers.py
@@ -319,46 +319,78 @@
         self._callers.loop.call_later(LINGER_S, self._transport.abort)
 
 
+def _bind(config: Config) -> socket.socket:
+    family = socket.AF_INET6 if ":" in config.listen[0] else socket.AF_INET
+    listener = socket.socket(family, socket.SOCK_STREAM)
+    listener.setsockopt(socket.SOL_SOCKET, socket.SO_REUSEADDR, 1)
+    if config.console is not None:
+        # Where operators replace the process, the next one must be able to listen even with no word from us.
+        listener.setsockopt(socket.SOL_SOCKET, socket.SO_REUSEPORT, 1)
+    listener.bind(config.listen)
+    return listener
+
+
 class Callers:
     """The listening socket and the connections that came in by it."""
 
     def __init__(
-        self, config: Config, loop: asyncio.AbstractEventLoop, desk: Desk, report: Callable[[str], None]
+        self,
+        config: Config,
+        loop: asyncio.AbstractEventLoop,
+        desk: Desk,
+        report: Callable[[str], None],
+        listener: socket.socket | None = None,
     ) -> None:
+        """`listener` is the socket that the process before this one has listened on."""
         self.loop, self.desk, self.report = loop, desk, report
         self.classes = frozenset([c.name for c in config.settings.classes])
-        self.ending = self.closing = False
+        self.serving = self.ending = self.closing = self._retired = False
         self._longest_s = max(c.deadline_ms for c in config.settings.classes) / 1000
-        self._cap = max(config.sockets // 2 - SPARE_SOCKETS, 4)
+        self.cap = max(config.sockets // 2 - SPARE_SOCKETS, 4)
         self._connections: set[CallerConnection] = set()
         self._tasks: set[asyncio.Task[None]] = set()
         self._accepting = False
-        family = socket.AF_INET6 if ":" in config.listen[0] else socket.AF_INET
-        self._listener = socket.socket(family, socket.SOCK_STREAM | socket.SOCK_NONBLOCK)
-        self._listener.setsockopt(socket.SOL_SOCKET, socket.SO_REUSEADDR, 1)
-        self._listener.bind(config.listen)
-        self.address = self._listener.getsockname()
+        self.listener = listener or _bind(config)
+        self.listener.setblocking(False)
+        self.address = self.listener.getsockname()
 
     def start(self) -> None:
         """Listen."""
-        self._listener.listen(BACKLOG)
+        self.listener.listen(BACKLOG)
+        self.serving = True
         self._resume()
 
+    def count(self) -> int:
+        """How many connections are held."""
+        return len(self._connections)
+
+    def retire(self) -> None:
+        """Another process accepts from now on; callers move to it as they are answered."""
+        self._pause()
+        self._retired = self.closing = True
+
+    def return_to_work(self) -> None:
+        """The other process has died: callers wait for us again."""
+        self._retired = False
+        if not self.ending:
+            self.closing = False
+            self._resume()
+
     def _resume(self) -> None:
-        if not self._accepting and self._listener.fileno() >= 0:
+        if not (self._accepting or self._retired) and self.listener.fileno() >= 0:
             self._accepting = True
-            self.loop.add_reader(self._listener, self._accept)
+            self.loop.add_reader(self.listener, self._accept)
 
     def _pause(self) -> None:
         if self._accepting:
             self._accepting = False
-            self.loop.remove_reader(self._listener)
+            self.loop.remove_reader(self.listener)
 
     def _accept(self) -> None:
         """Take in what waits, as far as there is room: the rest waits in the kernel's queue."""
-        while len(self._connections) < self._cap:
+        while len(self._connections) < self.cap:
             try:
-                sock, _ = self._listener.accept()
+                sock, _ = self.listener.accept()
             except BlockingIOError:
                 return
             except OSError as error:
@@ -401,14 +433,17 @@
 
         The listener closes when nothing new comes any more, right after its queue has been emptied: what
         waits there would be reset. Callers go on with the connections they have while there is time, for
-        the other balancers may be restarting too; then answers ask them to go elsewhere.
+        the other balancers may be restarting too; then answers ask them to go elsewhere. Where another
+        process has taken over, it accepts, and answers ask callers to go there at once.
         """
         self.ending = True
         started = time.monotonic()
-        await asyncio.sleep(TERM_ACCEPT_S)
-        self._accept()
+        while not self._retired and time.monotonic() - started < TERM_ACCEPT_S:
+            await asyncio.sleep(0.01)
+        if not self._retired:
+            self._accept()
         self._pause()
-        self._listener.close()
+        self.listener.close()
         longest_s = min(self._longest_s, TERM_LONGEST_S)
         while self._connections and time.monotonic() - started < TERM_ACCEPT_S + TERM_STAY_PART * longest_s:
             await asyncio.sleep(0.01)
--- a/basaltspindle/net/config.py
+++ b/basaltspindle/net/config.py
@@ -103,6 +103,24 @@
         raise ValueError(f"not a server list: {type(error).__name__}: {error}") from None
 
 
+def write_list(news: ServerList) -> dict[str, Any]:
+    """A list in discovery's form, as `read_list` takes it."""
+    status = {readiness: word for word, readiness in _READINESS.items()}
+    endpoints = [
+        {
+            "name": e.member.server,
+            "address": f"{e.address[0]}:{e.address[1]}",
+            "zone": e.member.zone,
+            "group": e.member.cell,
+            "status": status[e.member.readiness],
+            "weight": e.member.size,
+            "since_ms": e.member.up_since_ms,
+        }
+        for e in news.endpoints
+    ]
+    return {"index": news.index, "snapshot": news.whole, "endpoints": endpoints}
+
+
 def flatten(value: object, prefix: str, into: wire.Fields) -> None:
     """Nested settings as the wire's path=value pairs."""
     if isinstance(value, dict):
--- a/basaltspindle/net/discovery.py
+++ b/basaltspindle/net/discovery.py
@@ -76,11 +76,16 @@
     """Watches the list from `subscribe` on until a call fails."""
 
     def __init__(
-        self, config: Config, on_news: Callable[[ServerList], None], on_failed: Callable[[], None]
+        self,
+        config: Config,
+        on_news: Callable[[ServerList], None],
+        on_failed: Callable[[], None],
+        fresh: bool = False,
     ) -> None:
+        """`fresh` asks for the whole list first, which is answered at once, whatever is known."""
         self._address, self._on_news, self._on_failed = config.discovery, on_news, on_failed
         self._asked = config.settings.list_is_asked
-        self._index = config.known.index if config.known.endpoints else -1
+        self._index = config.known.index if config.known.endpoints and not fresh else -1
         # A watch can fall silent, and only its overdue answer tells: news is then as late as its wait
         # is long.
         afforded = CALL_MS * config.settings.balancers
--- a/basaltspindle/net/driver.py
+++ b/basaltspindle/net/driver.py
@@ -4,6 +4,7 @@
 
 import asyncio
 import contextlib
+import socket
 import sys
 import time
 import traceback
@@ -12,14 +13,14 @@
 from typing import assert_never
 
 from basaltspindle import interface as face
-from basaltspindle.interface import NEVER_RAN, ListKind, Outcome
+from basaltspindle.interface import NEVER_RAN, ListKind, Outcome, Readiness
 from basaltspindle.net.callers import Callers, Taken
-from basaltspindle.net.config import Config, ServerList
+from basaltspindle.net.config import Config, Endpoint, ServerList, read_list, write_list
 from basaltspindle.net.console import Console
 from basaltspindle.net.discovery import Discovery
 from basaltspindle.net.figures import Figures
 from basaltspindle.net.framing import end_to_end
-from basaltspindle.net.handover import CordonFile
+from basaltspindle.net.handover import CordonFile, Handover, Legacy
 from basaltspindle.net.upstreams import Answer, Attempt, Upstreams
 from basaltspindle.policy import Balancer
 
@@ -28,6 +29,7 @@
 PROBE_MS = 250.0
 SWEEP_S = 1.0
 CORDONS_S = 0.1  # between looks at what the other process was told, while there may be one
+LIST_S = 1.5  # a process that takes over waits so long for discovery; the list it was handed stands then
 IDS_MAX = 20_000  # ever listed and remembered: what was listed once is an ID that somebody has
 LOG_LINES, LOG_SPAN_S = 50, 10.0  # at most so many lines in each span: a log is no leak
 
@@ -84,43 +86,122 @@
 class Driver:
     """One balancer: the module and all that it is connected to."""
 
-    def __init__(self, config: Config, loop: asyncio.AbstractEventLoop, folder: Path | None = None) -> None:
-        """`folder` is shared with the process before this one and the one after it."""
-        self._loop = loop
+    def __init__(
+        self,
+        config: Config,
+        loop: asyncio.AbstractEventLoop,
+        folder: Path | None = None,
+        legacy: Legacy | None = None,
+    ) -> None:
+        """`folder` is shared with the process before this one, whose `legacy` it is, and the one after it."""
+        self._loop, self._legacy = loop, legacy
         self.log = Log(config.name or "balancer")
         self.clock = Clock()
         self.balancer = Balancer(config.settings, config.seed)
         self.upstreams = Upstreams(config, loop)
-        self.callers = Callers(config, loop, self, self.log.exception)
+        self.callers = Callers(config, loop, self, self.log.exception, legacy.listener if legacy else None)
         self.console = Console(config.console, loop, self) if config.console else None
         self._cordons = CordonFile(folder if config.console else None)
         self._back: dict[str, float] = {}  # the returns that the module has been told
         self._ids: dict[str, None] = {}  # that lists have named, the newest last
         self._figures = Figures(c.name for c in config.settings.classes)
-        self._discovery = Discovery(config, self._news, self._list_failed)
+        self._discovery = Discovery(config, self._news, self._list_failed, fresh=legacy is not None)
         self._requests: dict[int, _Request] = {}
         self._last = 0
         self._events: deque[face.Event] = deque()
         self._busy = False
         self._known = config.known
+        self._list: dict[str, Endpoint] = {}
+        self._index = 0
+        self._caps = self.callers.cap, self.upstreams.cap
+        self._asked = asyncio.Event()  # whether discovery has answered, or failed to
+        self._handover = Handover(folder, loop, self) if folder and config.console else None
+        self._tasks: set[asyncio.Task[None]] = set()
 
     def start(self) -> None:
-        """Tell what was known, then begin to listen."""
+        """Tell what was known, then begin to listen, or to take over from the process that does."""
         self._listed(ListKind.CACHED, self._known)
         self._follow_cordons()
+        if self._legacy is not None:
+            self._take_legacy(self._legacy)
         self._discovery.start()
         self._sweep()
-        self.callers.start()
         if self.console is not None:
             self.console.start()
+        if self._legacy is None:
+            self._serve()
+        else:
+            task = self._loop.create_task(self._take_over(self._legacy))
+            self._tasks.add(task)
+            task.add_done_callback(self._tasks.discard)
+
+    def _serve(self) -> None:
+        self.callers.start()
+        if self._handover is not None and (trouble := self._handover.start()):
+            self.log.write(trouble)
 
     def is_serving(self) -> bool:
         """Whether clients are taken."""
-        return not self.callers.ending
+        return self.callers.serving and not self.callers.ending
+
+    # ---- from one process to the next -----------------------------------------------------------
+
+    def _take_legacy(self, legacy: Legacy) -> None:
+        """Go on from the list and the evidence of the older process, as far as they can be read."""
+        try:
+            known = read_list(legacy.state["list"])
+            if known.endpoints and known.index >= self._known.index:
+                self._listed(ListKind.CACHED, known)
+            self.balancer.inherit(legacy.state["learned"], self.clock.now())
+        except (KeyError, ValueError) as error:
+            self.log.write(f"we start without what was learned: {error}")
+
+    async def _take_over(self, legacy: Legacy) -> None:
+        """Read the list, have the older process accept no more, then accept in its place."""
+        with contextlib.suppress(TimeoutError):
+            async with asyncio.timeout(LIST_S):
+                await self._asked.wait()
+        self._share(await legacy.relieve())
+        if not self.callers.ending:
+            self._serve()
+        await legacy.follow(self._share)
+
+    def _share(self, other: dict[str, int]) -> None:
+        """Hold so much less as the other process holds."""
+        self.callers.cap = max(self._caps[0] - other.get("callers", 0), 4)
+        self.upstreams.cap = max(self._caps[1] - other.get("upstreams", 0), 4)
+
+    def listening_socket(self) -> socket.socket:
+        """Where callers wait."""
+        return self.callers.listener
+
+    def state(self) -> dict[str, object]:
+        """What the next process should know."""
+        known = ServerList(self._index, True, tuple(self._list.values()))
+        return {"list": write_list(known), "learned": self.balancer.legacy(self.clock.now())}
+
+    def retire(self) -> None:
+        """The next process is ready to accept in our place."""
+        self.log.write("another process takes over")
+        self.callers.retire()
+        self._tell(face.Succession(True))
+
+    def return_to_work(self) -> None:
+        """The next process has died."""
+        self.log.write("the process that took over is gone")
+        self.callers.return_to_work()
+        self.upstreams.cap = self._caps[1]
+        self._tell(face.Succession(False))
+
+    def holds(self) -> dict[str, int]:
+        """What we keep to from now on: callers only leave, and upstreams are called for them alone."""
+        callers = self.callers.count()
+        self.upstreams.cap = min(self.upstreams.cap, max(self.upstreams.open, callers + 4))
+        return {"callers": callers, "upstreams": self.upstreams.cap}
 
     def figures(self) -> dict[str, object]:
         """What operators read."""
-        return self._figures.report(self.upstreams.listed_count(), len(self.balancer.avoided()))
+        return self._figures.report(len(self._list), len(self.balancer.avoided()))
 
     def cordon(self, server: str, out: bool) -> bool:
         """Take a server out, or put it back; False if nobody has that ID."""
@@ -262,11 +343,18 @@
         self._tell(face.AttemptEnded(request.id, index, server, outcome, not request.open), request)
 
     def _news(self, news: ServerList) -> None:
+        self._asked.set()
         self._listed(ListKind.FULL if news.whole else ListKind.DELTA, news)
 
     def _listed(self, kind: ListKind, news: ServerList) -> None:
         self.upstreams.listed(news)
+        self._index = news.index
+        if news.whole:
+            self._list.clear()
         for endpoint in news.endpoints:
+            self._list[endpoint.member.server] = endpoint
+            if endpoint.member.readiness is Readiness.GONE:
+                del self._list[endpoint.member.server]
             self._ids.pop(endpoint.member.server, None)
             self._ids[endpoint.member.server] = None
         while len(self._ids) > IDS_MAX:
@@ -274,6 +362,7 @@
         self._tell(face.ListUpdate(kind, tuple([e.member for e in news.endpoints])))
 
     def _list_failed(self) -> None:
+        self._asked.set()
         self._tell(face.ListUpdate(ListKind.FAILED))
 
     # ---- actions ------------------------------------------------------------------------------
--- a/basaltspindle/net/handover.py
+++ b/basaltspindle/net/handover.py
@@ -2,24 +2,34 @@
 
 Cordons stand in one file. It is changed under a lock and replaced in one step, so that two processes can
 serve operators at once, and a reader never sees half of it. Content that can't be read is passed over.
+
+All else goes over a Unix socket. The next process connects and is sent the listening socket and what was
+learned. When it is ready it says so; the one before it then accepts no more and, until it ends, tells how
+many descriptors it still holds. So there is one queue of callers, never closed, and one of the two accepts.
 """
 
 from __future__ import annotations
 
+import asyncio
 import fcntl
 import json
 import math
 import os
+import socket
 import time
-from collections.abc import Iterator
-from contextlib import contextmanager
+from collections.abc import Callable, Iterator
+from contextlib import contextmanager, suppress
 from dataclasses import dataclass, field
 from pathlib import Path
-from typing import Any
+from typing import Any, Protocol
 
 BACK_MS = 600_000.0  # so long a return is remembered: longer than any server stays cold
 LOCK_TRIES, LOCK_PAUSE_S = 20, 0.005  # the lock is held for one small write; we do not wait for a stuck one
 FILE_MAX = 1_000_000
+STATE_MAX = 16_000_000
+ANSWER_S = 1.0  # the other process answers at once or not at all
+TELL_S = 0.05  # between the counts that the older process sends
+READY = b"ready\n"
 
 
 @dataclass(frozen=True)
@@ -109,3 +119,167 @@
         draft = self._path.with_suffix(f".{os.getpid()}")
         draft.write_text(json.dumps({"out": sorted(self.cordons.out), "back": self.cordons.back}))
         os.replace(draft, self._path)
+
+
+@contextmanager
+def _path_in(folder: Path) -> Iterator[str]:
+    """A short path to the socket: the kernel takes about a hundred bytes, and folders may be deep."""
+    held = os.open(folder, os.O_RDONLY | os.O_DIRECTORY)
+    try:
+        yield f"/proc/self/fd/{held}/handover"
+    finally:
+        os.close(held)
+
+
+class Legacy:
+    """The older process, seen from the new one: the listening socket and what it has learned."""
+
+    def __init__(self, link: socket.socket, listener: socket.socket, state: dict[str, Any]) -> None:
+        self._link, self.listener, self.state = link, listener, state
+        self._unread = b""
+
+    async def relieve(self) -> dict[str, int]:
+        """Say that we are ready; what the older process still holds, now that it accepts no more."""
+        loop = asyncio.get_running_loop()
+        self._link.setblocking(False)
+        with suppress(OSError, ValueError, TimeoutError):
+            async with asyncio.timeout(ANSWER_S):
+                await loop.sock_sendall(self._link, READY)
+                return await self._counts() or {}
+        return {}
+
+    async def follow(self, told: Callable[[dict[str, int]], None]) -> None:
+        """Pass on what the older process holds, and at its end that it holds nothing."""
+        with suppress(OSError, ValueError):
+            while counts := await self._counts():
+                told(counts)
+        self._link.close()
+        told({})
+
+    async def _counts(self) -> dict[str, int] | None:
+        loop = asyncio.get_running_loop()
+        while b"\n" not in self._unread:
+            data = await loop.sock_recv(self._link, 4_096)
+            if not data:
+                return None
+            self._unread += data
+        line, _, self._unread = self._unread.partition(b"\n")
+        return {str(name): int(count) for name, count in json.loads(line).items()}
+
+
+def ask_predecessor(folder: Path | None) -> Legacy | None:
+    """The process that serves here now, if there is one that answers. For use before there is a loop."""
+    if folder is None:
+        return None
+    listener: socket.socket | None = None
+    link: socket.socket | None = None
+    try:
+        link = socket.socket(socket.AF_UNIX, socket.SOCK_STREAM)
+        link.settimeout(ANSWER_S)
+        with _path_in(folder) as path:
+            link.connect(path)
+        data, descriptors, _, _ = socket.recv_fds(link, 65_536, 1)
+        if not descriptors:
+            raise ValueError("no listening socket came")
+        listener = socket.socket(fileno=descriptors[0])
+        while not data.endswith(b"\n"):
+            more = link.recv(65_536)
+            if not more or len(data) > STATE_MAX:
+                raise ValueError("what was learned came in part")
+            data += more
+        state = json.loads(data)
+        if not isinstance(state, dict):
+            raise ValueError("what was learned is no object")
+        return Legacy(link, listener, state)
+    except (OSError, ValueError):
+        # Nobody is there, or nobody that can hand over: we start on our own.
+        for opened in (link, listener):
+            if opened is not None:
+                opened.close()
+        return None
+
+
+class Estate(Protocol):
+    """What there is to hand over."""
+
+    def listening_socket(self) -> socket.socket:
+        """The one that callers wait at."""
+
+    def state(self) -> dict[str, Any]:
+        """What the next process should know."""
+
+    def retire(self) -> None:
+        """Accept no more: the next process does."""
+
+    def return_to_work(self) -> None:
+        """The next process has died."""
+
+    def holds(self) -> dict[str, int]:
+        """Descriptors that are still held, by use."""
+
+
+class Handover:
+    """Waits for the process that is to take over."""
+
+    def __init__(self, folder: Path, loop: asyncio.AbstractEventLoop, estate: Estate) -> None:
+        self._folder, self._loop, self._estate = folder, loop, estate
+        self._socket: socket.socket | None = None
+        self._tasks: set[asyncio.Task[None]] = set()
+
+    def start(self) -> str:
+        """Listen in the folder, in place of who did before; a line on why not, if it can't be done."""
+        try:
+            self._socket = socket.socket(socket.AF_UNIX, socket.SOCK_STREAM | socket.SOCK_NONBLOCK)
+            with _path_in(self._folder) as path:
+                draft = f"{path}.{os.getpid()}"
+                with suppress(FileNotFoundError):
+                    os.unlink(draft)
+                self._socket.bind(draft)
+                self._socket.listen(4)
+                os.replace(draft, path)
+            self._loop.add_reader(self._socket, self._accept)
+        except OSError as error:
+            if self._socket is not None:
+                self._socket.close()
+            return f"no process can take over: {error}"
+        return ""
+
+    def _accept(self) -> None:
+        assert self._socket is not None
+        with suppress(OSError):
+            link, _ = self._socket.accept()
+            link.setblocking(False)
+            task = self._loop.create_task(self._attend(link))
+            self._tasks.add(task)
+            task.add_done_callback(self._tasks.discard)
+
+    async def _attend(self, link: socket.socket) -> None:
+        try:
+            socket.send_fds(link, [b" "], [self._estate.listening_socket().fileno()])
+            await self._loop.sock_sendall(link, json.dumps(self._estate.state()).encode() + b"\n")
+            if await self._loop.sock_recv(link, len(READY)) == READY:
+                self._estate.retire()
+                with suppress(OSError):
+                    await self._tell_until_it_ends(link)
+                self._estate.return_to_work()
+        except OSError:
+            return  # it died before it was ready
+        finally:
+            link.close()
+
+    async def _tell_until_it_ends(self, link: socket.socket) -> None:
+        told: dict[str, int] = {}
+        while True:
+            if (holds := self._estate.holds()) != told:
+                told = holds
+                await self._loop.sock_sendall(link, json.dumps(holds).encode() + b"\n")
+            if not await self._is_there(link):
+                return
+
+    async def _is_there(self, link: socket.socket) -> bool:
+        """Wait a moment; whether the other process still lives then."""
+        await asyncio.sleep(TELL_S)
+        try:
+            return link.recv(1) != b""
+        except BlockingIOError:
+            return True
--- a/basaltspindle/net/upstreams.py
+++ b/basaltspindle/net/upstreams.py
@@ -385,10 +385,6 @@
         self.held.add(server)
         self.close_idle(server)
 
-    def listed_count(self) -> int:
-        """How many servers the list names now."""
-        return len(self._pools)
-
     def close_idle(self, server: str) -> None:
         """Close the idle connections to one server."""
         if pool := self._pools.get(server):
--- a/basaltspindle/policy.py
+++ b/basaltspindle/policy.py
@@ -11,7 +11,9 @@
 import random
 from bisect import bisect
 from collections import deque
+from collections.abc import Iterable
 from itertools import accumulate
+from typing import Any
 
 from basaltspindle import interface as face
 from basaltspindle.interface import Effect, ListKind, Outcome, RepeatGroup
@@ -97,6 +99,14 @@
         return any(a.out for a in self.attempts)
 
 
+def _plain(figures: Iterable[Any]) -> list[float]:
+    """The figures, if they are such; else ValueError."""
+    plain = [float(figure) for figure in figures]
+    if not all(0 <= figure < math.inf for figure in plain):
+        raise ValueError("no legacy: it holds figures that are none")
+    return plain
+
+
 class Balancer:
     """The decisions of one balancer instance: feed it events in order, carry out the actions it returns."""
 
@@ -109,6 +119,7 @@
         self._near: list[_Server] = []
         self._held: set[str] = set()  # out by operators' hand
         self._back: dict[str, float] = {}  # when operators put servers back
+        self._leaving = False  # another process has taken over
         self._requests: dict[int, _Request] = {}
         # The time that a call of each class takes, as we see it, and where nothing crowds (a low quantile).
         self._work = {c.name: c.aim_ms / 5 for c in settings.classes}
@@ -140,6 +151,8 @@
                 self._listed(event, now)
             case face.Cordoned():
                 self._cordoned(event, now)
+            case face.Succession():
+                self._leaving = event.taken_over
             case face.ClientLeft():
                 self._left(event.request)
             case face.AnswerStarted():
@@ -155,6 +168,43 @@
             if s.listed and (name in self._held or (s.ready and s not in kept))
         ]
 
+    def legacy(self, now: float) -> dict[str, Any]:
+        """What was learned, as plain figures, for the process that takes over."""
+        for server in self._servers.values():
+            server.catch_up(now)
+        return {
+            "servers": {
+                name: [s.member.up_since_ms, s.served, s.busy, *s.sends]
+                for name, s in self._servers.items()
+                if s.listed
+            },
+            "work": self._work,
+            "easy": self._easy,
+            "usual": self._usual_rate,
+            "pressure": [self._late, self._answers, self._weighed],
+            "median": self._median,
+        }
+
+    def inherit(self, legacy: dict[str, Any], now: float) -> None:
+        """Go on with what another process has learned; ValueError, and nothing is taken, if it is no such."""
+        try:
+            servers = {str(name): _plain(known) for name, known in legacy["servers"].items()}
+            work, easy, usual = (
+                dict(zip(legacy[part], _plain(legacy[part].values()), strict=True))
+                for part in ("work", "easy", "usual")
+            )
+            (late, answers, weighed), (median,) = _plain(legacy["pressure"]), _plain([legacy["median"]])
+        except (KeyError, TypeError, AttributeError) as error:
+            raise ValueError(f"no legacy: {error!r}") from None
+        if any(len(known) < 3 for known in servers.values()) or {*work, *easy} != {*self._work}:
+            raise ValueError("no legacy: it is of other classes, or too short")
+        for name, (since, served, busy, *sends) in servers.items():
+            server = self._servers.get(name)
+            if server is not None and server.member.up_since_ms == since:
+                server.served, server.busy, server.seen, server.sends = served, busy, now, deque(sends)
+        self._work, self._easy, self._usual_rate = work, easy, usual
+        self._late, self._answers, self._weighed, self._median = late, answers, min(weighed, now), median
+
     # ---- the list -------------------------------------------------------------------------------
 
     def _listed(self, event: face.ListUpdate, now: float) -> None:
@@ -406,7 +456,9 @@
         median = self._known_median(now)
         able = self._harmless(request, now)
         if now < self._cold_until:
-            able = [s for s in able if self._cold_room(s, now)]
+            # Two processes have one budget for cold servers between them: the one that leaves uses it last.
+            warm = [s for s in able if self._warmth(s, now) >= 1] if self._leaving else []
+            able = warm or [s for s in able if self._cold_room(s, now)]
         if request.attempts:
             able = [s for s in able if all(a.server is not s for a in request.attempts)] or able
         if not able:
--- a/tests/test_net.py
+++ b/tests/test_net.py
@@ -482,7 +482,7 @@
 
     async def scenario() -> None:
         async with Rig(Upstream()) as rig:
-            rig.driver.callers._cap = 2
+            rig.driver.callers.cap = 2
             first, second = await rig.caller(), await rig.caller()
             for caller in (first, second):
                 caller.send()
--- /dev/null
+++ b/tests/test_upgrade.py
@@ -0,0 +1,297 @@
+"""One process of the balancer takes over from another: real processes, on loopback sockets."""
+
+from __future__ import annotations
+
+import asyncio
+import json
+import os
+import signal
+import socket
+import sys
+from collections.abc import AsyncIterator
+from contextlib import asynccontextmanager
+from pathlib import Path
+from typing import Any
+
+import pytest
+
+from basaltspindle.interface import Member, Succession
+from basaltspindle.net import handover
+from tests.helpers import Desk
+from tests.loopback import (
+    Asked,
+    Caller,
+    ListServer,
+    Upstream,
+    config_text,
+    entry,
+    read_message,
+    response,
+    run,
+    status,
+)
+
+
+def free_port() -> int:
+    with socket.socket() as probe:
+        probe.bind(("127.0.0.1", 0))
+        return int(probe.getsockname()[1])
+
+
+class Site:
+    """The addresses and the folder that the processes of one balancer share, and its upstreams."""
+
+    def __init__(self, folder: Path, *upstreams: Upstream, sockets: int = 1024) -> None:
+        self.folder, self.upstreams, self._sockets = folder, upstreams, sockets
+        (folder / "shared").mkdir()
+        self.discovery = ListServer()
+        self.port = free_port()
+        self.entries: list[dict[str, Any]] = []
+
+    async def start(self) -> None:
+        for i, upstream in enumerate(self.upstreams):
+            self.entries.append(entry(f"s{i}", await upstream.start()))
+        self._discovery = await self.discovery.start()
+
+    @asynccontextmanager
+    async def process(self) -> AsyncIterator[Process]:
+        console = free_port()
+        raw = json.loads(config_text(self._discovery, self.entries, f"127.0.0.1:{console}"))
+        raw["listen"], raw["limits"]["sockets"] = f"127.0.0.1:{self.port}", self._sockets
+        path = self.folder / f"{console}.json"
+        path.write_text(json.dumps(raw))
+        environment = os.environ | {"LB_CONFIG": str(path), "TMPDIR": str(self.folder / "shared")}
+        child = await asyncio.create_subprocess_exec(
+            sys.executable, "-m", "basaltspindle", env=environment, stderr=asyncio.subprocess.PIPE
+        )
+        process = Process(child, console)
+        try:
+            yield process
+        finally:
+            if child.returncode is None:
+                child.kill()
+            await child.wait()
+
+    async def caller(self) -> Caller:
+        caller = Caller()
+        caller.reader, caller.writer = await asyncio.open_connection("127.0.0.1", self.port)
+        return caller
+
+
+class Process:
+    def __init__(self, child: asyncio.subprocess.Process, console: int) -> None:
+        self.child, self._console = child, console
+
+    async def call(self, line: str, body: bytes = b"") -> Asked:
+        reader, writer = await asyncio.open_connection("127.0.0.1", self._console)
+        writer.write(f"{line} HTTP/1.1\r\nHost: h\r\nContent-Length: {len(body)}\r\n\r\n".encode() + body)
+        answer = await read_message(reader)
+        writer.close()
+        return answer
+
+    async def figures(self) -> dict[str, Any]:
+        read: dict[str, Any] = json.loads((await self.call("GET /admin/stats")).body)
+        return read
+
+    async def is_serving(self) -> bool:
+        try:
+            return status(await self.call("GET /admin/health")) == 200
+        except ConnectionRefusedError:
+            return False
+
+    async def serves(self) -> None:
+        while not await self.is_serving():
+            assert self.child.returncode is None
+            await asyncio.sleep(0.01)
+
+    async def ends(self) -> None:
+        self.child.send_signal(signal.SIGTERM)
+        assert await self.child.wait() == 0
+
+
+async def keep_asking(site: Site, stop: asyncio.Event, reuse: bool) -> int:
+    """Requests one after another, on one connection for as long as it is kept open; how many were served."""
+    served, caller = 0, None
+    while not stop.is_set():
+        caller = caller or await site.caller()
+        caller.send()
+        answer = await caller.answer()
+        assert status(answer) == 200
+        served += 1
+        if not reuse or answer.headers.get("connection") == "close":
+            caller.writer.close()
+            caller = None
+    return served
+
+
+@pytest.mark.parametrize("link", ["handed over", "refused"])
+def test_nothing_is_lost_under_load_when_one_process_follows_another(tmp_path: Path, link: str) -> None:
+    async def scenario() -> None:
+        site = Site(tmp_path, Upstream(), Upstream())
+        await site.start()
+        site.discovery.tell(8, *site.entries, snapshot=True)
+        if link == "refused":
+            (tmp_path / "shared" / "handover").mkdir()  # no socket can be laid there
+        async with site.process() as old:
+            await old.serves()
+            stop = asyncio.Event()
+            load = [asyncio.ensure_future(keep_asking(site, stop, reuse=i % 2 == 0)) for i in range(6)]
+            async with site.process() as new:
+                if link == "handed over":
+                    await site.discovery.calls.get()
+                    site.discovery.tell(8, *site.entries, snapshot=True)
+                await new.serves()
+                if link == "handed over":
+                    await old.ends()
+                    before = (await new.figures())["succeeded"]["read"]
+                    while (await new.figures())["succeeded"]["read"] <= before:
+                        await asyncio.sleep(0.01)
+                stop.set()
+                assert min(await asyncio.gather(*load)) > 0
+
+    run(scenario())
+
+
+def test_callers_that_wait_in_the_queue_are_served_by_the_next_process(tmp_path: Path) -> None:
+    async def scenario() -> None:
+        gate = asyncio.Event()
+
+        async def gated(asked: Asked, writer: asyncio.StreamWriter) -> None:
+            await gate.wait()
+            writer.write(response())
+
+        site = Site(tmp_path, Upstream(gated), sockets=100)  # room for four callers
+        await site.start()
+        async with site.process() as old:
+            await old.serves()
+            callers = [await site.caller() for _ in range(30)]
+            for caller in callers:
+                caller.send()
+            while (await old.figures())["outstanding"] < 4:
+                await asyncio.sleep(0.01)
+            async with site.process() as new:
+                site.discovery.tell(8, *site.entries, snapshot=True)
+                site.discovery.tell(8, *site.entries, snapshot=True)
+                await new.serves()
+                gate.set()
+                await old.ends()
+                for caller in callers:
+                    assert status(await caller.answer()) == 200
+                    caller.writer.close()
+
+    run(scenario())
+
+
+def test_an_older_process_accepts_again_when_the_next_one_dies(tmp_path: Path) -> None:
+    async def scenario() -> None:
+        site = Site(tmp_path, Upstream())
+        await site.start()
+        async with site.process() as old:
+            await old.serves()
+            async with site.process() as new:
+                site.discovery.tell(8, *site.entries, snapshot=True)
+                site.discovery.tell(8, *site.entries, snapshot=True)
+                await new.serves()
+            caller = await site.caller()
+            caller.send()
+            assert status(await caller.answer()) == 200
+            assert await old.is_serving()
+
+    run(scenario())
+
+
+def test_a_hold_outlasts_the_process_that_was_told(tmp_path: Path) -> None:
+    async def scenario() -> None:
+        first, second = Upstream(), Upstream()
+        site = Site(tmp_path, first, second)
+        await site.start()
+        site.discovery.tell(8, *site.entries, snapshot=True)
+        async with site.process() as old:
+            await old.serves()
+            assert status(await old.call("POST /admin/cordon", b"s0")) == 200
+            site.discovery.tell(8, *site.entries, snapshot=True)
+            async with site.process() as new:
+                await new.serves()
+                await old.ends()
+                for _ in range(10):
+                    caller = await site.caller()
+                    caller.send()
+                    assert status(await caller.answer()) == 200
+                assert (len(first.asked), len(second.asked)) == (0, 10)
+                assert (await new.figures())["ejected"] == 1
+
+    run(scenario())
+
+
+@pytest.mark.parametrize("left", ["nothing", "a file", "a dead socket"])
+def test_what_a_killed_process_left_stops_no_start(tmp_path: Path, left: str) -> None:
+    path = tmp_path / "handover"
+    if left == "a file":
+        path.write_bytes(b"half")
+    elif left == "a dead socket":
+        with socket.socket(socket.AF_UNIX) as dead, handover._path_in(tmp_path) as short:
+            dead.bind(short)
+    assert handover.ask_predecessor(tmp_path) is None
+
+    async def scenario() -> None:
+        waiting = handover.Handover(tmp_path, asyncio.get_running_loop(), estate=object())  # type: ignore[arg-type]
+        assert waiting.start() == ""
+
+    run(scenario())
+
+
+def test_a_process_that_hands_over_in_part_is_passed_over(
+    tmp_path: Path, monkeypatch: pytest.MonkeyPatch
+) -> None:
+    monkeypatch.setattr(handover, "ANSWER_S", 0.05)
+    with socket.socket(socket.AF_UNIX) as listener, handover._path_in(tmp_path) as path:
+        listener.bind(path)
+        listener.listen()
+        assert handover.ask_predecessor(tmp_path) is None
+
+
+def test_what_was_learned_passes_to_the_next_process() -> None:
+    old, new = Desk(4), Desk(4, seed=2)
+    for _ in range(300):
+        old.serve(takes={"s0": 400.0, "s1": 20.0, "s2": 20.0, "s3": 20.0})
+    new.now = old.now
+    new.balancer.inherit(json.loads(json.dumps(old.balancer.legacy(old.now))), new.now)
+    served = [new.serve(takes=20.0) for _ in range(40)]
+    assert served.count("s0") <= 3
+
+
+@pytest.mark.parametrize(
+    "change",
+    [
+        {"servers": None},
+        {"work": {"other": 1.0}},
+        {"median": "x"},
+        {"median": float("nan")},
+        {"servers": {"s0": [1.0]}},
+        {"pressure": [1.0]},
+    ],
+)
+def test_what_is_no_legacy_changes_nothing(change: dict[str, Any]) -> None:
+    old, new = Desk(4), Desk(4)
+    for _ in range(50):
+        old.serve()
+    legacy = old.balancer.legacy(old.now) | change
+    before = new.balancer.legacy(new.now)
+    with pytest.raises(ValueError):
+        new.balancer.inherit(legacy, new.now)
+    assert new.balancer.legacy(new.now) == before
+
+
+def test_a_process_that_leaves_sends_to_cold_servers_last() -> None:
+
+    desk = Desk(2)
+    for _ in range(100):
+        desk.serve()
+    desk.show(Member("s0"), Member("s1"), Member("cold", up_since_ms=desk.now))
+    desk.tell(Succession(True))
+    assert {desk.serve() for _ in range(100)} == {"s0", "s1"}
+    desk.show(Member("cold", up_since_ms=desk.now))
+    assert desk.serve() == "cold"
+    desk.show(Member("s0"), Member("s1"), Member("cold", up_since_ms=desk.now))
+    desk.tell(Succession(False))
+    assert "cold" in {desk.serve() for _ in range(100)}
