--- a/basaltspindle/interface.py
+++ b/basaltspindle/interface.py
@@ -185,11 +185,20 @@
     is_repeat: bool = False
     hint_ms: float = 0.0
     """Its expected work in standard-core time; 0 where none is known."""
+    is_whole: bool = True
+    """Whether all of its body is here; if not, `RequestWhole` follows, and its times count from then."""
+
+
+@dataclass(frozen=True, slots=True)
+class RequestWhole:
+    """The last byte of a request has come that arrived before it was whole."""
+
+    request: int
 
 
 @dataclass(frozen=True, slots=True)
 class AnswerStarted:
-    """The answer of a streamed request has begun; its deadline no longer runs."""
+    """A long answer is being passed on: its deadline no longer runs, and no other attempt can help."""
 
     request: int
     attempt: int
@@ -205,6 +214,8 @@
     outcome: Outcome
     answered: bool = False
     report: tuple[float, ...] = ()
+    body_is_gone: bool = False
+    """Whether its request can't be sent again: parts of the body were passed on and not kept."""
 
 
 @dataclass(frozen=True, slots=True)
@@ -250,6 +261,7 @@
 Event = (
     ListUpdate
     | RequestArrived
+    | RequestWhole
     | AnswerStarted
     | AttemptEnded
     | ClientLeft
--- a/basaltspindle/net/callers.py
+++ b/basaltspindle/net/callers.py
@@ -1,4 +1,8 @@
-"""The listening side: takes requests whole, turns bad ones away, and answers each at most once."""
+"""The listening side: takes requests, turns bad ones away, and answers each at most once.
+
+A request is taken up when it is whole, or, if its body is long, once that has begun: the rest goes on to the
+upstream as it comes. Reading waits while the upstream is behind, and the upstream while a caller is.
+"""
 
 from __future__ import annotations
 
@@ -14,8 +18,26 @@
 import httptools
 
 from basaltspindle.net.config import Config
-from basaltspindle.net.framing import HEAD_MAX, Headers, TooLarge, end_to_end, peek, response, set_no_delay
-from basaltspindle.net.upstreams import BODY_MAX, SPARE_SOCKETS
+from basaltspindle.net.framing import (
+    BODY_MAX,
+    HEAD_MAX,
+    LAST_CHUNK,
+    Ambiguous,
+    Body,
+    Buffers,
+    Headers,
+    Holding,
+    TooLarge,
+    body_length,
+    chunk,
+    end_to_end,
+    origin_form,
+    peek,
+    response,
+    response_head,
+    set_no_delay,
+)
+from basaltspindle.net.upstreams import SPARE_SOCKETS
 
 BACKLOG = 2_048  # callers queue in the kernel while we are busy, instead of being turned away
 PIPELINED_MAX = 16  # requests read ahead on one connection; past that, reading waits
@@ -24,7 +46,8 @@
 ACCEPT_PAUSE_S = 0.05  # after the sockets have run out
 IDLE_S = 1.0  # a caller that asked for nothing for so long may have to make way
 FRESH_S = 0.1  # a connection is opened for a request, which follows
-REQUEST_S = 2.2  # a request that is not whole by then is turned away, and a peer that sends none is sent off
+REQUEST_S = 2.6  # a peer that sends no request is sent off; what has begun may take so long, and as long
+PACE = 64_000  # as its body takes at so many bytes a second
 TERM_ACCEPT_S = 0.5  # new connections go on coming for a while after SIGTERM
 TERM_STAY_PART = 0.6  # of the time after that, callers keep the connections they have: there may be no other
 DEADLINE_MAX_MS = 3_600_000.0
@@ -32,15 +55,27 @@
 _HOPS = (b"x-deadline", b"expect")  # said anew for each attempt, or settled with the caller
 
 
+class Source(Protocol):
+    """Where an answer comes from that is passed on piece by piece."""
+
+    def pause(self) -> None:
+        """Give no more for now."""
+
+    def resume(self) -> None:
+        """Go on."""
+
+
 class Taken:
-    """A request that a caller has sent whole; it is owed one answer."""
+    """A caller's request; it is owed one answer once it is whole."""
 
     __slots__ = (
         "_connection",
         "arrived",
         "body",
+        "chunked",
         "class_name",
         "deadline_ms",
+        "expects",
         "head",
         "headers",
         "hint_ms",
@@ -49,14 +84,18 @@
         "method",
         "open",
         "request",
+        "source",
         "target",
         "tenant",
+        "version",
     )
 
     def __init__(self, connection: CallerConnection, method: bytes, target: bytes, headers: Headers) -> None:
         self._connection = connection
-        self.method, self.target, self.headers = method, target, headers
-        self.body = b""
+        self.method, self.target, self.headers = method, origin_form(target), headers
+        self.body = Body(connection.buffers, body_length(headers), connection.regulate)
+        self.version = "1.1"
+        self.expects = dict(headers).get(b"expect", b"").lower() == b"100-continue"
         self.arrived = 0.0
         self.keep_alive = self.open = True
         self.class_name = ""
@@ -65,6 +104,8 @@
         self.hint_ms = self.deadline_ms = 0.0
         self.head = b""
         self.request = -1  # its number with the driver
+        self.chunked = False  # whether the answer goes out in chunks
+        self.source: Source | None = None  # of an answer that is passed on piece by piece
 
     def answer(self, status: int, headers: Headers | None = None, body: bytes = b"") -> None:
         """Give the final answer; what comes after it is dropped."""
@@ -72,6 +113,28 @@
             self.open = False
             self._connection.answer(self, status, headers or [], body)
 
+    def begin(self, source: Source, headers: Headers, length: int | None) -> None:
+        """Begin to pass an upstream's answer on; it ends with `finish` or `break_off`."""
+        self.source = source
+        self._connection.begin(self, headers, length)
+
+    def pass_on(self, data: bytes) -> None:
+        """Pass a piece of the answer on."""
+        if self.open:
+            self._connection.pass_on(self, data)
+
+    def finish(self) -> None:
+        """The answer is whole."""
+        if self.open:
+            self.open = False
+            self._connection.finish(self)
+
+    def break_off(self) -> None:
+        """The answer can't be finished: end the connection so that the caller can tell."""
+        if self.open:
+            self.open = False
+            self._connection.abort()
+
     def check(self, classes: frozenset[str]) -> tuple[int, str] | None:
         """Read what the balancer must know; a status and reason if the request is not acceptable."""
         path = self.target.partition(b"?")[0]
@@ -80,6 +143,8 @@
             return 404, "no such path"
         if self.method not in (b"GET", b"POST"):
             return 405, "GET or POST"
+        if self.version not in ("1.0", "1.1"):
+            return 505, "HTTP/1.1 or 1.0"
         named = dict(reversed(self.headers))
         if named.get(b"x-class", b"").decode("latin-1") != first:
             return 400, "X-Class must be the first part of the path"
@@ -119,7 +184,13 @@
     """Where whole requests go."""
 
     def arrived(self, taken: Taken) -> None:
-        """Take a request."""
+        """Take a request; the rest of a long body may still come."""
+
+    def whole(self, taken: Taken) -> None:
+        """The rest of a request that was taken has come."""
+
+    def broke(self, taken: Taken, status: int) -> None:
+        """The rest of a request that was taken will not come: it ends with this status."""
 
     def left(self, taken: Taken) -> None:
         """Hear that nobody waits for its answer any more."""
@@ -128,30 +199,36 @@
         """Answer all that is still open: there is no more time."""
 
 
-class CallerConnection(asyncio.Protocol):
+class CallerConnection(asyncio.BufferedProtocol):
     """One caller's connection: requests in turn, each answered before the next is looked at."""
 
     def __init__(self, callers: Callers) -> None:
-        self._callers = callers
+        self._callers, self.buffers = callers, callers.buffers
         self._parser = httptools.HttpRequestParser(self)
         self._transport: asyncio.Transport | None = None
         self._waiting: deque[Taken] = deque()
         self._current: Taken | None = None
+        self._incoming: Taken | None = None  # whose body has still to come, or to end
         self._bad: tuple[int, str] | None = None
-        self._deaf = self._lost = self._advancing = self._blocked = self._reading = False
+        self._deaf = self._lost = self._advancing = self._paused = self._reading = False
+        self._ends_with_body = False  # its answer has gone out before its body was whole
+        self._in_head = self._passing = False
         self._asked = False  # whether a whole request has come
+        self._unsent = Holding(self.buffers)
         self._patience: asyncio.TimerHandle | None = None
-        self.idle_since = time.monotonic()
+        self._paused_at = 0.0
+        self.idle_since = self._since = time.monotonic()
 
     # ---- the parser's callbacks -------------------------------------------------------------
 
     def on_message_begin(self) -> None:
         """Forget the request before."""
-        self._reading = True
+        self._reading = self._in_head = True
         self._target = b""
         self._headers: Headers = []
-        self._chunks: list[bytes] = []
-        self._size = self._head = 0
+        self._head = self._raw = 0
+        if self._asked:
+            self._since = time.monotonic()
 
     def on_url(self, part: bytes) -> None:
         """Collect the target."""
@@ -159,9 +236,10 @@
         self._target += part
 
     def on_header(self, name: bytes, value: bytes) -> None:
-        """Collect a header."""
-        self._grow_head(len(name) + len(value))
-        self._headers.append((name.lower(), value))
+        """Collect a header; trailers are passed over."""
+        if self._in_head:
+            self._grow_head(len(name) + len(value))
+            self._headers.append((name.lower(), value))
 
     def _grow_head(self, size: int) -> None:
         self._head += size
@@ -169,62 +247,163 @@
             self._bad = 431, "headers too large"
             raise TooLarge
 
+    def on_headers_complete(self) -> None:
+        """The head is whole: the body is what comes next."""
+        self._in_head = False
+        taken = Taken(self, self._parser.get_method(), self._target, self._headers)
+        taken.keep_alive = self._parser.should_keep_alive()
+        taken.version = self._parser.get_http_version()
+        if (taken.body.length or 0) > BODY_MAX:
+            self._bad = 413, "body too large"
+            raise TooLarge
+        if taken.body.length == -1:
+            taken.body.length = 0
+        elif self._parser.should_upgrade():
+            raise Ambiguous("a body and another protocol")
+        if taken.method == b"CONNECT":
+            raise Ambiguous("what follows would be for somebody else")
+        self._incoming = taken
+
     def on_body(self, data: bytes) -> None:
-        """Collect a part of the body."""
-        self._size += len(data)
-        if self._size > BODY_MAX:
+        """Take a part of the body."""
+        taken = self._incoming
+        assert taken is not None
+        if taken.body.size + len(data) > BODY_MAX:
             self._bad = 413, "body too large"
             raise TooLarge
-        self._chunks.append(data)
+        taken.body.feed(data)
 
     def on_message_complete(self) -> None:
         """The request is whole, and so taken."""
+        taken, self._incoming = self._incoming, None
+        assert taken is not None
         self._reading, self._asked = False, True
-        taken = Taken(self, self._parser.get_method(), self._target, self._headers)
-        taken.body = b"".join(self._chunks)
         taken.arrived = time.monotonic()
-        taken.keep_alive = self._parser.should_keep_alive()
-        self._waiting.append(taken)
+        taken.body.end()
+        if self._ends_with_body:
+            self.end_softly()
+        elif taken is self._current:
+            self._callers.desk.whole(taken)
+        elif taken not in self._waiting:
+            self._waiting.append(taken)
 
     # ---- the transport's callbacks ----------------------------------------------------------
 
     def connection_made(self, transport: asyncio.BaseTransport) -> None:
-        """Start."""
+        """Have writes reported exactly: any byte that stays in our buffer pauses writing."""
         self._transport = cast(asyncio.Transport, transport)
+        self._transport.set_write_buffer_limits(high=0, low=0)
         set_no_delay(transport)
         self._be_patient()
 
     def _be_patient(self) -> None:
         """Let the time for a request run while the first, or the rest of one, has still to come."""
-        waits = (self._reading or not self._asked) and not self._deaf
+        waits = (self._reading or not self._asked) and not self._deaf and not self._paused
+        waits = waits and not (self._incoming is not None and self._incoming.expects)
         if waits and self._patience is None:
-            self._patience = self._callers.loop.call_later(REQUEST_S, self._too_slow)
+            left_s = max(self._due() - time.monotonic(), 0.0)
+            self._patience = self._callers.loop.call_later(left_s, self._look_for_more)
         elif not waits and self._patience is not None:
             self._patience.cancel()
             self._patience = None
 
-    def _too_slow(self) -> None:
+    def _due(self) -> float:
+        """By when more must have come: each part of a body buys the time that it may take."""
+        come = self._incoming.body.size if self._incoming is not None else 0
+        return self._since + REQUEST_S + come / PACE
+
+    def _look_for_more(self) -> None:
         """Guards against peers that send nothing, or no end: they would hold their places for ever."""
-        if self._reading:
-            self._deaf, self._bad = True, (408, "the request is not whole")
-            self._advance()
+        self._patience = None
+        if time.monotonic() < self._due():
+            self._be_patient()
+        elif self._reading and not self._ends_with_body:
+            self._turn_away(408, "the request is not whole")
         else:
             self.end_softly()
 
-    def data_received(self, data: bytes) -> None:
+    def _turn_away(self, status: int, reason: str) -> None:
+        """No more can be read here: the request that was coming in ends with this."""
+        self._deaf = True
+        self._be_patient()
+        taken, self._incoming = self._incoming, None
+        if taken is not None and taken is self._current:
+            self._bad = None
+            self._callers.desk.broke(taken, status)
+            return
+        if taken is not None:
+            taken.body.drop()
+            if taken in self._waiting:
+                self._waiting.remove(taken)
+        self._bad = self._bad or (status, reason)
+        self._advance()
+
+    def get_buffer(self, sizehint: int) -> memoryview:
+        """Where to read to."""
+        return self.buffers.space()
+
+    def buffer_updated(self, nbytes: int) -> None:
         """Read on; what follows bad input is read and dropped, so that the answer arrives."""
         if self._deaf:
             return
-        try:
-            self._parser.feed_data(data)
-        except (httptools.HttpParserError, httptools.HttpParserUpgrade):
-            self._deaf = True
-            self._bad = self._bad or (400, "malformed request")
-        self._be_patient()
+        data = self.buffers.read(nbytes)
+        while not self._deaf:
+            if self._in_head and self._raw > HEAD_MAX:
+                self._turn_away(431, "headers too large")
+                return
+            try:
+                self._parser.feed_data(data)
+                if self._in_head:
+                    self._raw += len(data)
+                break
+            except httptools.HttpParserUpgrade as upgrade:
+                # It asks for another protocol, too: it gets its answer in this one, and we read on.
+                data, self._parser = data[upgrade.args[0] :], httptools.HttpRequestParser(self)
+            except httptools.HttpParserError:
+                status, reason = self._bad or (400, "malformed request")
+                self._turn_away(status, reason)
+                return
+        self._go_on()
+
+    def _go_on(self) -> None:
+        """After something has come in: take up what can be, and read on if there is room."""
+        taken = self._incoming
+        if taken is not None and not self._is_queued(taken) and taken.body.is_large():
+            self._waiting.append(taken)
         self._advance()
-        if len(self._waiting) > PIPELINED_MAX and self._transport and not self._blocked:
-            self._blocked = True
+        self._be_patient()
+
+    def _is_queued(self, taken: Taken) -> bool:
+        return taken is self._current or taken in self._waiting or self._ends_with_body
+
+    def _welcome(self) -> None:
+        """Let a caller go on that asks before it sends a body, once it is its turn to be answered."""
+        taken, is_first = self._incoming, not self._waiting and self._current is None
+        if taken is None or not taken.expects or self._transport is None or self._ends_with_body:
+            return
+        if is_first or taken is self._current:
+            taken.expects = False
+            self._since = time.monotonic()  # it could send nothing before
+            self._be_patient()
+            if taken.body.size == 0 and taken.version == "1.1" and not self._transport.is_closing():
+                self._transport.write(b"HTTP/1.1 100 Continue\r\n\r\n")
+
+    def regulate(self) -> None:
+        """Read on if what is read has somewhere to go."""
+        if self._transport is None or self._lost or self._transport.is_closing():
+            return
+        body = self._incoming.body if self._incoming is not None else None
+        full = len(self._waiting) > PIPELINED_MAX or (body is not None and not body.may_grow())
+        full = full and not self._deaf
+        if full and not self._paused:
+            self._paused, self._paused_at = True, time.monotonic()
             self._transport.pause_reading()
+            self._be_patient()
+        elif not full and self._paused:
+            self._paused = False
+            self._since += time.monotonic() - self._paused_at  # it was we who did not read
+            self._transport.resume_reading()
+            self._be_patient()
 
     def eof_received(self) -> None:
         """A caller that ends its sending has gone; the transport closes by itself."""
@@ -233,15 +412,30 @@
         """The caller has gone: nobody waits for what is still out."""
         self._lost = self._deaf = True
         self._be_patient()
+        self._unsent.set(0)
+        for taken in (*self._waiting, self._incoming):
+            if taken is not None and taken is not self._current:
+                taken.body.drop()
         self._waiting.clear()
+        self._incoming = None
         self._callers.closed(self)
         if (taken := self._current) is not None:
             self._current = None
             taken.open = False
             self._callers.desk.left(taken)
 
+    def pause_writing(self) -> None:
+        """The caller is behind."""
+        assert self._transport is not None
+        self._unsent.set(self._transport.get_write_buffer_size())
+        if self._passing and self._current is not None and self._current.source is not None:
+            self._current.source.pause()
+
     def resume_writing(self) -> None:
-        """The caller reads again."""
+        """The caller has caught up."""
+        self._unsent.set(0)
+        if self._passing and self._current is not None and self._current.source is not None:
+            self._current.source.resume()
         self._advance()
 
     # ---- requests in turn -------------------------------------------------------------------
@@ -271,9 +465,8 @@
             status, reason = self._bad
             self._bad = None
             self._write(status, [], reason.encode() + b"\n", close=True)
-        elif self._blocked and len(self._waiting) <= PIPELINED_MAX and not self._lost:
-            self._blocked = False
-            self._transport.resume_reading()
+        self._welcome()
+        self.regulate()
 
     def _take(self, taken: Taken) -> None:
         if taken.target == b"/healthz" and taken.method == b"GET":
@@ -295,16 +488,66 @@
         if self._lost or taken is not self._current:
             return
         self._current = None
-        last = not self._waiting and not self._bad
-        self._write(status, headers, body, close=last and (self._callers.closing or not taken.keep_alive))
+        self._write(status, headers, body, close=self._is_last(taken))
         self._advance()
 
+    def _is_last(self, taken: Taken) -> bool:
+        """Whether the connection is to end with this answer."""
+        if not taken.body.whole:
+            return True  # what still comes of the body is no request
+        last = not self._waiting and not self._bad
+        return last and (self._callers.closing or not taken.keep_alive)
+
     def _write(self, status: int, headers: Headers, body: bytes, close: bool) -> None:
         assert self._transport is not None
         self.idle_since = time.monotonic()
         self._transport.write(response(status, headers, body, close))
         if close:
+            self._end_after_body()
+
+    def _end_after_body(self) -> None:
+        """End now, or, where a body is still coming in, after it: few callers read before they have sent."""
+        if self._incoming is None or self._deaf:
             self.end_softly()
+            return
+        self._ends_with_body = True
+        self._incoming.body.drop()
+        self.regulate()
+
+    def begin(self, taken: Taken, headers: Headers, length: int | None) -> None:
+        """Write the head of an answer that comes piece by piece."""
+        if self._lost or self._transport is None or taken is not self._current:
+            return
+        self._passing = True
+        close = self._is_last(taken) or (length is None and taken.version == "1.0")
+        taken.keep_alive = not close
+        if length is None and taken.version == "1.1":
+            headers = [*headers, (b"Transfer-Encoding", b"chunked")]
+            taken.chunked = True
+        self._transport.write(response_head(200, headers, length, close))
+
+    def pass_on(self, taken: Taken, data: bytes) -> None:
+        """Write a piece of it."""
+        if self._lost or self._transport is None or taken is not self._current:
+            return
+        self._transport.write(chunk(data) if taken.chunked else data)
+
+    def finish(self, taken: Taken) -> None:
+        """It is whole."""
+        if self._lost or self._transport is None or taken is not self._current:
+            return
+        self._current, self._passing = None, False
+        self.idle_since = time.monotonic()
+        if taken.chunked:
+            self._transport.write(LAST_CHUNK)
+        if not taken.keep_alive or self._is_last(taken):
+            self._end_after_body()
+        self._advance()
+
+    def abort(self) -> None:
+        """End at once, in the middle of an answer."""
+        if self._transport is not None:
+            self._transport.abort()
 
     def end_softly(self) -> None:
         """End our side, and read on for a moment.
@@ -339,10 +582,11 @@
         loop: asyncio.AbstractEventLoop,
         desk: Desk,
         report: Callable[[str], None],
+        buffers: Buffers,
         listener: socket.socket | None = None,
     ) -> None:
         """`listener` is the socket that the process before this one has listened on."""
-        self.loop, self.desk, self.report = loop, desk, report
+        self.loop, self.desk, self.report, self.buffers = loop, desk, report, buffers
         self.classes = frozenset([c.name for c in config.settings.classes])
         self.serving = self.ending = self.closing = self._retired = False
         self._longest_s = max(c.deadline_ms for c in config.settings.classes) / 1000
--- a/basaltspindle/net/config.py
+++ b/basaltspindle/net/config.py
@@ -55,6 +55,7 @@
     discovery: Address
     seed: int
     sockets: int
+    memory_mb: float
     console: Address | None
     known: ServerList
     settings: Settings
@@ -156,6 +157,7 @@
             discovery=read_address(raw["discovery"]),
             seed=int(str(raw.get("seed", "0")), 16),
             sockets=int(raw.get("limits", {}).get("sockets", 1024)),
+            memory_mb=float(raw.get("limits", {}).get("memory_mb", 192)),
             console=read_address(console) if console else None,
             known=read_list(raw.get("known") or {"index": 0, "snapshot": True, "endpoints": []}),
             settings=wire.read_settings(facts, note),
--- a/basaltspindle/net/discovery.py
+++ b/basaltspindle/net/discovery.py
@@ -8,11 +8,8 @@
 from collections.abc import Callable
 from typing import cast
 
-import httptools
-
 from basaltspindle.net.config import Address, Config, ServerList, read_list
-from basaltspindle.net.framing import TooLarge
-from basaltspindle.net.upstreams import Answer, ResponseReader
+from basaltspindle.net.upstreams import UNREADABLE, Answer, ResponseReader
 
 WAIT_MS = 30_000  # of one watch call at the most: each costs discovery work, and news ends it at once
 CALL_MS = 50  # of wait for each balancer of the tier: all together call about once in so long
@@ -28,7 +25,7 @@
 
     def __init__(self) -> None:
         self._transport: asyncio.Transport | None = None
-        self._reader = ResponseReader(LIST_MAX)
+        self._reader = ResponseReader()
         self._answer: asyncio.Future[Answer] | None = None
         self.closed = False
 
@@ -39,15 +36,25 @@
     def data_received(self, data: bytes) -> None:
         """Read on."""
         try:
-            answer = self._reader.feed(data)
-        except (httptools.HttpParserError, TooLarge) as error:
+            whole = self._reader.feed(data)
+            if self._reader.held > LIST_MAX:
+                raise ValueError("too long")
+        except (*UNREADABLE, ValueError) as error:
             self._fail(ValueError(f"not an answer: {error!r}"))
             self.close()
             return
-        if answer is not None:
-            self.closed = self.closed or not self._reader.may_reuse
-            if self._answer is not None and not self._answer.done():
-                self._answer.set_result(answer)
+        if whole:
+            self._answered()
+
+    def eof_received(self) -> None:
+        """Discovery ends, which may be the end of its answer; the transport closes by itself."""
+        if self._reader.end():
+            self._answered()
+
+    def _answered(self) -> None:
+        self.closed = self.closed or not self._reader.may_reuse
+        if self._answer is not None and not self._answer.done():
+            self._answer.set_result(self._reader.answer())
 
     def connection_lost(self, exc: Exception | None) -> None:
         """A call that is out has failed."""
@@ -62,6 +69,7 @@
         """Send a call and wait for its answer."""
         assert self._transport is not None
         self._answer = asyncio.get_running_loop().create_future()
+        self._reader.next()
         self._transport.write(request)
         return await self._answer
 
--- a/basaltspindle/net/driver.py
+++ b/basaltspindle/net/driver.py
@@ -19,14 +19,15 @@
 from basaltspindle.net.console import Console
 from basaltspindle.net.discovery import Discovery
 from basaltspindle.net.figures import Figures
-from basaltspindle.net.framing import end_to_end
+from basaltspindle.net.framing import Buffers, end_to_end
 from basaltspindle.net.handover import CordonFile, Handover, Legacy
-from basaltspindle.net.upstreams import Answer, Attempt, Upstreams
+from basaltspindle.net.upstreams import Answer, Attempt, Errand, Upstreams
 from basaltspindle.policy import Balancer
 
 ANSWER_MS = 10.0  # the module is told so much less than the caller waits: its answer must still travel
 NET_MS = 5.0  # so long before the deadline the safety net answers what is still open
 PROBE_MS = 250.0
+BUFFERS_PART = 0.1  # of the memory limit: two processes and their runtimes share that during an upgrade
 SWEEP_S = 1.0
 CORDONS_S = 0.1  # between looks at what the other process was told, while there may be one
 LIST_S = 1.5  # a process that takes over waits so long for discovery; the list it was handed stands then
@@ -49,7 +50,7 @@
 class _Request:
     """A request that was taken: what it is owed and what is out for it."""
 
-    __slots__ = ("attempts", "ends", "id", "net", "open", "out", "queued", "ran", "taken")
+    __slots__ = ("attempts", "ends", "id", "net", "open", "out", "passed_on", "queued", "ran", "taken")
 
     def __init__(self, number: int, taken: Taken, ends: float) -> None:
         self.id, self.taken, self.ends = number, taken, ends
@@ -59,6 +60,62 @@
         self.out = 0  # attempts that have not ended
         self.queued = 0  # events that the module has still to hear
         self.net: asyncio.TimerHandle | None = None
+        self.passed_on: Attempt | None = None  # whose answer goes out piece by piece
+
+
+class _Call(Errand):
+    """One attempt of a request."""
+
+    def __init__(self, driver: Driver, request: _Request, send: face.Send, index: int) -> None:
+        self._driver, self._request, self._server, self._index = driver, request, send.server, index
+        taken = request.taken
+        left_ms = request.ends - driver.clock.now() if taken.body.whole else taken.deadline_ms - ANSWER_MS
+        self.timeout_ms = max(min(send.timeout_ms, left_ms) if send.timeout_ms else left_ms, 0.0)
+        self._until = time.monotonic() + self.timeout_ms / 1000
+        self.body = None if taken.body.whole else taken.body
+
+    def compose(self) -> bytes:
+        """The head with the time that is left, and the body if it is whole."""
+        taken, left_s = self._request.taken, self._until - time.monotonic()
+        if self.body is not None:
+            left_s = self.timeout_ms / 1000  # it counts from the last byte
+            if taken.body.whole:
+                self.body = None  # the rest came while we connected
+        data = taken.body.data() if self.body is None else b""
+        length: int | None = len(data) if self.body is None else taken.body.length
+        if length is None:
+            framing = b"Transfer-Encoding: chunked\r\n"
+        else:
+            framing = b"Content-Length: %d\r\n" % length if length or taken.method != b"GET" else b""
+        left_us = max(left_s * 1_000_000, 1.0)
+        return b"%bX-Deadline: %du\r\n%b\r\n%b" % (taken.head, left_us, framing, data)
+
+    def written(self) -> None:
+        """Count it."""
+        self._driver.forwarded()
+
+    def started(self, attempt: Attempt, answer: Answer) -> Taken | None:
+        """Pass a long answer on as it comes."""
+        return self._driver.answer_started(self._request, self._index, attempt, answer)
+
+    def ended(self, outcome: Outcome, answer: Answer | None) -> None:
+        """Tell the end."""
+        self._driver.attempt_ended(self._request, self._index, self._server, outcome, answer)
+
+
+class _HealthCheck(Errand):
+    """One probe of a server."""
+
+    def __init__(self, driver: Driver, server: str) -> None:
+        self._driver, self._server = driver, server
+
+    def compose(self) -> bytes:
+        """The call."""
+        return b"GET /healthz HTTP/1.1\r\nHost: upstream\r\n\r\n"
+
+    def ended(self, outcome: Outcome, answer: Answer | None) -> None:
+        """Tell the end."""
+        self._driver.probe_ended(self._server, outcome)
 
 
 class Log:
@@ -98,8 +155,10 @@
         self.log = Log(config.name or "balancer")
         self.clock = Clock()
         self.balancer = Balancer(config.settings, config.seed)
-        self.upstreams = Upstreams(config, loop)
-        self.callers = Callers(config, loop, self, self.log.exception, legacy.listener if legacy else None)
+        self.buffers = Buffers(int(config.memory_mb * BUFFERS_PART * 1_000_000))
+        self.upstreams = Upstreams(config, loop, self.buffers)
+        listener = legacy.listener if legacy else None
+        self.callers = Callers(config, loop, self, self.log.exception, self.buffers, listener)
         self.console = Console(config.console, loop, self) if config.console else None
         self._cordons = CordonFile(folder if config.console else None)
         self._back: dict[str, float] = {}  # the returns that the module has been told
@@ -279,17 +338,19 @@
     def _forget_if_over(self, request: _Request) -> None:
         if not (request.open or request.out or request.queued):
             self._requests.pop(request.id, None)
+            request.taken.body.drop()
 
     def arrived(self, taken: Taken) -> None:
-        """A caller's request is here, whole."""
+        """A caller's request is here, whole or with the rest of its body to come."""
         self._last += 1
-        waited = (time.monotonic() - taken.arrived) * 1000
+        waited = (time.monotonic() - taken.arrived) * 1000 if taken.body.whole else 0.0
         left = taken.deadline_ms - waited
         request = _Request(self._last, taken, self.clock.now() + left - ANSWER_MS)
         taken.request = request.id
         self._requests[request.id] = request
         self._figures.taken()
-        request.net = self._loop.call_later(max(left - NET_MS, 0.0) / 1000, self._rescue, request.id)
+        if taken.body.whole:
+            self._spread_net(request, left)
         self._tell(
             face.RequestArrived(
                 request.id,
@@ -298,15 +359,37 @@
                 taken.tenant,
                 taken.is_repeat,
                 taken.hint_ms,
+                taken.body.whole,
             ),
             request,
         )
 
+    def _spread_net(self, request: _Request, left_ms: float) -> None:
+        request.net = self._loop.call_later(max(left_ms - NET_MS, 0.0) / 1000, self._rescue, request.id)
+
+    def whole(self, taken: Taken) -> None:
+        """The rest of its body is here: its time runs from now."""
+        request = self._requests.get(taken.request)
+        if request is not None and request.open:
+            request.ends = self.clock.now() + taken.deadline_ms - ANSWER_MS
+            if request.passed_on is None:
+                self._spread_net(request, taken.deadline_ms)
+            self._tell(face.RequestWhole(request.id), request)
+
+    def broke(self, taken: Taken, status: int) -> None:
+        """The rest of its body will not come."""
+        request = self._requests.get(taken.request)
+        if request is not None and request.open:
+            self._end(request, status)
+            self._tell(face.ClientLeft(request.id), request)
+
     def left(self, taken: Taken) -> None:
         """The caller has gone."""
         request = self._requests.get(taken.request)
         if request is not None and request.open:
             self._close(request, None)
+            if request.passed_on is not None:
+                request.passed_on.cancel()  # there is nobody to pass it on to
             self._tell(face.ClientLeft(request.id), request)
 
     def close(self) -> None:
@@ -319,9 +402,7 @@
         request = self._requests.get(number) if number is not None else None
         if request is None or not request.open:
             return
-        status = 502 if request.ran or request.out else 503
-        self._close(request, status)
-        request.taken.answer(status)
+        self._end(request, 502 if request.ran or request.out else 503)
         self._tell(face.ClientLeft(request.id), request)  # it calls off what is out
 
     def _close(self, request: _Request, status: int | None) -> None:
@@ -331,16 +412,55 @@
         if request.net is not None:
             request.net.cancel()
 
-    def _ended(
+    def _end(self, request: _Request, status: int, headers: list[tuple[bytes, bytes]] | None = None) -> None:
+        """Give the final answer, or break off the one that is being passed on."""
+        self._close(request, status)
+        if request.passed_on is None:
+            request.taken.answer(status, headers)
+            return
+        request.taken.break_off()
+        request.passed_on.cancel()
+
+    def forwarded(self) -> None:
+        """An attempt has been written whole."""
+        self._figures.forwarded()
+
+    def answer_started(self, request: _Request, index: int, attempt: Attempt, answer: Answer) -> Taken | None:
+        """A long answer has begun; the first one of a request is passed on, and nothing else from then on."""
+        if not request.open or request.passed_on is not None:
+            return None
+        request.passed_on = attempt
+        if request.net is not None:
+            request.net.cancel()
+        request.taken.begin(attempt, end_to_end(answer.headers), answer.length)
+        request.taken.pass_on(answer.body)
+        self._tell(face.AnswerStarted(request.id, index), request)
+        return request.taken
+
+    def attempt_ended(
         self, request: _Request, index: int, server: str, outcome: Outcome, answer: Answer | None
     ) -> None:
         """An attempt is over. The first served answer goes out before anything else is done."""
         request.out -= 1
         request.ran = request.ran or outcome not in NEVER_RAN
-        if request.open and outcome is Outcome.SERVED and answer is not None:
+        if request.open and request.passed_on is not None and request.passed_on is request.attempts[index]:
+            if outcome is Outcome.SERVED:
+                self._close(request, 200)
+                request.taken.finish()
+            else:
+                self._end(request, 502)
+        elif request.open and outcome is Outcome.SERVED and answer is not None and request.passed_on is None:
             self._close(request, 200)
             request.taken.answer(200, end_to_end(answer.headers), answer.body)
-        self._tell(face.AttemptEnded(request.id, index, server, outcome, not request.open), request)
+        gone = request.taken.body.dropped
+        self._tell(
+            face.AttemptEnded(request.id, index, server, outcome, not request.open, body_is_gone=gone),
+            request,
+        )
+
+    def probe_ended(self, server: str, outcome: Outcome) -> None:
+        """A probe is over."""
+        self._tell(face.ProbeEnded(server, outcome))
 
     def _news(self, news: ServerList) -> None:
         self._asked.set()
@@ -398,45 +518,22 @@
     def _answer(self, number: int, status: int, headers: list[tuple[bytes, bytes]]) -> None:
         request = self._requests.get(number)
         if request is not None and request.open:
-            self._close(request, status)
-            request.taken.answer(status, headers)
+            self._end(request, status, headers)
 
     def _send(self, action: face.Send) -> None:
         request, server = self._requests[action.request], action.server
         index = len(request.attempts)
         request.out += 1
         attempt: Attempt | None = None
-        outcome = Outcome.NOT_SENT  # for a send whose request is over
-        if request.open:
-            left_ms = request.ends - self.clock.now()
-            timeout_ms = min(action.timeout_ms, left_ms) if action.timeout_ms else left_ms
-            until = time.monotonic() + timeout_ms / 1000
-            taken = request.taken
-
-            def compose() -> bytes:
-                left_us = max((until - time.monotonic()) * 1_000_000, 1.0)
-                length = (
-                    b"Content-Length: %d\r\n" % len(taken.body)
-                    if taken.body or taken.method != b"GET"
-                    else b""
-                )
-                return b"%bX-Deadline: %du\r\n%b\r\n%b" % (taken.head, left_us, length, taken.body)
-
-            def on_end(outcome: Outcome, answer: Answer | None) -> None:
-                self._ended(request, index, server, outcome, answer)
-
-            attempt = self.upstreams.attempt(
-                server, max(timeout_ms, 0.0) / 1000, compose, on_end, self._figures.forwarded
-            )
+        outcome = Outcome.NOT_SENT  # for a send whose request is over, or whose body is
+        if request.open and not request.taken.body.dropped:
+            call = _Call(self, request, action, index)
+            attempt = self.upstreams.attempt(server, call.timeout_ms / 1000, call)
             outcome = Outcome.CONNECT_FAILED  # for a server that no list names any more
         request.attempts.append(attempt)
         if attempt is None:
-            self._ended(request, index, server, outcome, None)
+            self.attempt_ended(request, index, server, outcome, None)
 
     def _probe(self, server: str) -> None:
-        def on_end(outcome: Outcome, answer: Answer | None) -> None:
-            self._tell(face.ProbeEnded(server, outcome))
-
-        request = b"GET /healthz HTTP/1.1\r\nHost: upstream\r\n\r\n"
-        if self.upstreams.attempt(server, PROBE_MS / 1000, lambda: request, on_end) is None:
+        if self.upstreams.attempt(server, PROBE_MS / 1000, _HealthCheck(self, server)) is None:
             self._tell(face.ProbeEnded(server, Outcome.NOT_SENT))
--- a/basaltspindle/net/framing.py
+++ b/basaltspindle/net/framing.py
@@ -1,12 +1,17 @@
-"""What both sides of the balancer share of HTTP/1.1: bounds, heads of messages, and looks at sockets."""
+"""What both sides of the balancer share of HTTP/1.1: bounds, bodies on their way, heads, looks at sockets."""
 
 from __future__ import annotations
 
 import asyncio
 import socket
+from collections.abc import Callable
 from http import HTTPStatus
+from typing import Protocol
 
 HEAD_MAX = 65_536
+KEPT_MAX = 65_536  # a body up to this is held until it is whole; a larger one is passed on as it comes
+BODY_MAX = 32 * 1024 * 1024
+PIECE_MAX, PIECE_MIN = 65_536, 4_096  # of what is read at once
 _HOP_BY_HOP = frozenset(
     b"connection content-length keep-alive proxy-connection te trailer transfer-encoding upgrade".split()
 )
@@ -18,6 +23,153 @@
     """A message that is larger than the protocol allows."""
 
 
+class Ambiguous(Exception):
+    """A message whose end two readers could see at different places."""
+
+
+class Buffers:
+    """One bound over the bytes of bodies that are held, on all connections together."""
+
+    def __init__(self, bound: int) -> None:
+        self.bound, self.held = bound, 0
+        self._space = memoryview(bytearray(PIECE_MAX))
+
+    def is_full(self) -> bool:
+        """Whether no more should be held than what can't be helped."""
+        return self.held >= self.bound
+
+    def space(self) -> memoryview:
+        """Where the next piece is read to: a small one once much is held, for it may have to wait."""
+        return self._space if self.held < self.bound / 2 else self._space[:PIECE_MIN]
+
+    def read(self, count: int) -> memoryview:
+        """The piece that has just been read; it must be used up before the next one is."""
+        return self._space[:count]
+
+
+class Holding:
+    """The bytes that one connection, or one body, holds of the bound."""
+
+    __slots__ = ("_buffers", "count")
+
+    def __init__(self, buffers: Buffers) -> None:
+        self._buffers, self.count = buffers, 0
+
+    def set(self, count: int) -> None:
+        """It holds so many now."""
+        self._buffers.held += count - self.count
+        self.count = count
+
+
+class Sink(Protocol):
+    """Where a body is passed on to."""
+
+    def write(self, data: bytes) -> None:
+        """Take a piece."""
+
+    def end(self) -> None:
+        """The body is whole."""
+
+    def is_ready(self) -> bool:
+        """Whether more should come now."""
+
+
+class Body:
+    """A request's body: held as long as it is small, else passed on to the one attempt that takes it over."""
+
+    __slots__ = ("_buffers", "_holding", "_on_flow", "_parts", "_sink", "dropped", "length", "size", "whole")
+
+    def __init__(self, buffers: Buffers, length: int | None, on_flow: Callable[[], None]) -> None:
+        """`length` is None where only its end tells it; `on_flow` hears when more may be read again."""
+        self._buffers, self.length, self._on_flow = buffers, length, on_flow
+        self._holding = Holding(buffers)
+        self._parts: list[bytes] = []
+        self._sink: Sink | None = None
+        self.size = 0  # that has come
+        self.whole = False
+        self.dropped = False  # whether bytes of it are gone: it can't be sent from its start any more
+
+    def is_large(self) -> bool:
+        """Whether it is too much to wait for its end."""
+        held = max(self._holding.count, self.length or 0)
+        return not self.whole and (held > KEPT_MAX or (self.size > 0 and self._buffers.is_full()))
+
+    def may_grow(self) -> bool:
+        """Whether more of it should be read now."""
+        if self._sink is not None:
+            return self._sink.is_ready()
+        return self.dropped or self.size == 0 or not (self.is_large() or self._buffers.is_full())
+
+    def feed(self, data: bytes) -> None:
+        """Take a piece."""
+        self.size += len(data)
+        if self._sink is not None:
+            self._sink.write(data)
+        elif not self.dropped:
+            self._parts.append(data)
+            self._holding.set(self._holding.count + len(data))
+
+    def end(self) -> None:
+        """It is whole."""
+        self.whole = True
+        if self._sink is not None:
+            self._sink.end()
+
+    def data(self) -> bytes:
+        """All of it, if it is whole and held."""
+        if len(self._parts) > 1:
+            self._parts = [b"".join(self._parts)]
+        return self._parts[0] if self._parts else b""
+
+    def pass_to(self, sink: Sink) -> None:
+        """Let an attempt have what is here and what still comes."""
+        data = self.data()
+        self.drop()
+        self._sink = sink
+        if data:
+            sink.write(data)
+        self.flow()
+
+    def flow(self) -> None:
+        """The sink may be ready again."""
+        self._on_flow()
+
+    def drop(self) -> None:
+        """Hold nothing, and let what still comes go by."""
+        self._sink, self.dropped = None, True
+        self._parts = []
+        self._holding.set(0)
+
+
+def chunk(data: bytes) -> bytes:
+    """A piece of a body whose length is not known."""
+    return b"%x\r\n%b\r\n" % (len(data), data)
+
+
+LAST_CHUNK = b"0\r\n\r\n"
+
+
+def body_length(headers: Headers) -> int | None:
+    """The length of a body as its head tells it, None for a chunked one, -1 if the head does not tell."""
+    named = dict(headers)
+    coding = named.get(b"transfer-encoding")
+    if coding is not None:
+        if coding.strip().lower() != b"chunked":
+            raise Ambiguous("a transfer coding that is not known")
+        return None
+    length = named.get(b"content-length")
+    return -1 if length is None else int(length)
+
+
+def origin_form(target: bytes) -> bytes:
+    """The path and query of a target, which may name a host before them."""
+    scheme, mark, rest = target.partition(b"://")
+    if not mark or scheme.lower() not in (b"http", b"https"):
+        return target
+    path = rest[min((rest.index(c) for c in (b"/", b"?") if c in rest), default=len(rest)) :]
+    return path if path[:1] == b"/" else b"/" + path
+
+
 def end_to_end(headers: Headers) -> Headers:
     """The headers that are not about this one connection."""
     return [(n, v) for n, v in headers if n not in _HOP_BY_HOP]
@@ -31,15 +183,20 @@
         return ""
 
 
-def response(status: int, headers: Headers, body: bytes, close: bool) -> bytes:
-    """A whole response."""
-    parts = [b"HTTP/1.1 %d %b\r\nContent-Length: %d\r\n" % (status, reason(status).encode(), len(body))]
+def response_head(status: int, headers: Headers, length: int | None, close: bool) -> bytes:
+    """The head of a response; of one whose end tells its length, if that is None."""
+    parts = [b"HTTP/1.1 %d %b\r\n" % (status, reason(status).encode())]
+    parts.append(b"Content-Length: %d\r\n" % length if length is not None else b"")
     parts.extend([b"%b: %b\r\n" % pair for pair in headers])
     parts.append(b"Connection: close\r\n\r\n" if close else b"\r\n")
-    parts.append(body)
     return b"".join(parts)
 
 
+def response(status: int, headers: Headers, body: bytes, close: bool) -> bytes:
+    """A whole response."""
+    return response_head(status, headers, len(body), close) + body
+
+
 def set_no_delay(transport: asyncio.BaseTransport) -> None:
     """Send small messages at once."""
     transport.get_extra_info("socket").setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
--- a/basaltspindle/net/upstreams.py
+++ b/basaltspindle/net/upstreams.py
@@ -1,4 +1,4 @@
-"""Attempts at upstreams: connection pools, and what each way of ending means.
+"""Attempts at upstreams: connection pools, bodies on their way, and what each way of ending means.
 
 A connection carries one request at a time. Each attempt ends exactly once, and where the ending leaves
 a doubt, the request counts as one that may have run: rule two rests on that.
@@ -9,108 +9,194 @@
 import asyncio
 import time
 from collections.abc import Callable
-from typing import cast
+from typing import Protocol, cast
 
 import httptools
 
 from basaltspindle.interface import Outcome, Readiness
 from basaltspindle.net.config import Address, Config, ServerList
-from basaltspindle.net.framing import HEAD_MAX, Headers, TooLarge, peek, set_no_delay
+from basaltspindle.net.framing import (
+    HEAD_MAX,
+    KEPT_MAX,
+    LAST_CHUNK,
+    Ambiguous,
+    Body,
+    Buffers,
+    Headers,
+    Holding,
+    TooLarge,
+    body_length,
+    chunk,
+    peek,
+    set_no_delay,
+)
 
-BODY_MAX = 65_536  # the protocol's bound on a body
 IDLE_PART = 0.8  # of the upstream's idle limit: a request that crosses its closing would end as a reset
 CALLERS_PART = 0.5  # of the sockets are kept for callers
 SPARE_SOCKETS = 48  # for the event loop, the logs, discovery, the console and what is just closing
+HOLD_S = 0.05  # an answer of unknown length is waited for so long before its first bytes are passed on
+STALL_S = 20.0  # with no byte moved for so long, whoever should read or write has gone
 DRAIN_PART = 0.5  # of the grace: the news may have waited in our buffer before it was read
-Done = Callable[[Outcome, "Answer | None"], None]
+UNREADABLE = (httptools.HttpParserError, httptools.HttpParserUpgrade, TooLarge, Ambiguous)
 
 
 class Answer:
-    """One whole response, ready to be passed on."""
+    """A response: whole, or its head alone where the body is passed on as it comes."""
 
-    __slots__ = ("body", "headers", "status")
+    __slots__ = ("body", "headers", "length", "status")
 
-    def __init__(self, status: int, headers: Headers, body: bytes) -> None:
-        self.status, self.headers, self.body = status, headers, body
+    def __init__(self, status: int, headers: Headers, length: int | None, body: bytes = b"") -> None:
+        self.status, self.headers, self.length, self.body = status, headers, length, body
 
 
 class ResponseReader:
-    """Collects one response after another from the bytes of a connection."""
+    """Reads one response after another from the bytes of a connection; takes each body out piece by piece."""
 
-    def __init__(self, body_max: int = BODY_MAX) -> None:
-        self._body_max = body_max
+    def __init__(self) -> None:
         self._parser = httptools.HttpResponseParser(self)
-        self._answer: Answer | None = None
+        self.next()
+
+    def next(self) -> None:
+        """Look for the next response."""
         self.may_reuse = False  # whether the connection may carry a further request
-        self.on_message_begin()
+        self.has_head = self.whole = False
+        self.status = 0
+        self.length: int | None = -1  # None where chunks tell it, -1 where only the end does
+        self._headers: Headers = []
+        self._pieces: list[bytes] = []
+        self.held = self._head = self._left = 0
 
-    def feed(self, data: bytes) -> Answer | None:
-        """Take bytes; the answer, once it is whole. Raises if they are no HTTP or too many."""
+    def feed(self, data: bytes | memoryview) -> bool:
+        """Take bytes; whether the response is whole. Raises what `UNREADABLE` names."""
+        if not self.has_head and self._head > HEAD_MAX:
+            raise TooLarge("headers too large")
         try:
             self._parser.feed_data(data)
         except httptools.HttpParserCallbackError as error:
             raise error.__context__ or error from None
-        answer, self._answer = self._answer, None
-        return answer
+        if not self.has_head:
+            self._head += len(data)
+        return self.whole
+
+    def end(self) -> bool:
+        """The connection has ended; whether that was the proper end of the response."""
+        if self.has_head and not self.whole and self.length == -1:
+            self.whole = True
+            return True
+        return False
+
+    def answer(self) -> Answer:
+        """The response as far as it is here."""
+        length = None if self.length == -1 else self.length
+        return Answer(self.status, self._headers, length, self.take())
+
+    def take(self) -> bytes:
+        """The part of the body that has come since it was last taken."""
+        data = self._pieces[0] if len(self._pieces) == 1 else b"".join(self._pieces)
+        self._pieces, self.held = [], 0
+        return data
 
     def on_message_begin(self) -> None:
-        """Forget the message before; one right behind an answer is for no request of ours."""
-        self.may_reuse = False
-        self._headers: Headers = []
-        self._chunks: list[bytes] = []
-        self._size = self._head = 0
+        """Forget an interim response; what comes behind a whole one is for no request of ours."""
+        if self.whole:
+            self.may_reuse = False
+        else:
+            self._headers = []
 
     def on_header(self, name: bytes, value: bytes) -> None:
-        """Keep a header."""
-        self._head += len(name) + len(value)
-        if self._head > HEAD_MAX:
+        """Keep a header; trailers are passed over."""
+        if self.whole or self.has_head:
+            return
+        self._left += len(name) + len(value)
+        if self._left > HEAD_MAX:
             raise TooLarge("headers too large")
         self._headers.append((name.lower(), value))
 
+    def on_headers_complete(self) -> None:
+        """The head is whole; an interim one (100 and the like) is passed over."""
+        status = self._parser.get_status_code()
+        if self.whole or status < 200:
+            return
+        self.has_head, self.status, self.length = True, status, body_length(self._headers)
+
     def on_body(self, data: bytes) -> None:
-        """Keep a part of the body, up to the bound."""
-        self._size += len(data)
-        if self._size > self._body_max:
-            raise TooLarge("body too large")
-        self._chunks.append(data)
+        """Keep a part of the body until it is taken."""
+        if not self.whole:
+            self._pieces.append(data)
+            self.held += len(data)
 
     def on_message_complete(self) -> None:
-        """The message is whole; an interim one (100 and the like) is passed over."""
-        if self._answer is not None:
-            return
-        # Asked here and not later: the parser forgets its flags once the message is over.
-        self.may_reuse = self._parser.should_keep_alive()
-        status = self._parser.get_status_code()
-        if status >= 200:
-            self._answer = Answer(status, self._headers, b"".join(self._chunks))
+        """The message is whole."""
+        if self.has_head and not self.whole:
+            # Asked here and not later: the parser forgets its flags once the message is over.
+            self.may_reuse = self._parser.should_keep_alive()
+            self.whole = True
+
+
+class Caller(Protocol):
+    """Whom an answer is passed on to as it comes."""
+
+    def pass_on(self, data: bytes) -> None:
+        """Take a piece of the body; `pause` and `resume` of the attempt tell when more should come."""
 
 
-def _meaning(answer: Answer) -> Outcome:
-    if answer.status == 200:
+class Errand:
+    """What an attempt is made for: what it sends, and who hears of it. A probe needs no more than this."""
+
+    body: Body | None = None  # where it is passed on behind the head, as it comes
+
+    def compose(self) -> bytes:
+        """The request, or its head if the body follows; asked for when the connection is there."""
+        raise NotImplementedError
+
+    def written(self) -> None:
+        """The last byte has left."""
+
+    def started(self, attempt: Attempt, answer: Answer) -> Caller | None:
+        """A long answer has begun; whoever takes it, or None if nobody wants it any more."""
+        return None
+
+    def ended(self, outcome: Outcome, answer: Answer | None) -> None:
+        """The attempt is over; the answer is there if it came whole and was not passed on before."""
+
+
+def _meaning(status: int, headers: Headers) -> Outcome:
+    if status == 200:
         return Outcome.SERVED
-    if answer.status in (503, 504) and (b"x-not-run", b"1") in answer.headers:
+    if status in (503, 504) and (b"x-not-run", b"1") in headers:
         return Outcome.REJECTED
     return Outcome.ERROR
 
 
 class Attempt:
-    """One attempt at a server; `on_end` is called exactly once, whatever crosses what."""
+    """One attempt at a server; its errand hears of its end exactly once, whatever crosses what."""
 
-    __slots__ = ("_compose", "_connection", "_on_end", "_pool", "_task", "_timer", "on_written")
+    __slots__ = (
+        *"_caller _coming _connection _errand _moved".split(),
+        *"_over _pool _task _timeout_s _timer".split(),
+    )
 
-    def __init__(
-        self, pool: Pool, compose: Callable[[], bytes], on_written: Callable[[], None], on_end: Done
-    ) -> None:
-        self._pool, self._compose, self.on_written = pool, compose, on_written
-        self._on_end: Done | None = on_end
+    def __init__(self, pool: Pool, errand: Errand) -> None:
+        self._pool, self._errand = pool, errand
+        self._over = False
+        self._coming = errand.body is not None  # whether its body was not whole at the start
         self._connection: Connection | None = None
         self._task: asyncio.Task[None] | None = None
         self._timer: asyncio.TimerHandle | None = None
+        self._timeout_s = self._moved = 0.0
+        self._caller: Caller | None = None
 
     def start(self, timeout_s: float) -> None:
-        """Begin on an idle connection, or open one; nothing is reported before this returns."""
+        """Begin on an idle connection, or open one; nothing is reported before this returns.
+
+        The time runs from here, or, where the body is still coming, from its last byte on.
+        """
         loop = self._pool.upstreams.loop
-        self._timer = loop.call_later(timeout_s, self._timed_out)
+        self._timeout_s = timeout_s
+        if not self._coming:
+            self._timer = loop.call_later(timeout_s, self._timed_out)
+        else:
+            self._watch()
         connection = self._pool.take()
         if connection is not None:
             self._begin(connection)
@@ -123,14 +209,79 @@
         """Stop waiting: the connection is closed, which tells the upstream."""
         self._finish(Outcome.CANCELLED)
 
-    def answered(self, answer: Answer) -> None:
+    # ---- what its connection tells ----------------------------------------------------------
+
+    def written(self) -> None:
+        """The last byte has left: from now on the answer is waited for."""
+        self._errand.written()
+        if self._coming and not self._over:
+            self._set_timer(self._timeout_s, self._timed_out)
+
+    def moved(self) -> None:
+        """Bytes have gone one way or the other."""
+        self._moved = time.monotonic()
+
+    def is_passed_on(self) -> bool:
+        """Whether the answer goes on as it comes: there is no way back."""
+        return self._caller is not None
+
+    def begin_passing_on(self, reader: ResponseReader) -> None:
+        """The answer is long: let whoever waits for it have it as it comes."""
+        self._caller = self._errand.started(self, reader.answer())
+        if self._caller is None:
+            self.cancel()
+        else:
+            self._watch()
+
+    def pass_on(self, data: bytes) -> None:
+        """Pass a piece on."""
+        if self._caller is not None and data:
+            self._caller.pass_on(data)
+
+    def answered(self, reader: ResponseReader) -> None:
         """The response is whole."""
-        self._finish(_meaning(answer), answer)
+        if self._caller is not None:
+            self._finish(Outcome.SERVED, clean=True)
+        else:
+            answer = reader.answer()
+            self._finish(_meaning(answer.status, answer.headers), answer, clean=True)
 
     def broken(self) -> None:
         """The connection ended or carried what can't be passed on."""
         self._finish(Outcome.RESET)
 
+    # ---- what the caller tells ---------------------------------------------------------------
+
+    def pause(self) -> None:
+        """The caller is behind: let the upstream wait."""
+        if self._connection is not None:
+            self._connection.pause()
+
+    def resume(self) -> None:
+        """The caller has caught up."""
+        if self._connection is not None:
+            self.moved()
+            self._connection.resume()
+
+    # ---- times and ends ----------------------------------------------------------------------
+
+    def _set_timer(self, after_s: float, then: Callable[[], None]) -> None:
+        if self._timer is not None:
+            self._timer.cancel()
+        self._timer = self._pool.upstreams.loop.call_later(after_s, then)
+
+    def _watch(self) -> None:
+        """Time what moves, not the whole: long bodies take as long as they take."""
+        self.moved()
+        self._set_timer(STALL_S, self._look)
+
+    def _look(self) -> None:
+        left_s = self._moved + STALL_S - time.monotonic()
+        if left_s > 0:
+            self._set_timer(left_s, self._look)
+        else:
+            self._finish(Outcome.TIMED_OUT)
+
     async def _connect(self) -> None:
         upstreams = self._pool.upstreams
         try:
@@ -141,7 +292,7 @@
             self._finish(Outcome.CONNECT_FAILED)
             return
         self._task = None
-        if self._on_end is None:  # cancelled while the connection came up
+        if self._over:  # cancelled while the connection came up
             connection.close()
         elif not self._pool.may_begin():
             # Guards against a send that begins late: the server was told to drain while we connected.
@@ -152,37 +303,42 @@
 
     def _begin(self, connection: Connection) -> None:
         self._connection = connection
-        connection.carry(self, self._compose())
+        connection.carry(self, self._errand.compose(), self._errand.body)
 
     def _timed_out(self) -> None:
         # Nothing written means that it never ran, whatever kept it from being written.
         self._finish(Outcome.TIMED_OUT if self._connection else Outcome.CONNECT_FAILED)
 
-    def _finish(self, outcome: Outcome, answer: Answer | None = None) -> None:
-        on_end, self._on_end = self._on_end, None
-        if on_end is None:
+    def _finish(self, outcome: Outcome, answer: Answer | None = None, clean: bool = False) -> None:
+        if self._over:
             return
+        self._over = True
         if self._timer is not None:
             self._timer.cancel()
         if self._task is not None:
             self._task.cancel()
         if self._connection is not None:
-            if outcome in (Outcome.RESET, Outcome.TIMED_OUT) and not self._connection.is_written():
+            unwritten = not self._connection.is_written()
+            if unwritten and outcome in (Outcome.RESET, Outcome.TIMED_OUT, Outcome.ERROR):
                 outcome = Outcome.CONNECT_FAILED  # the last byte never left: it can't have begun
-            self._connection.release(reuse=answer is not None)
-        on_end(outcome, answer)
+            self._connection.release(reuse=clean)
+        self._errand.ended(outcome, answer)
 
 
-class Connection(asyncio.Protocol):
+class Connection(asyncio.BufferedProtocol):
     """One connection to an upstream, in its pool for as long as it is idle."""
 
     def __init__(self, pool: Pool) -> None:
         self.pool = pool
         self.idle_since = 0.0
+        self._buffers = pool.upstreams.buffers
+        self._unsent, self._unread = Holding(self._buffers), Holding(self._buffers)
         self._attempt: Attempt | None = None
+        self._body: Body | None = None  # that is passed on behind the head
         self._transport: asyncio.Transport | None = None
         self._reader: ResponseReader | None = None
-        self._written = self._closed = False
+        self._hold: asyncio.TimerHandle | None = None
+        self._choked = self._paused = self._ended = self._written = self._closed = False
 
     def connection_made(self, transport: asyncio.BaseTransport) -> None:
         """Have writes reported exactly: any byte that stays in our buffer pauses writing."""
@@ -190,26 +346,63 @@
         set_no_delay(transport)
         self._transport.set_write_buffer_limits(high=0, low=0)
 
+    # ---- the request ---------------------------------------------------------------------------
+
+    def carry(self, attempt: Attempt, request: bytes, body: Body | None) -> None:
+        """Send a request, with the body behind it if that is still coming, and wait for its response."""
+        assert self._transport is not None
+        self._attempt, self._body, self._written = attempt, body, False
+        self._reader = self._reader or ResponseReader()
+        self._reader.next()
+        self._ended = body is None
+        self._transport.write(request)
+        if body is None:
+            self._look_if_written()
+        else:
+            body.pass_to(self)
+
+    def write(self, data: bytes) -> None:
+        """Pass a piece of the body on."""
+        assert self._transport is not None and self._body is not None
+        self._transport.write(data if self._body.length is not None else chunk(data))
+        if self._attempt is not None:
+            self._attempt.moved()
+
+    def end(self) -> None:
+        """The body is whole."""
+        assert self._transport is not None and self._body is not None
+        self._ended = True
+        if self._body.length is None:
+            self._transport.write(LAST_CHUNK)
+        self._look_if_written()
+
+    def is_ready(self) -> bool:
+        """Whether more of the body should come now."""
+        return not self._choked
+
     def pause_writing(self) -> None:
         """Bytes are still with us."""
+        assert self._transport is not None
+        self._choked = True
+        self._unsent.set(self._transport.get_write_buffer_size())
 
     def resume_writing(self) -> None:
         """The last byte has left our buffer."""
-        if self._attempt is not None and not self._written:
-            self._wrote(self._attempt)
+        self._choked = False
+        self._unsent.set(0)
+        if self._attempt is None:
+            return
+        self._attempt.moved()
+        self._look_if_written()
+        if self._body is not None and not self._ended:
+            self._body.flow()
 
-    def carry(self, attempt: Attempt, request: bytes) -> None:
-        """Send a request and wait for its response."""
+    def _look_if_written(self) -> None:
         assert self._transport is not None
-        self._attempt, self._written = attempt, False
-        self._reader = self._reader or ResponseReader()
-        self._transport.write(request)
-        if self._transport.get_write_buffer_size() == 0 and not self._transport.is_closing():
-            self._wrote(attempt)
-
-    def _wrote(self, attempt: Attempt) -> None:
-        self._written = True
-        attempt.on_written()
+        is_out = self._transport.get_write_buffer_size() == 0 and not self._transport.is_closing()
+        if self._attempt is not None and self._ended and is_out and not self._written:
+            self._written = True
+            self._attempt.written()
 
     def is_written(self) -> bool:
         """Whether the last byte of the request has left."""
@@ -221,24 +414,69 @@
             return False
         return peek(self._transport) is None  # neither the end, nor bytes that nobody asked for
 
-    def data_received(self, data: bytes) -> None:
+    # ---- the response --------------------------------------------------------------------------
+
+    def get_buffer(self, sizehint: int) -> memoryview:
+        """Where to read to."""
+        return self._buffers.space()
+
+    def buffer_updated(self, nbytes: int) -> None:
         """Read on; anything that is no proper response ends the connection."""
-        attempt = self._attempt
-        if attempt is None or self._reader is None:
+        attempt, reader = self._attempt, self._reader
+        if attempt is None or reader is None:
             self.close()
             return
+        attempt.moved()
         try:
-            answer = self._reader.feed(data)
-        except (httptools.HttpParserError, TooLarge):
+            reader.feed(self._buffers.read(nbytes))
+        except UNREADABLE:
             attempt.broken()
             return
-        if answer is not None:
-            attempt.answered(answer)
+        self._look_at(attempt, reader)
+
+    def _look_at(self, attempt: Attempt, reader: ResponseReader) -> None:
+        """Do with a response what can be done as far as it is here."""
+        if attempt.is_passed_on():
+            attempt.pass_on(reader.take())
+        elif not reader.whole and reader.has_head:
+            held = max(reader.held, reader.length or 0)
+            if reader.status != 200:
+                if held > KEPT_MAX:
+                    attempt.answered(reader)  # nobody needs the rest of it
+                    return
+            elif held > KEPT_MAX or (reader.held and self._buffers.is_full()):
+                attempt.begin_passing_on(reader)
+            elif reader.length in (None, -1) and self._hold is None:
+                self._hold = self.pool.upstreams.loop.call_later(HOLD_S, self._held_long_enough)
+        self._unread.set(reader.held)
+        if reader.whole and self._attempt is attempt:
+            attempt.answered(reader)
+
+    def _held_long_enough(self) -> None:
+        attempt, reader, self._hold = self._attempt, self._reader, None
+        if attempt is not None and reader is not None and reader.held:
+            attempt.begin_passing_on(reader)
+            self._unread.set(reader.held)
+
+    def pause(self) -> None:
+        """Read no more for now."""
+        if not self._paused and self._transport is not None and not self._transport.is_closing():
+            self._paused = True
+            self._transport.pause_reading()
+
+    def resume(self) -> None:
+        """Read again."""
+        if self._paused and self._transport is not None and not self._transport.is_closing():
+            self._paused = False
+            self._transport.resume_reading()
 
     def eof_received(self) -> None:
-        """The upstream ends; the transport closes by itself."""
-        if self._attempt is not None:
-            self._attempt.broken()
+        """The upstream ends, which may be the end of its response; the transport closes by itself."""
+        if self._attempt is not None and self._reader is not None:
+            if self._reader.end():
+                self._look_at(self._attempt, self._reader)
+            else:
+                self._attempt.broken()
 
     def connection_lost(self, exc: Exception | None) -> None:
         """Leave the books, and tell the attempt that was out."""
@@ -246,10 +484,21 @@
         if self._attempt is not None:
             self._attempt.broken()
 
+    # ---- its pool ------------------------------------------------------------------------------
+
     def release(self, reuse: bool) -> None:
         """The attempt is over: keep the connection if its end was clean, else close it."""
         self._attempt = None
+        if self._body is not None and not self._body.whole:
+            self._body.drop()
+            self._body.flow()
+        self._body = None
+        if self._hold is not None:
+            self._hold.cancel()
+            self._hold = None
+        self._unread.set(0)
         if reuse and self._written and self._reader is not None and self._reader.may_reuse:
+            self.resume()
             self.pool.keep(self)
         else:
             self.close()
@@ -261,6 +510,7 @@
             self._transport.abort()
 
     def _leave(self) -> None:
+        self._unsent.set(0)
         if not self._closed:
             self._closed = True
             self.pool.forget(self)
@@ -325,8 +575,8 @@
 class Upstreams:
     """The pools of all servers that discovery has named."""
 
-    def __init__(self, config: Config, loop: asyncio.AbstractEventLoop) -> None:
-        self.config, self.loop = config, loop
+    def __init__(self, config: Config, loop: asyncio.AbstractEventLoop, buffers: Buffers) -> None:
+        self.config, self.loop, self.buffers = config, loop, buffers
         self.idle_s = IDLE_PART * config.idle_ms / 1000
         self.open = 0
         self.cap = max(int(config.sockets * CALLERS_PART) - SPARE_SOCKETS, 4)
@@ -364,19 +614,12 @@
             pool.drains_since = pool.drains_since or time.monotonic()
             pool.close_idle()
 
-    def attempt(
-        self,
-        server: str,
-        timeout_s: float,
-        compose: Callable[[], bytes],
-        on_end: Done,
-        on_written: Callable[[], None] = lambda: None,
-    ) -> Attempt | None:
+    def attempt(self, server: str, timeout_s: float, errand: Errand) -> Attempt | None:
         """Start an attempt, or None for a server that no list names any more."""
         pool = self._pools.get(server)
         if pool is None:
             return None
-        attempt = Attempt(pool, compose, on_written, on_end)
+        attempt = Attempt(pool, errand)
         attempt.start(timeout_s)
         return attempt
 
--- a/basaltspindle/policy.py
+++ b/basaltspindle/policy.py
@@ -72,22 +72,23 @@
 
 
 class _Attempt:
-    __slots__ = tuple("ends idle out ran sent server".split())
+    __slots__ = tuple("booked ends idle out ran sent server".split())
 
     def __init__(self, server: _Server, idle: float, now: float, timeout: float) -> None:
         self.server, self.idle, self.sent, self.ends = server, idle, now, now + timeout
+        self.booked = False
         self.out, self.ran = True, True  # it may have run until its outcome proves otherwise
 
 
 class _Request:
-    __slots__ = tuple("arrived attempts cls id owed size streaming useful_until".split())
+    __slots__ = tuple("arrived attempts cls id is_whole owed size streaming useful_until".split())
 
     def __init__(self, event: face.RequestArrived, cls: face.RequestClass, now: float) -> None:
         self.id, self.cls = event.request, cls
         self.arrived, deadline = now, now + event.remaining_ms
         self.useful_until = deadline if cls.late_share else min(deadline, now + cls.aim_ms)
         self.attempts: list[_Attempt] = []
-        self.owed, self.streaming = True, False
+        self.owed, self.streaming, self.is_whole = True, False, event.is_whole
         self.size = 1.0  # its work over the usual, where a hint tells
 
     @property
@@ -95,6 +96,13 @@
         """How many times longer than usual it may take."""
         return max(self.size, 1.0)
 
+    def start_over(self, now: float) -> None:
+        """Let all its times run from now on: its body was still coming in."""
+        passed, self.arrived = now - self.arrived, now
+        self.useful_until += passed
+        for attempt in (a for a in self.attempts if a.out):
+            attempt.sent, attempt.ends = attempt.sent + passed, attempt.ends + passed
+
     def is_out(self) -> bool:
         return any(a.out for a in self.attempts)
 
@@ -156,7 +164,11 @@
             case face.ClientLeft():
                 self._left(event.request)
             case face.AnswerStarted():
-                self._made(event)[0].streaming = True
+                self._started(event, now)
+            case face.RequestWhole():
+                if request := self._requests.get(event.request):
+                    request.start_over(now)
+                    request.is_whole = True
         return self._actions
 
     def avoided(self) -> list[str]:
@@ -294,7 +306,8 @@
         """
         if now - self._level_at >= STEP_MS:
             self._level_at = now
-            out = sum(self._silence(now - r.arrived, r) for r in self._requests.values() if r.owed)
+            asked = (r for r in self._requests.values() if r.owed and r.is_whole and not r.streaming)
+            out = sum(self._silence(now - r.arrived, r) for r in asked)
             fade = math.exp((self._weighed - now) / PRESSURE_MS)
             pressure = (self._late * fade + out) / (self._answers * fade + out + PRESSURE_CALLS)
             self._level = min(max((FULL - pressure) / (FULL - EASE), LEVEL_MIN), 1.0)
@@ -324,6 +337,8 @@
         self._give_up(request)
 
     def _try_send(self, request: _Request, now: float) -> bool:
+        if not request.is_whole:
+            request.start_over(now)
         timeout = request.useful_until - now
         if timeout <= self._settings.tick_ms or len(request.attempts) >= self._settings.max_attempts:
             return False
@@ -334,7 +349,7 @@
             self._actions.append(face.CloseIdle(server.member.server))  # what is unused so long may be dead
             idle = 0.0
         repeatable = request.cls.effect is not Effect.UNSAFE and self._settings.max_attempts > 1
-        if repeatable and not request.attempts:
+        if repeatable and request.is_whole and not request.attempts:
             # Guards against silence and slowness of any cause: hung or failing servers, dropped connections.
             # Harms by adding to a crowd: a usual answer is waited for, and none is copied too late to help.
             usual = request.heft * self._work[request.cls.name]
@@ -366,6 +381,16 @@
             raise ValueError(f"attempt {event.attempt} of request {event.request} was never made")
         return request, request.attempts[event.attempt]
 
+    def _started(self, event: face.AnswerStarted, now: float) -> None:
+        """A long answer is on its way: it is served from here on, however slowly its caller reads."""
+        request, attempt = self._made(event)
+        request.streaming = True
+        if attempt.out:
+            self._book(attempt, Outcome.SERVED, request, now)
+        if self._settings.may_cancel:
+            others = (i for i, a in enumerate(request.attempts) if a.out and a is not attempt)
+            self._actions.extend(face.Cancel(request.id, i) for i in others)
+
     def _ended(self, event: face.AttemptEnded, now: float) -> None:
         request, attempt = self._made(event)
         if not attempt.out:
@@ -377,7 +402,7 @@
             for beaten in (a for a in request.attempts if a.out):
                 self._note_idle(beaten, silent=True)
             self._cancel_rest(request)
-        elif request.owed and not request.is_out() and not self._try_again(request, now):
+        elif request.owed and not request.is_out() and not self._try_again(request, now, event.body_is_gone):
             self._give_up(request)
         self._drop_if_over(request)
 
@@ -393,10 +418,10 @@
             known = (d for i, d in enumerate(dead) if len(dead) - i >= max(2.0, 0.6 * longer[d]))
             self._idle_limit = next(known, math.inf)
 
-    def _try_again(self, request: _Request, now: float) -> bool:
+    def _try_again(self, request: _Request, now: float, body_is_gone: bool = False) -> bool:
         """Make a further attempt if the retry budget has one left; it is free if no earlier one ever ran."""
         cost = float(any(a.ran for a in request.attempts))
-        if self._retry_budget < cost or request.streaming or not self._try_send(request, now):
+        if body_is_gone or self._retry_budget < cost or request.streaming or not self._try_send(request, now):
             return False
         self._retry_budget -= cost
         return True
@@ -409,7 +434,7 @@
         self._drop_if_over(request)
 
     def _cancel_rest(self, request: _Request) -> None:
-        if self._settings.may_cancel and not request.streaming:
+        if self._settings.may_cancel:
             self._actions.extend(face.Cancel(request.id, i) for i, a in enumerate(request.attempts) if a.out)
 
     def _left(self, request_id: int) -> None:
@@ -519,6 +544,9 @@
     def _book(self, attempt: _Attempt, outcome: Outcome, request: _Request, now: float) -> None:
         """Count a served call; book a failure at its full time-out: it must not look quick."""
         server, cls = attempt.server, request.cls
+        if attempt.booked:
+            return
+        attempt.booked = True
         server.catch_up(now)
         server.used = now if outcome in (Outcome.SERVED, Outcome.ERROR) else math.inf
         if outcome in (Outcome.SERVED, Outcome.TIMED_OUT, Outcome.RESET):
--- a/tests/test_policy.py
+++ b/tests/test_policy.py
@@ -23,6 +23,7 @@
     Refuse,
     RequestArrived,
     RequestClass,
+    RequestWhole,
     Send,
     SetTimer,
     Settings,
@@ -305,6 +306,52 @@
     assert got["s0"] <= 2 < min(got["s1"], got["s2"], got["s3"])
 
 
+def test_a_long_answer_calls_off_copies_and_ends_further_attempts() -> None:
+    desk = Desk(4)
+    request, actions = desk.ask()
+    desk.now += 300
+    hedge = next(a.token for a in actions if isinstance(a, SetTimer))
+    copy = sent(desk.tell(TimerDue(hedge)))[0].server
+    actions = desk.tell(AnswerStarted(request, 1))
+    assert of_kind(actions, Cancel) == [Cancel(request, 0)]
+    desk.tell(AttemptEnded(request, 0, "x", Outcome.CANCELLED))
+    actions = desk.tell(AttemptEnded(request, 1, copy, Outcome.RESET, answered=True))
+    assert not sent(actions) and not of_kind(actions, Refuse, Fail)
+
+
+def test_how_slowly_a_long_answer_is_read_is_not_held_against_its_server() -> None:
+    desk, quick = Desk(1), Desk(1)
+    for _ in range(20):
+        request, _ = desk.ask()
+        desk.now += 20
+        desk.tell(AnswerStarted(request, 0))
+        desk.now += 2_000
+        desk.end(request, 0, "s0", Outcome.SERVED)
+        quick.serve(takes=20)
+        quick.now += 2_000
+    assert desk.balancer.legacy(desk.now)["servers"] == quick.balancer.legacy(quick.now)["servers"]
+    assert desk.balancer.legacy(desk.now)["work"] == quick.balancer.legacy(quick.now)["work"]
+
+
+def test_the_times_of_a_request_run_from_its_last_byte() -> None:
+    desk = Desk(4)
+    request, actions = desk.ask(PAY, is_whole=False)
+    first = sent(actions)[0]
+    assert not of_kind(actions, SetTimer)
+    desk.now += 20_000  # many times its deadline
+    desk.tell(RequestWhole(request))
+    actions = desk.end(request, 0, first.server, Outcome.REJECTED)
+    assert sent(actions)[0].timeout_ms == first.timeout_ms
+
+
+def test_a_request_whose_body_is_gone_is_not_sent_again() -> None:
+    desk = Desk(4)
+    request, actions = desk.ask(PAY, is_whole=False)
+    server = sent(actions)[0].server
+    actions = desk.tell(AttemptEnded(request, 0, server, Outcome.CONNECT_FAILED, body_is_gone=True))
+    assert not sent(actions) and of_kind(actions, Refuse)
+
+
 def test_a_server_that_operators_put_back_is_used_soon_and_as_a_cold_one() -> None:
     desk = Desk(4)
     for _ in range(200):
