Close the connection of whoever asks for no service with the answer

An answer 404 or 400, and one of `/healthz`, kept its connection, whose place was free only after a second of idleness, and one made way in 50 ms.

Such an answer now carries `Connection: close` and ends the connection: a health check or a stray peer has nothing more to ask. Proper callers never get one.

Ruled out: too slow a making way.

--- a/basaltspindle/net/callers.py
+++ b/basaltspindle/net/callers.py
@@ -469,12 +469,15 @@
         self.regulate()
 
     def _take(self, taken: Taken) -> None:
+        # Whoever asks for no service gets a close with the answer: such peers stay, and there are many.
         if taken.target == b"/healthz" and taken.method == b"GET":
+            taken.keep_alive = False
             # While it ends it says so, for whoever asks where to send.
             taken.answer(
                 503 if self._callers.ending else 200, body=b"ending\n" if self._callers.ending else b"ok\n"
             )
         elif problem := taken.check(self._callers.classes):
+            taken.keep_alive = False
             taken.answer(problem[0], body=problem[1].encode() + b"\n")
         else:
             try:
--- a/tests/test_net.py
+++ b/tests/test_net.py
@@ -668,3 +668,17 @@
             assert kinds == [ListKind.FAILED] * 2
 
     run(scenario())
+
+
+def test_whoever_asks_for_no_service_gets_a_close_with_the_answer() -> None:
+    """Hundreds asked once and stayed, and callers with requests waited for their places."""
+
+    async def scenario() -> None:
+        async with Rig(Upstream()) as rig:
+            for path in (b"/healthz", b"/nosuch"):
+                caller = await rig.caller()
+                caller.writer.write(b"GET %b HTTP/1.1\r\nHost: h\r\n\r\n" % path)
+                assert (await caller.answer()).headers["connection"] == "close"
+                assert await caller.reader.read() == b""
+
+    run(scenario())
