--- a/basaltspindle/net/callers.py
+++ b/basaltspindle/net/callers.py
@@ -37,7 +37,7 @@
     response_head,
     set_no_delay,
 )
-from basaltspindle.net.upstreams import SPARE_SOCKETS
+from basaltspindle.net.upstreams import SPARE_SOCKETS, STALL_S
 
 BACKLOG = 2_048  # callers queue in the kernel while we are busy, instead of being turned away
 PIPELINED_MAX = 16  # requests read ahead on one connection; past that, reading waits
@@ -215,6 +215,7 @@
         self._in_head = self._passing = False
         self._asked = False  # whether a whole request has come
         self._unsent = Holding(self.buffers)
+        self._left_unsent = 0  # when it was last looked at, after the end
         self._patience: asyncio.TimerHandle | None = None
         self._paused_at = 0.0
         self.idle_since = self._since = time.monotonic()
@@ -562,7 +563,18 @@
             return
         self._deaf = True
         self._transport.write_eof()
-        self._callers.loop.call_later(LINGER_S, self._transport.abort)
+        self._callers.loop.call_later(LINGER_S, self._stop_lingering)
+
+    def _stop_lingering(self) -> None:
+        """Close, once a slow reader has taken the whole answer; one that takes none is closed on."""
+        if self._transport is None or self._lost:
+            return
+        unsent = self._transport.get_write_buffer_size()
+        if unsent and (unsent != self._left_unsent or time.monotonic() < self.idle_since + STALL_S):
+            self._left_unsent = unsent
+            self._callers.loop.call_later(LINGER_S, self._stop_lingering)
+        else:
+            self._transport.abort()
 
 
 def _bind(config: Config) -> socket.socket:
--- a/tests/test_streaming.py
+++ b/tests/test_streaming.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import asyncio
+import socket
 from collections.abc import Awaitable, Callable
 from typing import Any
 
@@ -11,7 +12,7 @@
 from basaltspindle import interface as face
 from basaltspindle.interface import Outcome
 from basaltspindle.net import callers, framing, upstreams
-from tests.loopback import Asked, Rig, Upstream, read_message, response, run, status
+from tests.loopback import Asked, Caller, Rig, Upstream, read_message, response, run, status
 
 LONG = bytes(range(256)) * 4_096  # 1 MiB
 HEAD = "Host: h\r\nX-Request-Id: 9b\r\nX-Class: {0}\r\nX-Deadline: 4000m\r\n"
@@ -231,6 +232,38 @@
     run(scenario())
 
 
+def test_a_slow_reader_gets_the_end_of_an_answer_that_closes_its_connection(
+    monkeypatch: pytest.MonkeyPatch,
+) -> None:
+    """What waited in our buffer for half a second after the last byte had come was cut off."""
+    monkeypatch.setattr(callers, "LINGER_S", 0.01)
+    data = LONG * 2
+
+    async def scenario() -> None:
+        async with Rig(Upstream(long_answer(data))) as rig:
+            sock = socket.socket()
+            sock.setsockopt(socket.SOL_SOCKET, socket.SO_RCVBUF, 4_096)
+            sock.connect(rig.driver.callers.address[:2])
+            caller = Caller()
+            caller.reader, caller.writer = await asyncio.open_connection(sock=sock, limit=4_096)
+            while not (held := rig.driver.callers._connections):
+                await asyncio.sleep(0)
+            (connection,) = held
+            while connection._transport is None:
+                await asyncio.sleep(0)
+            ours = connection._transport.get_extra_info("socket")
+            ours.setsockopt(socket.SOL_SOCKET, socket.SO_SNDBUF, 4_096)
+            caller.send(connection="close")
+            await caller.reader.readuntil(b"\r\n\r\n")
+            got = b""
+            while not connection._deaf:  # until the last piece waits in our buffer, and the end behind it
+                got += await caller.reader.read(2_000)
+            await asyncio.sleep(0.2)
+            assert got + await caller.reader.read() == data
+
+    run(scenario())
+
+
 def test_times_of_a_long_answer_watch_its_progress_and_not_the_whole(monkeypatch: pytest.MonkeyPatch) -> None:
     gate = asyncio.Event()
 
