--- a/tests/test_policy.py
+++ b/tests/test_policy.py
@@ -306,6 +306,21 @@
     assert got["s0"] <= 2 < min(got["s1"], got["s2"], got["s3"])
 
 
+def test_servers_that_stand_idle_after_a_crowd_are_given_work_at_once() -> None:
+    """Late answers of a burst shed for seconds after it, while nothing was out."""
+    desk = Desk(4)
+    for _ in range(200):
+        desk.serve(takes=50.0)
+    crowd = [desk.ask() for _ in range(60)]
+    desk.now += 1_500
+    for request, actions in crowd:
+        for send in sent(actions):
+            desk.end(request, 0, send.server, Outcome.SERVED)
+    assert desk.balancer._let_in(desk.now) < 0.2
+    for _ in range(20):
+        desk.serve(takes=50.0)  # fails where none is sent
+
+
 def test_a_long_answer_calls_off_copies_and_ends_further_attempts() -> None:
     desk = Desk(4)
     request, actions = desk.ask()
