--- a/basaltspindle/policy.py
+++ b/basaltspindle/policy.py
@@ -297,17 +297,9 @@
         self._offered = {known: work * (1 - 1 / OFFER_CALLS) for known, work in self._offered.items()}
         self._offered[worth] = self._offered.get(worth, 0.0) + self._work[request.cls.name]
         dearer = sum(count for known, count in self._offered.items() if known > worth)
-        if self._stand_idle():
-            return True  # old lateness fades slowly, and servers with nothing to do serve nobody
         room = self._let_in(now) * sum(self._offered.values()) - dearer
         return self._random.random() * self._offered[worth] <= room
 
-    def _stand_idle(self) -> bool:
-        """Whether our calls out are fewer than the best rate of late needs in easy times (Little's law)."""
-        held = sum(s.in_flight for s in self._near)
-        best = sum(self._usual_rate.get(s.member.zone, 0.0) * s.size for s in self._near)
-        return held < best * sum(self._easy.values()) / len(self._easy)
-
     def _let_in(self, now: float) -> float:
         """The part of the offered work that is let in: less as answers, and calls still out, near their aim.
 
