Bound our calls at each first-tier server by our part of its room

Cause: nothing bounds what one server is given.

Change: a first-tier server takes calls of ours up to our part of its room: six for each unit of its registered size, over the balancers that call it, one at the least. What finds no room is refused at once.

Not taken: the same bound for each balancer whatever their number, which is the probe that found the cause and knows nothing of who shares a server. The constant is a first step: it is to be learned.

--- a/basaltspindle/policy.py
+++ b/basaltspindle/policy.py
@@ -37,6 +37,7 @@
 SUBSET_MIN = 12  # servers that a balancer keeps to at the least: losing a few must leave a choice
 SUBSET_COVER = 30  # balancers that keep to each server: their chance parts then even out to a fifth
 AWAY_PART = 0.1  # of the aim: so long a refused caller is asked to stay away, to be back in time for it
+ROOM = 6.0  # calls that all balancers together have out at a server for each unit of its registered size
 LEVEL_MIN = 0.05  # let in whatever happens, so that recovery is seen
 LIST_RETRY_MS = 500.0  # first pause before the list is asked again, doubled at each failure
 LIST_CALL_MS = 25.0  # of that first pause for each balancer of the tier at the least: after an outage all ask
@@ -489,6 +490,8 @@
             able = warm or [s for s in able if self._cold_room(s, now)]
         if request.attempts:
             able = [s for s in able if all(a.server is not s for a in request.attempts)] or able
+        if self._settings.calling_tier == 0:
+            able = [s for s in able if s.in_flight < self._limit(s)]
         if not able:
             return None
         if back := next((s for s in able if s.unused), None):
@@ -505,6 +508,14 @@
                 break  # with none of our calls in view (1/c) would send all to the largest: the draw decides
         return chosen
 
+    def _limit(self, server: _Server) -> float:
+        """The calls that we may have out at a server: our part of its room, one at the least.
+
+        Guards against crowding: a server with far more calls than cores turns slow, and stays so until idle.
+        """
+        sharers = self._settings.balancers * len(self._near) / len(self._ready)
+        return max(ROOM * server.size / max(sharers, 1.0), 1.0)
+
     def _by_zone(self, able: list[_Server], capacity: list[float]) -> list[float]:
         """Weigh the draw so that calls stay in our zone, and spill to the zones with more than their part."""
         zones: dict[str, float] = {}
--- a/tests/test_policy.py
+++ b/tests/test_policy.py
@@ -517,6 +517,20 @@
     assert sum(bool(sent(desk.ask()[1])) for _ in range(100)) < 20
 
 
+@pytest.mark.parametrize(("balancers", "size", "most"), [(1, 1.0, 6), (3, 1.0, 2), (3, 2.0, 4), (40, 1.0, 1)])
+def test_no_server_is_given_more_than_our_part_of_its_room(balancers: int, size: float, most: int) -> None:
+    """Servers with far more calls than cores turned slow and stayed so; 85% was refused from then on."""
+    desk = Desk(0, balancers=balancers)
+    desk.show(*members(3, size=size))
+    asked = [desk.ask() for _ in range(3 * most + 5)]
+    got = Counter(send.server for _, actions in asked for send in sent(actions))
+    assert set(got.values()) == {most} and len(got) == 3
+    refused = [actions for _, actions in asked if not sent(actions)]
+    assert len(refused) == 5 and all(of_kind(actions, Refuse) for actions in refused), "told at once"
+    desk.end(asked[0][0], 0, sent(asked[0][1])[0].server, Outcome.SERVED)
+    assert sent(desk.ask()[1]), "what has ended makes room"
+
+
 def test_a_refusal_says_when_to_come_back_where_the_settings_allow_it() -> None:
     """Refused callers asked again within a millisecond, up to four times, and were refused each time."""
     for longest, wanted in ((0.0, 0.0), (60.0, 60.0), (2_000.0, 100.0)):
