Let what finds no room wait here for a tenth of its aim, the dearest first

Cause: a request was sent or refused at once.

Change: where no server has room, a request waits in the module: the dearest first, within that the one wanted soonest, for a tenth of its aim and under half of its caller's time, and no more of them than servers have room for; who is left over, or whose time is up, is refused at once. Parts of a room that are no whole calls are rounded by chance, each server its own way, so that all balancers keep to it together; with that the room is four instead of six: that rounded up to what it was.

--- a/basaltspindle/policy.py
+++ b/basaltspindle/policy.py
@@ -1,15 +1,16 @@
 """Every decision of the balancer; its types, events and actions are in basaltspindle/interface.py.
 
-A request's path: `_arrived` sheds it (`_admitted`) or sends it (`_try_send`); `_pick` chooses its server: the
-ordinary path. `_ended` books each outcome and, if an answer is still owed, tries again (`_try_again`)
-or gives up. `_harmless` tells where another attempt does no harm.
+A request's path: `_arrived` sheds it (`_admitted`), sends it (`_try_send`) or lets it wait (`_wait`) until
+`_release` sends it; `_pick` chooses its server: the ordinary path. `_ended` books each outcome and, if an
+answer is still owed, tries again (`_try_again`) or gives up. `_harmless` tells where another attempt does
+no harm.
 """
 
 from __future__ import annotations
 
 import math
 import random
-from bisect import bisect
+from bisect import bisect, insort
 from collections import deque
 from collections.abc import Iterable
 from itertools import accumulate
@@ -37,7 +38,8 @@
 SUBSET_MIN = 12  # servers that a balancer keeps to at the least: losing a few must leave a choice
 SUBSET_COVER = 30  # balancers that keep to each server: their chance parts then even out to a fifth
 AWAY_PART = 0.1  # of the aim: so long a refused caller is asked to stay away, to be back in time for it
-ROOM = 6.0  # calls that all balancers together have out at a server for each unit of its registered size
+WAIT_AIM, WAIT_TIME = 0.1, 0.45  # the most that a request waits here: of its aim, and of its caller's time
+ROOM = 4.0  # calls that all balancers together have out at a server for each unit of its registered size
 LEVEL_MIN = 0.05  # let in whatever happens, so that recovery is seen
 LIST_RETRY_MS = 500.0  # first pause before the list is asked again, doubled at each failure
 LIST_CALL_MS = 25.0  # of that first pause for each balancer of the tier at the least: after an outage all ask
@@ -83,7 +85,10 @@
 
 
 class _Request:
-    __slots__ = tuple("arrived attempts cls id is_whole owed size streaming useful_until".split())
+    __slots__ = (
+        *"arrived attempts cls id is_whole owed patience size".split(),
+        *"streaming useful_until waits worth".split(),
+    )
 
     def __init__(self, event: face.RequestArrived, cls: face.RequestClass, now: float) -> None:
         self.id, self.cls = event.request, cls
@@ -91,6 +96,8 @@
         self.useful_until = deadline if cls.late_share else min(deadline, now + cls.aim_ms)
         self.attempts: list[_Attempt] = []
         self.owed, self.streaming, self.is_whole = True, False, event.is_whole
+        self.waits, self.worth = False, cls.worth
+        self.patience = min(WAIT_AIM * cls.aim_ms, WAIT_TIME * event.remaining_ms)
         self.size = 1.0  # its work over the usual, where a hint tells
 
     @property
@@ -105,6 +112,10 @@
         for attempt in (a for a in self.attempts if a.out):
             attempt.sent, attempt.ends = attempt.sent + passed, attempt.ends + passed
 
+    def turn(self) -> tuple[float, float, int]:
+        """Who waits is served by this: the dearest first, then the one that is wanted soonest."""
+        return -self.worth, self.useful_until, self.id
+
     def is_out(self) -> bool:
         return any(a.out for a in self.attempts)
 
@@ -131,6 +142,8 @@
         self._back: dict[str, float] = {}  # when operators put servers back
         self._leaving = False  # another process has taken over
         self._requests: dict[int, _Request] = {}
+        self._waiting: list[_Request] = []  # by turn
+        self._waiting_most = 0
         # The time that a call of each class takes, as we see it, and where nothing crowds (a low quantile).
         self._work = {c.name: c.aim_ms / 5 for c in settings.classes}
         self._easy = {c.name: EASY_MOST * c.aim_ms for c in settings.classes}
@@ -246,6 +259,7 @@
             server.size = member.size if 0 < member.size < math.inf else 1.0  # a list may give odd ones
         self._servers = {name: s for name, s in self._servers.items() if s.listed or s.in_flight}
         self._choose_from()
+        self._release(now)
 
     def _cordoned(self, event: face.Cordoned, now: float) -> None:
         """Operators' word on a server stands over the list's; one that they put back counts as cold."""
@@ -259,6 +273,7 @@
                 server.forget(now)
                 server.unused = True
         self._choose_from()
+        self._release(now)
 
     def _choose_from(self) -> None:
         """Take stock of the servers that may get work."""
@@ -270,6 +285,8 @@
         # A balancer of hundreds calls each of all too seldom to learn it, or to use a connection twice.
         keep = max(SUBSET_MIN, math.ceil(len(self._ready) * SUBSET_COVER / self._settings.balancers))
         self._near = sorted(self._ready, key=lambda s: s.rank)[:keep]
+        sharers = max(self._settings.balancers, 1)
+        self._waiting_most = math.ceil(ROOM * sum(s.size for s in self._ready) / sharers)
         last = max((s.started for s in self._ready), default=0.0)
         self._cold_until = last + self._settings.cold_ms
 
@@ -288,13 +305,46 @@
         self._retry_budget = min(RETRY_BURST, self._retry_budget + RETRY_BUDGET)
         if self._settings.calling_tier == 0 and not self._admitted(request, event, now):
             self._shed(request, "answers take too long: shedding the least worth first", now)
-        elif not self._try_send(request, now):
+        elif self._waiting or not self._try_send(request, now):
+            self._wait(request, now)
+
+    def _wait(self, request: _Request, now: float) -> None:
+        """Keep a request until a server has room, or refuse who is left over: the least worth at once.
+
+        Guards against crowds and against callers that ask again at once, each of whose tries meets the same
+        full servers. It harms by being late: a wait takes a small part of the aim, and never half of the
+        caller's time.
+        """
+        if request.patience <= self._settings.tick_ms:
             self._shed(request, "no server may take a call: refusing", now)
+            return
+        request.waits = True
+        insort(self._waiting, request, key=_Request.turn)
+        self._release(now)
+        if len(self._waiting) > self._waiting_most:
+            self._shed_waiting(self._waiting[-1], now)
+        if request.waits:
+            self._actions.append(face.SetTimer(now + request.patience, f"wait:{request.id}"))
+
+    def _release(self, now: float) -> None:
+        """Send those who wait in their turn, as far as there is room."""
+        while self._waiting and self._try_send(self._waiting[0], now):
+            self._waiting.pop(0).waits = False
+
+    def _leave_line(self, request: _Request) -> None:
+        if request.waits:
+            request.waits = False
+            self._waiting.remove(request)
+
+    def _shed_waiting(self, request: _Request, now: float) -> None:
+        self._leave_line(request)
+        self._shed(request, "no server may take a call: refusing", now)
 
     def _admitted(self, request: _Request, event: face.RequestArrived, now: float) -> bool:
         """Shed load by worth: the level is the part of the work offered that is let in, the dearest first."""
         worth = request.cls.worth
         worth *= self._settings.over_share_worth if self._over_share(event, now) else 1.0
+        request.worth = worth
         self._offered = {known: work * (1 - 1 / OFFER_CALLS) for known, work in self._offered.items()}
         self._offered[worth] = self._offered.get(worth, 0.0) + self._work[request.cls.name]
         dearer = sum(count for known, count in self._offered.items() if known > worth)
@@ -310,7 +360,7 @@
         if now - self._level_at >= STEP_MS:
             self._level_at = now
             asked = (r for r in self._requests.values() if r.owed and r.is_whole and not r.streaming)
-            out = sum(self._silence(now - r.arrived, r) for r in asked)
+            out = sum(self._silence(now - r.attempts[0].sent, r) for r in asked if r.attempts)
             fade = math.exp((self._weighed - now) / PRESSURE_MS)
             pressure = (self._late * fade + out) / (self._answers * fade + out + PRESSURE_CALLS)
             self._level = min(max((FULL - pressure) / (FULL - EASE), LEVEL_MIN), 1.0)
@@ -373,12 +423,19 @@
     def _due(self, token: str, now: float) -> None:
         kind, _, number = token.partition(":")
         hedging = kind == "hedge" and self._settings.may_duplicate
-        request = self._requests.get(int(number)) if hedging else None
+        request = self._requests.get(int(number)) if hedging or kind == "wait" else None
         if kind == "list":
             self._actions.append(face.Subscribe())
-        elif request and request.owed and len(request.attempts) == 1 and self._let_in(now) >= 1:
+        elif kind == "wait":
+            if request and request.waits:
+                self._shed_waiting(request, now)
+        elif request and request.owed and len(request.attempts) == 1 and self._has_spare(now):
             self._try_again(request, now)
 
+    def _has_spare(self, now: float) -> bool:
+        """Whether a second copy takes nothing from others."""
+        return not self._waiting and self._let_in(now) >= 1
+
     def _made(self, event: face.AttemptEnded | face.AnswerStarted) -> tuple[_Request, _Attempt]:
         request = self._requests.get(event.request)
         if request is None or not 0 <= event.attempt < len(request.attempts):
@@ -409,6 +466,7 @@
         elif request.owed and not request.is_out() and not self._try_again(request, now, event.body_is_gone):
             self._give_up(request)
         self._drop_if_over(request)
+        self._release(now)
 
     def _note_idle(self, attempt: _Attempt, silent: bool) -> None:
         """Learn from which idle time on connections die: the least with two silent calls, and most silent.
@@ -443,6 +501,7 @@
 
     def _left(self, request_id: int) -> None:
         if request := self._requests.get(request_id):
+            self._leave_line(request)
             request.owed = False
             self._cancel_rest(request)
             self._drop_if_over(request)
@@ -508,13 +567,14 @@
                 break  # with none of our calls in view (1/c) would send all to the largest: the draw decides
         return chosen
 
-    def _limit(self, server: _Server) -> float:
+    def _limit(self, server: _Server) -> int:
         """The calls that we may have out at a server: our part of its room, one at the least.
 
         Guards against crowding: a server with far more calls than cores turns slow, and stays so until idle.
         """
         sharers = self._settings.balancers * len(self._near) / len(self._ready)
-        return max(ROOM * server.size / max(sharers, 1.0), 1.0)
+        # The rank rounds it, up by some and down by others: all together keep to the room.
+        return max(math.floor(ROOM * server.size / max(sharers, 1.0) + server.rank), 1)
 
     def _by_zone(self, able: list[_Server], capacity: list[float]) -> list[float]:
         """Weigh the draw so that calls stay in our zone, and spill to the zones with more than their part."""
