Have inner balancers take the free servers near their place on a ring first

Cause: an inner balancer has two or three calls out over dozens of servers that answer one call at a time, and many balancers call each: it sees next to nothing of what a server holds, so calls met at one server while its neighbours stood idle.

Change: servers of the own zone stand in a ring by name, balancers by their number, and an inner balancer takes those of its six nearest servers that hold none of its calls before all others. Each server is then called mostly by few balancers, whose own calls tell what it holds. Draws and choice among them stay as they were; so does everything once its six are in use. The settings' number of the balancer is now read.

--- a/basaltspindle/interface.py
+++ b/basaltspindle/interface.py
@@ -112,6 +112,8 @@
     classes: tuple[RequestClass, ...]
     tenants: tuple[Tenant, ...] = ()
     balancers: int = 1
+    number: int = 0
+    """Which of them this one is, from 0."""
     calling_tier: int = 0
     zone: str = ""
     list_is_asked: bool = False
@@ -135,7 +137,7 @@
         _require(len(set(names)) == len(names), "classes", names, "must not name a class twice")
         for field in ("balancers", "max_attempts"):
             _require(getattr(self, field) >= 1, field, getattr(self, field), "must be 1 or more")
-        for field in ("calling_tier", "max_retry_after_ms", "cold_ms"):
+        for field in ("number", "calling_tier", "max_retry_after_ms", "cold_ms"):
             _require(getattr(self, field) >= 0, field, getattr(self, field), "must not be negative")
         for field in ("ask_within_ms", "cold_window_ms", "cold_overload_factor", "tick_ms"):
             _require(getattr(self, field) > 0, field, getattr(self, field), "must be above 0")
--- a/basaltspindle/policy.py
+++ b/basaltspindle/policy.py
@@ -39,6 +39,7 @@
 SUBSET_COVER = 30  # balancers that keep to each server: their chance parts then even out to a fifth
 AWAY_PART = 0.1  # of the aim: so long a refused caller is asked to stay away, to be back in time for it
 WAIT_AIM, WAIT_TIME = 0.1, 0.45  # the most that a request waits here: of its aim, and of its caller's time
+HOMES = 6  # servers near our place on the ring, where an inner balancer's free ones are taken first
 ROOM = 4.0  # calls that all balancers together have out at a server for each unit of its registered size
 LEVEL_MIN = 0.05  # let in whatever happens, so that recovery is seen
 LIST_RETRY_MS = 500.0  # first pause before the list is asked again, doubled at each failure
@@ -144,6 +145,7 @@
         self._requests: dict[int, _Request] = {}
         self._waiting: list[_Request] = []  # by turn
         self._waiting_most = 0
+        self._home: frozenset[_Server] = frozenset()
         # The time that a call of each class takes, as we see it, and where nothing crowds (a low quantile).
         self._work = {c.name: c.aim_ms / 5 for c in settings.classes}
         self._easy = {c.name: EASY_MOST * c.aim_ms for c in settings.classes}
@@ -285,11 +287,23 @@
         # A balancer of hundreds calls each of all too seldom to learn it, or to use a connection twice.
         keep = max(SUBSET_MIN, math.ceil(len(self._ready) * SUBSET_COVER / self._settings.balancers))
         self._near = sorted(self._ready, key=lambda s: s.rank)[:keep]
+        self._home = frozenset(self._on_ring())
         sharers = max(self._settings.balancers, 1)
         self._waiting_most = math.ceil(ROOM * sum(s.size for s in self._ready) / sharers)
         last = max((s.started for s in self._ready), default=0.0)
         self._cold_until = last + self._settings.cold_ms
 
+    def _on_ring(self) -> list[_Server]:
+        """The servers of our zone that are nearest to our place, if names and balancers stand in a ring.
+
+        Each server is near few balancers: their own calls there are then most of what it holds.
+        """
+        own = [s for s in self._ready if s.member.zone == self._settings.zone] or self._ready
+        ring = sorted(own, key=lambda s: s.member.server)
+        place = len(ring) * (self._settings.number + 0.5) / self._settings.balancers
+        first = round(place - HOMES / 2)
+        return [ring[i % len(ring)] for i in range(first, first + min(HOMES, len(ring)))]
+
     # ---- a request's path -----------------------------------------------------------------------
 
     def _arrived(self, event: face.RequestArrived, now: float) -> None:
@@ -551,6 +565,9 @@
             able = [s for s in able if all(a.server is not s for a in request.attempts)] or able
         if self._settings.calling_tier == 0:
             able = [s for s in able if s.in_flight < self._limit(s)]
+        else:
+            # Many call each server, and each sees its own calls alone: few others call those near us.
+            able = [s for s in able if s in self._home and not s.in_flight] or able
         if not able:
             return None
         if back := next((s for s in able if s.unused), None):
--- a/basaltspindle/wire.py
+++ b/basaltspindle/wire.py
@@ -217,6 +217,7 @@
         classes=tuple(classes),
         tenants=tuple(tenants),
         balancers=int(number(facts, "balancers", 1.0)),
+        number=int(number(facts, "myNumber", 0.0)),
         calling_tier=int(number(facts, "tier", 0.0)),
         zone=facts.get("zone", ""),
         list_is_asked=facts.get("discovery") == "ask",
--- a/tests/test_policy.py
+++ b/tests/test_policy.py
@@ -554,7 +554,7 @@
     """Four calls among three balancers: two each would be a half more than there is room for."""
     held: Counter[str] = Counter()
     for number in range(90):
-        desk = Desk(0, balancers=3, seed=number)
+        desk = Desk(0, balancers=3, number=number % 3, seed=number)
         desk.show(*members(4))
         held.update(server for _, server in crowd(desk))
     assert all(100 < count < 140 for count in held.values()), "30 times 4, near enough"
@@ -614,6 +614,29 @@
     assert waiting not in desk.balancer._requests
 
 
+def test_inner_balancers_take_free_servers_near_their_place_first() -> None:
+    """Calls of twelve balancers met at some servers while others stood idle: each saw its own alone."""
+    homes = []
+    for number in range(6):
+        desk = Desk(0, calling_tier=1, balancers=6, number=number, seed=number)
+        desk.show(*(Member(f"s{i:02}") for i in range(36)))
+        asked = [desk.ask(PAY) for _ in range(7)]
+        servers = [sent(actions)[0].server for _, actions in asked]
+        assert len(set(servers[:6])) == 6, "each free one once"
+        homes.append(frozenset(servers[:6]))
+        desk.end(asked[0][0], 0, servers[0], Outcome.SERVED)
+        assert sent(desk.ask(PAY)[1])[0].server == servers[0], "what is free again comes before others"
+    assert len(frozenset.union(*homes)) == 36, "they share the servers out"
+
+
+def test_homes_are_in_the_own_zone_while_it_has_servers() -> None:
+    desk = Desk(0, calling_tier=1, balancers=2, number=1, zone="z1")
+    desk.show(*members(8))
+    assert {sent(desk.ask(PAY)[1])[0].server for _ in range(4)} == {"s1", "s3", "s5", "s7"}
+    desk.show(*(m for m in members(8) if m.zone != "z1"))
+    assert {sent(desk.ask(PAY)[1])[0].server for _ in range(4)} == {"s0", "s2", "s4", "s6"}
+
+
 def test_a_refusal_says_when_to_come_back_where_the_settings_allow_it() -> None:
     """Refused callers asked again within a millisecond, up to four times, and were refused each time."""
     for longest, wanted in ((0.0, 0.0), (60.0, 60.0), (2_000.0, 100.0)):
