Keep a part of each server's room for the requests of the highest worth

Change: requests of less than the highest worth fill six tenths of a server's room, now five for each unit of its size.

--- a/basaltspindle/policy.py
+++ b/basaltspindle/policy.py
@@ -40,7 +40,8 @@
 AWAY_PART = 0.1  # of the aim: so long a refused caller is asked to stay away, to be back in time for it
 WAIT_AIM, WAIT_TIME = 0.1, 0.45  # the most that a request waits here: of its aim, and of its caller's time
 HOMES = 6  # servers near our place on the ring, where an inner balancer's free ones are taken first
-ROOM = 4.0  # calls that all balancers together have out at a server for each unit of its registered size
+ROOM = 5.0  # calls that all balancers together have out at a server for each unit of its registered size
+CHEAP_PART = 0.6  # the part of that room which requests of less than the highest worth may fill
 LEVEL_MIN = 0.05  # let in whatever happens, so that recovery is seen
 LIST_RETRY_MS = 500.0  # first pause before the list is asked again, doubled at each failure
 LIST_CALL_MS = 25.0  # of that first pause for each balancer of the tier at the least: after an outage all ask
@@ -144,6 +145,7 @@
         self._leaving = False  # another process has taken over
         self._requests: dict[int, _Request] = {}
         self._waiting: list[_Request] = []  # by turn
+        self._dearest = max(c.worth for c in settings.classes)
         self._waiting_most = 0
         self._home: frozenset[_Server] = frozenset()
         # The time that a call of each class takes, as we see it, and where nothing crowds (a low quantile).
@@ -564,7 +566,8 @@
         if request.attempts:
             able = [s for s in able if all(a.server is not s for a in request.attempts)] or able
         if self._settings.calling_tier == 0:
-            able = [s for s in able if s.in_flight < self._limit(s)]
+            part = 1.0 if request.worth >= self._dearest else CHEAP_PART
+            able = [s for s in able if s.in_flight < self._limit(s, part)]
         else:
             # Many call each server, and each sees its own calls alone: few others call those near us.
             able = [s for s in able if s in self._home and not s.in_flight] or able
@@ -584,14 +587,14 @@
                 break  # with none of our calls in view (1/c) would send all to the largest: the draw decides
         return chosen
 
-    def _limit(self, server: _Server) -> int:
-        """The calls that we may have out at a server: our part of its room, one at the least.
+    def _limit(self, server: _Server, part: float) -> int:
+        """The calls that we may have out at a server: our part of this part of its room, one at the least.
 
         Guards against crowding: a server with far more calls than cores turns slow, and stays so until idle.
         """
         sharers = self._settings.balancers * len(self._near) / len(self._ready)
         # The rank rounds it, up by some and down by others: all together keep to the room.
-        return max(math.floor(ROOM * server.size / max(sharers, 1.0) + server.rank), 1)
+        return max(math.floor(part * ROOM * server.size / max(sharers, 1.0) + server.rank), 1)
 
     def _by_zone(self, able: list[_Server], capacity: list[float]) -> list[float]:
         """Weigh the draw so that calls stay in our zone, and spill to the zones with more than their part."""
