Make the decisions a package in which each concern is a part of its own

Found by the streams and left for a change of its own: settings without a cold time and a start that lies in the future divide by nothing.

--- /dev/null
+++ b/basaltspindle/policy/balancer.py
@@ -0,0 +1,340 @@
+"""One balancer's decisions: what each event does to what is known, and which actions follow.
+
+A request's path: `_arrived` sheds it, sends it (`_try_send`) or lets it wait (`_wait`) until `_release` sends
+it; `_pick` chooses its server. `_ended` books each outcome and, if an answer is still owed, tries again
+(`_try_again`) or gives up.
+"""
+
+from __future__ import annotations
+
+import math
+import random
+from collections import deque
+from typing import Any
+
+from basaltspindle import interface as face
+from basaltspindle.interface import Effect, ListKind, Outcome
+from basaltspindle.policy.admission import OFFER_CALLS, Admission, Pressure, Times, plain
+from basaltspindle.policy.cold import ColdStarts
+from basaltspindle.policy.draw import choose
+from basaltspindle.policy.limits import Line, Rooms
+from basaltspindle.policy.repeats import IdleConnections, RetryBudget, harmless, patience
+from basaltspindle.policy.requests import Attempt, Request
+from basaltspindle.policy.roster import Roster
+from basaltspindle.policy.servers import MEMORY_MS, Capacities, Server
+
+AWAY_PART = 0.1  # of the aim: so long a refused caller is asked to stay away, to be back in time for it
+LATE = "answers take too long: shedding the least worth first"
+NO_ROOM = "no server may take a call: refusing"
+
+
+class Balancer:
+    """The decisions of one balancer instance: feed it events in order, carry out the actions it returns."""
+
+    def __init__(self, settings: face.Settings, seed: int) -> None:
+        self._settings = settings
+        self._classes = {c.name: c for c in settings.classes}
+        self._random = random.Random(seed)
+        self._roster = Roster(settings, self._random)
+        self._capacities = Capacities()
+        self._cold = ColdStarts(settings, self._random)
+        self._rooms, self._line = Rooms(settings), Line()
+        self._times = Times(settings)
+        self._pressure = Pressure(self._times)
+        self._admission = Admission(settings, self._times, self._random)
+        self._budget, self._idle = RetryBudget(), IdleConnections()
+        self._requests: dict[int, Request] = {}
+        self._leaving = False  # another process has taken over
+        self._shedding_until, self._hint = -math.inf, 0.0
+        self._unsaid: list[face.Action] = [face.Subscribe()] if settings.list_is_asked else []
+        self._actions: list[face.Action] = []
+
+    def handle(self, event: face.Event, now: float) -> list[face.Action]:
+        """Take one event at time `now` (ms) and return what to do, in order."""
+        self._actions, self._unsaid = self._unsaid, []
+        match event:
+            case face.AttemptEnded():
+                self._ended(event, now)
+            case face.RequestArrived():
+                self._arrived(event, now)
+            case face.TimerDue():
+                self._due(event.token, now)
+            case face.ListUpdate(kind=ListKind.FAILED):
+                self._actions.extend(self._roster.failed(now))
+            case face.ListUpdate():
+                self._actions.extend(self._roster.listed(event, now))
+                self._take_stock(now)
+            case face.Cordoned():
+                self._roster.cordoned(event, now)
+                self._take_stock(now)
+            case face.Succession():
+                self._leaving = event.taken_over
+            case face.ClientLeft():
+                self._left(event.request)
+            case face.AnswerStarted():
+                self._started(event, now)
+            case face.RequestWhole():
+                if request := self._requests.get(event.request):
+                    request.start_over(now)
+                    request.is_whole = True
+        return self._actions
+
+    def avoided(self) -> list[str]:
+        """The listed servers that get no new work: held by operators, or ready and not kept to."""
+        return self._roster.avoided()
+
+    def _take_stock(self, now: float) -> None:
+        """The servers that may get work have changed."""
+        self._cold.note(self._roster.last_started())
+        self._rooms.share(self._roster.ready, self._roster.near)
+        self._release(now)
+
+    # ---- from one process to the next -----------------------------------------------------------
+
+    def legacy(self, now: float) -> dict[str, Any]:
+        """What was learned, as plain figures, for the process that takes over."""
+        for server in self._roster.servers.values():
+            server.catch_up(now)
+        return {
+            "servers": {
+                name: [s.member.up_since_ms, s.served, s.busy, *s.sends]
+                for name, s in self._roster.servers.items()
+                if s.listed
+            },
+            "work": self._times.work,
+            "easy": self._times.easy,
+            "usual": self._capacities.usual,
+            "pressure": [self._pressure.late, self._pressure.answers, self._pressure.weighed],
+            "median": self._capacities.median,
+        }
+
+    def inherit(self, legacy: dict[str, Any], now: float) -> None:
+        """Go on with what another process has learned; ValueError, and nothing is taken, if it is no such."""
+        try:
+            servers = {str(name): plain(known) for name, known in legacy["servers"].items()}
+            work, easy, usual = (
+                dict(zip(legacy[part], plain(legacy[part].values()), strict=True))
+                for part in ("work", "easy", "usual")
+            )
+            (late, answers, weighed), (median,) = plain(legacy["pressure"]), plain([legacy["median"]])
+        except (KeyError, TypeError, AttributeError) as error:
+            raise ValueError(f"no legacy: {error!r}") from None
+        if any(len(known) < 3 for known in servers.values()) or {*work, *easy} != {*self._classes}:
+            raise ValueError("no legacy: it is of other classes, or too short")
+        for name, (since, served, busy, *sends) in servers.items():
+            server = self._roster.servers.get(name)
+            if server is not None and server.member.up_since_ms == since:
+                server.served, server.busy, server.seen, server.sends = served, busy, now, deque(sends)
+        self._times.work, self._times.easy = work, easy
+        self._capacities.usual, self._capacities.median = usual, median
+        self._pressure.late, self._pressure.answers = late, answers
+        self._pressure.weighed = min(weighed, now)
+
+    # ---- a request's path -----------------------------------------------------------------------
+
+    def _arrived(self, event: face.RequestArrived, now: float) -> None:
+        if event.request in self._requests:
+            raise ValueError(f"request {event.request} has arrived before")
+        if event.class_name not in self._classes:
+            raise ValueError(f"request {event.request} is of unknown class {event.class_name!r}")
+        request = Request(event, self._classes[event.class_name], now)
+        self._requests[request.id] = request
+        if event.hint_ms > 0:
+            self._hint += (event.hint_ms - self._hint) / OFFER_CALLS if self._hint else event.hint_ms
+            request.size = event.hint_ms / self._hint
+        self._budget.earn()
+        if self._settings.calling_tier == 0 and not self._admitted(request, event, now):
+            self._shed(request, LATE, now)
+        elif self._line or not self._try_send(request, now):
+            self._wait(request, now)
+
+    def _admitted(self, request: Request, event: face.RequestArrived, now: float) -> bool:
+        request.worth = self._admission.worth(event, request.cls, now)
+        return self._admission.admits(request, self._let_in(now))
+
+    def _let_in(self, now: float) -> float:
+        return self._pressure.level(self._requests.values(), now)
+
+    def _wait(self, request: Request, now: float) -> None:
+        """Keep a request until a server has room, or refuse who is left over: the least worth at once.
+
+        Guards against crowds and against callers that ask again at once, each of whose tries meets the same
+        full servers. It harms by being late: a wait takes a small part of the aim, and never half of the
+        caller's time.
+        """
+        if request.patience <= self._settings.tick_ms:
+            self._shed(request, NO_ROOM, now)
+            return
+        self._line.join(request)
+        self._release(now)
+        if len(self._line) > self._rooms.waiting_most:
+            self._shed(self._line.last(), NO_ROOM, now)
+        if request.waits:
+            self._actions.append(face.SetTimer(now + request.patience, f"wait:{request.id}"))
+
+    def _release(self, now: float) -> None:
+        """Send those who wait in their turn, as far as there is room."""
+        while (first := self._line.first()) and self._try_send(first, now):
+            self._line.leave(first)
+
+    def _shed(self, request: Request, reason: str, now: float) -> None:
+        """Give up a request that was never sent; one line in the log for a whole spell."""
+        self._line.leave(request)
+        if now > self._shedding_until:
+            self._actions.append(face.Log(reason))
+        self._shedding_until = now + MEMORY_MS
+        self._give_up(request)
+
+    def _try_send(self, request: Request, now: float) -> bool:
+        if not request.is_whole:
+            request.start_over(now)
+        timeout = request.useful_until - now
+        if timeout <= self._settings.tick_ms or len(request.attempts) >= self._settings.max_attempts:
+            return False
+        if (server := self._pick(request, now)) is None:
+            return False
+        idle = 0.0 if server.in_flight else max(now - server.used, 0.0)
+        if idle and (request.attempts or idle >= self._idle.limit):
+            self._actions.append(face.CloseIdle(server.member.server))  # what is unused so long may be dead
+            idle = 0.0
+        if self._settings.max_attempts > 1:
+            copy_after = patience(request, self._times.work[request.cls.name], timeout)
+            if copy_after and self._settings.may_duplicate:
+                self._actions.append(face.SetTimer(now + copy_after, f"hedge:{request.id}"))
+            elif copy_after:
+                timeout = copy_after
+        server.catch_up(now)
+        server.unused = False
+        server.in_flight += 1
+        request.attempts.append(Attempt(server, idle, now, timeout))
+        self._cold.sent(server, now)
+        self._actions.append(face.Send(request.id, server.member.server, timeout))
+        return True
+
+    def _pick(self, request: Request, now: float) -> Server | None:
+        """The server for the next attempt: of those that may get it and have room, by the ordinary path."""
+        roster, cold = self._roster, self._cold
+        self._capacities.refresh(roster.ready, roster.near, now)
+        able = harmless(request, roster.near, roster.ready, self._settings, now)
+        if cold.any(now):
+            # Two processes have one budget for cold servers between them: the one that leaves uses it last.
+            warm = [s for s in able if cold.warmth(s, now) >= 1] if self._leaving else []
+            usual, longest = self._capacities.usual, max(self._times.work.values())
+            able = warm or [s for s in able if cold.has_room(s, usual.get(s.member.zone, 0.0), longest, now)]
+        if request.attempts:
+            able = [s for s in able if all(a.server is not s for a in request.attempts)] or able
+        able = self._rooms.open_to(request, able)
+        if self._settings.calling_tier:
+            # Many call each server, and each sees its own calls alone: few others call those near us.
+            able = [s for s in able if s in roster.home and not s.in_flight] or able
+        if not able:
+            return None
+        if back := next((s for s in able if s.unused), None):
+            return back  # operators watch for its first call, and as a cold one it would seldom be drawn
+        capacity = [self._capacities.estimate(s, cold.warmth(s, now), now) for s in able]
+        return choose(able, capacity, self._settings.zone, self._random)
+
+    # ---- what comes of it -----------------------------------------------------------------------
+
+    def _due(self, token: str, now: float) -> None:
+        kind, _, number = token.partition(":")
+        hedging = kind == "hedge" and self._settings.may_duplicate
+        request = self._requests.get(int(number)) if hedging or kind == "wait" else None
+        if kind == "list":
+            self._actions.append(face.Subscribe())
+        elif request is None:
+            return
+        elif kind == "wait":
+            if request.waits:
+                self._shed(request, NO_ROOM, now)
+        elif request.owed and len(request.attempts) == 1 and not self._line and self._let_in(now) >= 1:
+            self._try_again(request, now)
+
+    def _made(self, event: face.AttemptEnded | face.AnswerStarted) -> tuple[Request, Attempt]:
+        request = self._requests.get(event.request)
+        if request is None or not 0 <= event.attempt < len(request.attempts):
+            raise ValueError(f"attempt {event.attempt} of request {event.request} was never made")
+        return request, request.attempts[event.attempt]
+
+    def _started(self, event: face.AnswerStarted, now: float) -> None:
+        """A long answer is on its way: it is served from here on, however slowly its caller reads."""
+        request, attempt = self._made(event)
+        request.streaming = True
+        if attempt.out:
+            self._book(attempt, Outcome.SERVED, request, now)
+        if self._settings.may_cancel:
+            others = (i for i, a in enumerate(request.attempts) if a.out and a is not attempt)
+            self._actions.extend(face.Cancel(request.id, i) for i in others)
+
+    def _ended(self, event: face.AttemptEnded, now: float) -> None:
+        request, attempt = self._made(event)
+        if not attempt.out:
+            return
+        attempt.out, attempt.ran = False, event.outcome not in face.NEVER_RAN
+        self._book(attempt, event.outcome, request, now)
+        if event.answered:
+            request.owed = False
+            for beaten in (a for a in request.attempts if a.out):
+                self._idle.note(beaten, silent=True)
+            self._cancel_rest(request)
+        elif request.owed and not request.is_out() and not self._try_again(request, now, event.body_is_gone):
+            self._give_up(request)
+        self._drop_if_over(request)
+        self._release(now)
+
+    def _try_again(self, request: Request, now: float, body_is_gone: bool = False) -> bool:
+        """Make a further attempt if the retry budget has one left; it is free if no earlier one ever ran."""
+        cost = self._budget.cost(request)
+        if (
+            body_is_gone
+            or not self._budget.has(cost)
+            or request.streaming
+            or not self._try_send(request, now)
+        ):
+            return False
+        self._budget.spend(cost)
+        return True
+
+    def _give_up(self, request: Request) -> None:
+        request.owed = False
+        is_harmless = request.cls.effect is Effect.SAFE or not any(a.ran for a in request.attempts)
+        away = min(AWAY_PART * request.cls.aim_ms, self._settings.max_retry_after_ms)
+        self._actions.append(face.Refuse(request.id, away) if is_harmless else face.Fail(request.id))
+        self._drop_if_over(request)
+
+    def _cancel_rest(self, request: Request) -> None:
+        if self._settings.may_cancel:
+            self._actions.extend(face.Cancel(request.id, i) for i, a in enumerate(request.attempts) if a.out)
+
+    def _left(self, request_id: int) -> None:
+        if request := self._requests.get(request_id):
+            self._line.leave(request)
+            request.owed = False
+            self._cancel_rest(request)
+            self._drop_if_over(request)
+
+    def _drop_if_over(self, request: Request) -> None:
+        if not request.owed and not request.is_out():
+            self._requests.pop(request.id, None)
+
+    def _book(self, attempt: Attempt, outcome: Outcome, request: Request, now: float) -> None:
+        """Count a served call; book a failure at its full time-out: it must not look quick."""
+        server = attempt.server
+        if attempt.booked:
+            return
+        attempt.booked = True
+        server.catch_up(now)
+        server.used = now if outcome in (Outcome.SERVED, Outcome.ERROR) else math.inf
+        if outcome in (Outcome.SERVED, Outcome.TIMED_OUT, Outcome.RESET):
+            self._idle.note(attempt, outcome is not Outcome.SERVED)
+        elapsed = now - attempt.sent
+        if outcome is Outcome.SERVED:
+            self._pressure.weigh(self._times.lateness(elapsed, request), min(request.size, 1.0), now)
+            self._times.learn(elapsed, request)
+            server.served += request.size
+        elif outcome not in (Outcome.CANCELLED, Outcome.NOT_SENT):
+            full = outcome is Outcome.REJECTED  # its own word that it is crowded
+            news = max(full, attempt.ran * self._times.silence(elapsed, request))
+            self._pressure.weigh(1.0, news, now)
+            server.busy += max(attempt.ends - now, 0.0)
+        server.in_flight -= 1
--- /dev/null
+++ b/basaltspindle/policy/cold.py
@@ -0,0 +1,64 @@
+"""The rule on cold servers: how much a newly started one gets from this balancer."""
+
+from __future__ import annotations
+
+import random
+
+from basaltspindle.interface import Settings
+from basaltspindle.policy.servers import Server
+
+COLD_SAFETY = 0.5  # the part of a cold server's budget that we use: other balancers and heavy calls count too
+
+
+class ColdStarts:
+    """Which servers are cold, and whether they may take one more call."""
+
+    def __init__(self, settings: Settings, chance: random.Random) -> None:
+        self._settings, self._random = settings, chance
+        self._until = 0.0  # when the last of them is warm
+
+    def note(self, last_started: float) -> None:
+        """Take note of the last start there was."""
+        self._until = last_started + self._settings.cold_ms
+
+    def any(self, now: float) -> bool:
+        """Whether any server may be cold."""
+        return now < self._until
+
+    def warmth(self, server: Server, now: float) -> float:
+        """The share of its capacity that a server has at the least, by its age."""
+        if now >= self._until:
+            return 1.0
+        age = now - server.started
+        if server.started <= 0 or age >= self._settings.cold_ms:
+            return 1.0
+        start = self._settings.cold_from
+        return start + (1 - start) * max(age, 0.0) / self._settings.cold_ms
+
+    def sent(self, server: Server, now: float) -> None:
+        """Book a call."""
+        if self.warmth(server, now) < 1:
+            server.sends.append(now)
+
+    def has_room(self, server: Server, usual_rate: float, work_ms: float, now: float) -> bool:
+        """Whether a server can take one more call in this window (a burst would push a cold one over).
+
+        `usual_rate` is what a unit of size in its zone serves for us at its best, in calls a ms; `work_ms` is
+        what the longest calls take. Each balancer sends a part of multiple x warmth x its usual rate in that
+        zone: they add up to a warm load. Where many have a fraction of a call each, chance rounds it, anew in
+        each window: rounded up by all it would push a server over, rounded down leave it unused. One that
+        knows no rate yet takes its part of one call at a time, the least that a server does.
+        """
+        if (warmth := self.warmth(server, now)) >= 1:
+            return True
+        window = self._settings.cold_window_ms
+        while server.sends and server.sends[0] < now - window:
+            server.sends.popleft()
+        if now >= server.chance_until:
+            server.chance, server.chance_until = self._random.random(), now + window
+        usual = usual_rate * server.size
+        least = 1 / (work_ms * self._settings.balancers)
+        most = self._settings.cold_overload_factor * warmth * window  # over the usual rate
+        return len(server.sends) + 1 <= min(
+            COLD_SAFETY * most * max(usual, least) + server.chance, max(most * usual, 1.0)
+        )
--- /dev/null
+++ b/basaltspindle/policy/limits.py
@@ -0,0 +1,76 @@
+"""Room at each server, and the line of requests that wait for it."""
+
+from __future__ import annotations
+
+import math
+from bisect import insort
+
+from basaltspindle.interface import Settings
+from basaltspindle.policy.requests import Request
+from basaltspindle.policy.servers import Server
+
+ROOM = 5.0  # calls that all balancers together have out at a server for each unit of its registered size
+CHEAP_PART = 0.6  # the part of that room which requests of less than the highest worth may fill
+
+
+class Rooms:
+    """How many calls this balancer may have out at each server of the first tier.
+
+    Guards against crowding: a server with far more calls than cores turns slow, and stays so until idle.
+    Inner tiers have none: others have worked on their calls, and refusing these wastes it.
+    """
+
+    def __init__(self, settings: Settings) -> None:
+        self._dearest = max(c.worth for c in settings.classes)
+        self._bounded = settings.calling_tier == 0
+        self._balancers = settings.balancers
+        self._sharers = float(settings.balancers)
+        self.waiting_most = 0
+
+    def share(self, ready: list[Server], near: list[Server]) -> None:
+        """Take our part of all servers: each is kept to by so many balancers."""
+        self._sharers = max(self._balancers * len(near) / max(len(ready), 1), 1.0)
+        self.waiting_most = math.ceil(ROOM * sum(s.size for s in ready) / self._balancers)
+
+    def open_to(self, request: Request, servers: list[Server]) -> list[Server]:
+        """Those of the servers that have room for a request."""
+        if not self._bounded:
+            return servers
+        part = 1.0 if request.worth >= self._dearest else CHEAP_PART
+        return [s for s in servers if s.in_flight < self._limit(s, part)]
+
+    def _limit(self, server: Server, part: float) -> int:
+        """Our part of this part of a server's room, one call at the least.
+
+        The rank rounds it, up by some and down by others: all together keep to the room.
+        """
+        return max(math.floor(part * ROOM * server.size / self._sharers + server.rank), 1)
+
+
+class Line:
+    """Those who wait, in their turn."""
+
+    def __init__(self) -> None:
+        self._waiting: list[Request] = []
+
+    def __len__(self) -> int:
+        return len(self._waiting)
+
+    def join(self, request: Request) -> None:
+        """Take a place by worth, then by when the answer is wanted."""
+        request.waits = True
+        insort(self._waiting, request, key=Request.turn)
+
+    def leave(self, request: Request) -> None:
+        """Give the place up; nothing happens to who has none."""
+        if request.waits:
+            request.waits = False
+            self._waiting.remove(request)
+
+    def first(self) -> Request | None:
+        """Whose turn it is."""
+        return self._waiting[0] if self._waiting else None
+
+    def last(self) -> Request:
+        """Who would be served last."""
+        return self._waiting[-1]
--- /dev/null
+++ b/basaltspindle/policy/repeats.py
@@ -0,0 +1,89 @@
+"""Further attempts: where one does no harm, how many are made, and what idle connections tell."""
+
+from __future__ import annotations
+
+import math
+from collections import deque
+
+from basaltspindle.interface import Effect, RepeatGroup, Settings
+from basaltspindle.policy.requests import Attempt, Request
+from basaltspindle.policy.servers import Server
+
+HEDGE_TIMES, HEDGE_LEAST = 4.0, 2.5  # a second copy: after so many usual answers at the most, at the least
+RETRY_BUDGET, RETRY_BURST = 0.2, 10.0  # further attempts for each first one, and how many may be saved up
+IDLE_CALLS = 40  # so many last calls on idle connections tell how long these live
+
+
+class RetryBudget:
+    """Further attempts for each first one."""
+
+    def __init__(self) -> None:
+        self._left = RETRY_BURST
+
+    def earn(self) -> None:
+        """A request has come."""
+        self._left = min(RETRY_BURST, self._left + RETRY_BUDGET)
+
+    def cost(self, request: Request) -> float:
+        """What one more attempt costs: nothing if no earlier one ever ran."""
+        return float(any(a.ran for a in request.attempts))
+
+    def has(self, cost: float) -> bool:
+        """Whether there is so much left."""
+        return self._left >= cost
+
+    def spend(self, cost: float) -> None:
+        """One more attempt has been made."""
+        self._left -= cost
+
+
+class IdleConnections:
+    """From which idle time on connections die: the least with two silent calls, and most silent.
+
+    Guards against connections dropped unseen, by anyone; harms by handshakes if the silence is another.
+    """
+
+    def __init__(self) -> None:
+        self._calls: deque[tuple[float, bool]] = deque(maxlen=IDLE_CALLS)
+        self.limit = math.inf
+
+    def note(self, attempt: Attempt, silent: bool) -> None:
+        """Learn from a call on a connection that had been idle."""
+        if attempt.idle:
+            self._calls.append((attempt.idle, silent))
+            dead = sorted(idle for idle, was_silent in self._calls if was_silent)
+            longer = {idle: sum(other >= idle for other, _ in self._calls) for idle in dead}
+            known = (d for i, d in enumerate(dead) if len(dead) - i >= max(2.0, 0.6 * longer[d]))
+            self.limit = next(known, math.inf)
+
+
+def patience(request: Request, work_ms: float, timeout_ms: float) -> float:
+    """After how long a first attempt is given a second copy, in ms; 0 for never.
+
+    Guards against silence and slowness of any cause: hung or failing servers, dropped connections.
+    Harms by adding to a crowd: a usual answer is waited for, and none is copied too late to help.
+    """
+    if request.cls.effect is Effect.UNSAFE or not request.is_whole or request.attempts:
+        return 0.0
+    usual = request.heft * work_ms
+    after = min(HEDGE_TIMES * usual, timeout_ms - usual)
+    return after if after >= HEDGE_LEAST * usual else 0.0
+
+
+def harmless(
+    request: Request, near: list[Server], ready: list[Server], settings: Settings, now: float
+) -> list[Server]:
+    """The servers to which the next attempt can do no harm: those we keep to, if none may have run."""
+    cls = request.cls
+    ran = next((a for a in request.attempts if a.ran), None)
+    if ran is None or cls.effect is Effect.SAFE:
+        return near
+    if cls.effect is Effect.UNSAFE or now >= ran.sent + cls.repeat_window_ms - settings.tick_ms:
+        return []
+    # A server that restarted since may have forgotten what it saw: not asked again.
+    able = [s for s in ready if s.started <= ran.sent]
+    if cls.repeat_group is RepeatGroup.ALL:
+        return able
+    if cls.repeat_group is RepeatGroup.ZONE:
+        return [s for s in able if s.member.zone == ran.server.member.zone]
+    return [s for s in able if s.member.cell == ran.server.member.cell]
--- /dev/null
+++ b/tests/streams.py
@@ -0,0 +1,219 @@
+"""Streams of events in a small made-up world, and the digest of what a balancer does with one.
+
+`python -m tests.streams` tells whether the decisions have changed since a commit, for refactorings that must
+not change them; `--record` writes the digests that `tests/test_streams.py` keeps to:
+
+    python -m tests.streams --since d2a2bda
+    python -m tests.streams --record
+"""
+
+from __future__ import annotations
+
+import argparse
+import heapq
+import json
+import os
+import random
+import subprocess
+import sys
+import tarfile
+import tempfile
+from collections.abc import Iterator
+from hashlib import sha256
+from io import BytesIO
+from pathlib import Path
+
+from basaltspindle import interface as face
+from basaltspindle.interface import Effect, ListKind, Outcome, RepeatGroup
+from basaltspindle.policy import Balancer
+
+RECORD = Path(__file__).parent / "streams.json"
+SEEDS = range(24)
+CLASSES = (
+    face.RequestClass("read", 400, 2_000, Effect.SAFE),
+    face.RequestClass("keyed", 800, 2_500, Effect.KEYED, RepeatGroup.CELL, 1_500, worth=2.0),
+    face.RequestClass("pay", 1_200, 4_000, Effect.UNSAFE, worth=10.0),
+)
+FAILURES = tuple(o for o in Outcome if o not in (Outcome.SERVED, Outcome.UNKNOWN))
+
+
+class World:
+    """Carries out one balancer's actions with made-up servers, and tells it what comes of them."""
+
+    def __init__(self, seed: int, requests: int) -> None:
+        self.random = random.Random(seed)
+        self._requests = requests
+        self.settings = self._settings()
+        self.balancer = Balancer(self.settings, seed)
+        self.now = 1_000.0
+        self._due: list[tuple[float, int, face.Event]] = []
+        self._order = 0
+        self._open: dict[int, int] = {}  # attempts made of each request without an answer
+        self._names = [f"s{i}" for i in range(self.random.choice((2, 5, 12, 40)))]
+        self._load = self.random.choice((2.0, 5.0, 15.0, 60.0))  # ms from one request to the next
+        self._failing = self.random.choice((0.0, 0.05, 0.4))
+
+    def _settings(self) -> face.Settings:
+        pick = self.random.choice
+        return face.Settings(
+            CLASSES,
+            tenants=(face.Tenant("small", 5.0), face.Tenant("large", 500.0)),
+            balancers=pick((1, 3, 12, 60)),
+            calling_tier=pick((0, 0, 1)),
+            zone=pick(("", "z0", "z1")),
+            list_is_asked=pick((True, False)),
+            max_attempts=pick((1, 3, 5)),
+            may_cancel=pick((True, False)),
+            may_duplicate=pick((True, False)),
+            cold_ms=pick((1_000.0, 5_000.0)),
+            cold_from=0.3,
+            cold_overload_factor=2.5,
+            over_share_worth=0.05,
+        )
+
+    def run(self) -> Iterator[tuple[face.Event, list[face.Action]]]:
+        """Every event and what was done at it, until nothing more is due."""
+        self._later(0.0, self._list(ListKind.FULL))
+        for number in range(self._requests):
+            self._later(number * self._load * self.random.uniform(0.5, 1.5), self._request(number))
+            if self.random.random() < 0.02:
+                self._later(number * self._load, self._trouble())
+        while self._due:
+            self.now, _, event = heapq.heappop(self._due)
+            actions = self._tell(event)
+            yield event, actions
+            for action in actions:
+                self._do(action)
+
+    def _later(self, after: float, event: face.Event) -> None:
+        self._order += 1
+        heapq.heappush(self._due, (self.now + after, self._order, event))
+
+    def _tell(self, event: face.Event) -> list[face.Action]:
+        if isinstance(event, face.RequestArrived):
+            self._open[event.request] = 0
+        if isinstance(event, face.AttemptEnded):
+            answered = event.outcome is Outcome.SERVED and self._open.pop(event.request, None) is not None
+            event = face.AttemptEnded(
+                event.request, event.attempt, event.server, event.outcome, answered, event.report
+            )
+        if isinstance(event, face.ClientLeft) and self._open.pop(event.request, None) is None:
+            return []
+        if isinstance(event, face.AnswerStarted) and event.request not in self._open:
+            return []
+        return self.balancer.handle(event, self.now)
+
+    def _do(self, action: face.Action) -> None:
+        chance = self.random.random
+        if isinstance(action, face.Send) and action.request in self._open:
+            index = self._open[action.request]
+            self._open[action.request] += 1
+            takes = min(self.random.expovariate(1 / 120.0), action.timeout_ms)
+            failed = chance() < self._failing
+            outcome = self.random.choice(FAILURES) if failed else Outcome.SERVED
+            if takes == action.timeout_ms:
+                outcome = Outcome.TIMED_OUT
+            if chance() < 0.02:
+                self._later(takes / 2, face.AnswerStarted(action.request, index))
+            self._later(takes, face.AttemptEnded(action.request, index, action.server, outcome))
+        elif isinstance(action, face.SetTimer):
+            self._later(max(action.at_ms - self.now, 0.0), face.TimerDue(action.token))
+        elif isinstance(action, face.Refuse | face.Fail):
+            self._open.pop(action.request, None)
+
+    def _request(self, number: int) -> face.Event:
+        chance, cls = self.random.random, self.random.choice(CLASSES)
+        if chance() < 0.03:
+            self._later(number * self._load + 100.0, face.ClientLeft(number))
+        return face.RequestArrived(
+            number,
+            cls.name,
+            cls.deadline_ms * self.random.choice((0.02, 0.5, 0.55)),
+            self.random.choice((None, "small", "large")),
+            chance() < 0.2,
+            self.random.choice((0.0, 0.0, 30.0, 200.0)),
+        )
+
+    def _trouble(self) -> face.Event:
+        server = self.random.choice(self._names)
+        kind = self.random.choice(("full", "delta", "cached", "failed", "out", "back", "succession"))
+        if kind in ("out", "back"):
+            return face.Cordoned(server, kind == "out", self.now)
+        if kind == "succession":
+            return face.Succession(self.random.random() < 0.5)
+        return self._list(ListKind(kind))
+
+    def _list(self, kind: ListKind) -> face.ListUpdate:
+        if kind is ListKind.FAILED:
+            return face.ListUpdate(kind)
+        some = [
+            name for name in self._names if self.random.random() < (0.2 if kind is ListKind.DELTA else 0.9)
+        ]
+        return face.ListUpdate(kind, tuple(self._member(name) for name in some))
+
+    def _member(self, name: str) -> face.Member:
+        readiness = self.random.choice((face.Readiness.READY,) * 8 + tuple(face.Readiness))
+        since = self.random.choice((0.0, 0.0, 0.0, self.now, self.now + 3_000.0))
+        number = int(name[1:])
+        return face.Member(name, readiness, f"z{number % 3}", number // 2, 1.0 + number % 2, since)
+
+
+def digest(seed: int, requests: int = 600) -> str:
+    """A short text that stands for all that a balancer does in the world of a seed."""
+    told = sha256()
+    for event, actions in World(seed, requests).run():
+        told.update(f"{event!r} {actions!r}\n".encode())
+    return told.hexdigest()[:16]
+
+
+def digests() -> dict[str, str]:
+    """The digest of each seed."""
+    return {str(seed): digest(seed) for seed in SEEDS}
+
+
+def _digests_at(commit: str) -> dict[str, str]:
+    """The same with the package as it was at a commit of this repository."""
+    packed = subprocess.run(
+        ["git", "archive", commit, "basaltspindle"], check=True, capture_output=True
+    ).stdout
+    with tempfile.TemporaryDirectory() as folder:
+        with tarfile.open(fileobj=BytesIO(packed)) as tar:
+            tar.extractall(folder, filter="data")
+        tests = Path(folder) / "tests"
+        tests.mkdir()
+        (tests / "streams.py").write_text(Path(__file__).read_text(encoding="utf-8"), encoding="utf-8")
+        told = subprocess.run(
+            [sys.executable, "-m", "tests.streams"],
+            cwd=folder,
+            env=os.environ | {"PYTHONPATH": folder},
+            check=True,
+            capture_output=True,
+            text=True,
+        ).stdout
+    known: dict[str, str] = json.loads(told)
+    return known
+
+
+def main() -> int:
+    """Print, record or compare the digests; 1 if they differ."""
+    parser = argparse.ArgumentParser(description="Whether the decisions have changed.")
+    parser.add_argument("--since", metavar="COMMIT", help="compare with the package at a commit")
+    parser.add_argument("--record", action="store_true", help="write them down for the test")
+    args = parser.parse_args()
+    now = digests()
+    if args.record:
+        RECORD.write_text(json.dumps(now, indent=1) + "\n", encoding="utf-8")
+    elif args.since:
+        before = _digests_at(args.since)
+        changed = [seed for seed in now if now[seed] != before[seed]]
+        print(
+            f"{len(now) - len(changed)} of {len(now)} streams alike; changed: {', '.join(changed) or 'none'}"
+        )
+        return 1 if changed else 0
+    else:
+        print(json.dumps(now))
+    return 0
+
+
+if __name__ == "__main__":
+    sys.exit(main())
