Take a start that lies ahead for none where settings have no cold time

Cause: by the clock of another machine a server may have started in the future; with a cold time of nothing its warmth was a part of nothing, ZeroDivisionError in cold.py, and the event that met it failed.

--- a/basaltspindle/policy/cold.py
+++ b/basaltspindle/policy/cold.py
@@ -30,7 +30,7 @@
         if now >= self._until:
             return 1.0
         age = now - server.started
-        if server.started <= 0 or age >= self._settings.cold_ms:
+        if server.started <= 0 or age >= self._settings.cold_ms or not self._settings.cold_ms:
             return 1.0
         start = self._settings.cold_from
         return start + (1 - start) * max(age, 0.0) / self._settings.cold_ms
--- a/tests/test_policy.py
+++ b/tests/test_policy.py
@@ -398,6 +398,13 @@
     assert not sent(actions) and of_kind(actions, Refuse)
 
 
+def test_without_a_cold_time_a_start_that_lies_ahead_is_no_cold_one() -> None:
+    """By the clock of another machine; the warmth was a part of nothing, and the event failed."""
+    desk = Desk(0, cold_ms=0.0)
+    desk.show(Member("s0", up_since_ms=desk.now + 500))
+    assert desk.serve() == "s0"
+
+
 def test_a_fleet_that_is_all_cold_is_not_pushed_over() -> None:
     desk = Desk(2)
     desk.show(*(Member(f"s{i}", up_since_ms=desk.now) for i in range(2)))
