--- a/tests/streams.py
+++ b/tests/streams.py
@@ -65,7 +65,7 @@
             max_attempts=pick((1, 3, 5)),
             may_cancel=pick((True, False)),
             may_duplicate=pick((True, False)),
-            cold_ms=pick((1_000.0, 5_000.0)),
+            cold_ms=pick((0.0, 5_000.0)),
             cold_from=0.3,
             cold_overload_factor=2.5,
             over_share_worth=0.05,
