Let a decision cost the same at any number of servers, and a list change too

Cause: each choice filtered, weighed and summed all servers, and each change of the list sorted them anew.

Change: with more than 64 servers kept to, draws come from a Fenwick tree of capacities for each zone, updated where a call begins or ends and over time by the sample from which the median is now taken; what a draw meets is taken if it may get the request, and where 24 draws meet none, servers that have just ended a call and 64 others are looked at. Up to 64 servers are still walked over: that costs less. The list is kept in order as it changes: by rank, by name and by zone. A server that is gone is forgotten with its last call. Inner balancers now also take their free near ones where those are not among the servers kept to.

--- a/basaltspindle/policy/__init__.py
+++ b/basaltspindle/policy/__init__.py
@@ -6,6 +6,7 @@
 - `roster`: the list, operators' holds, and the servers that this balancer keeps to
 - `servers`: what is known of each server, and the capacity learned from it
 - `draw`: the ordinary path, from servers that may be sent to, to the one that is
+- `sampler`: draws whose cost hardly grows with the fleet
 - `limits`: room at each server, and the line of those who wait for it
 - `admission`: which requests are let in while answers come late, by their worth
 - `cold`: how much a newly started server gets
--- a/basaltspindle/policy/balancer.py
+++ b/basaltspindle/policy/balancer.py
@@ -16,13 +16,18 @@
 from basaltspindle.interface import Effect, ListKind, Outcome
 from basaltspindle.policy.admission import OFFER_CALLS, Admission, Pressure, Times, plain
 from basaltspindle.policy.cold import ColdStarts
-from basaltspindle.policy.draw import choose
+from basaltspindle.policy.draw import draws, least_loaded
 from basaltspindle.policy.limits import Line, Rooms
-from basaltspindle.policy.repeats import IdleConnections, RetryBudget, harmless, patience
+from basaltspindle.policy.repeats import IdleConnections, RetryBudget, harmless, may_go_anywhere, patience
 from basaltspindle.policy.requests import Attempt, Request
 from basaltspindle.policy.roster import Roster
+from basaltspindle.policy.sampler import Field
 from basaltspindle.policy.servers import MEMORY_MS, Capacities, Server
 
+SCAN = 64  # servers that are looked at one by one, for each choice, at the most
+TRIES = 24  # draws from a larger fleet until one meets a server that may be sent to
+FREED = 16  # servers that have just ended a call are looked at where draws meet none
+SAMPLE = 100  # servers of a larger fleet that the median is taken from
 AWAY_PART = 0.1  # of the aim: so long a refused caller is asked to stay away, to be back in time for it
 LATE = "answers take too long: shedding the least worth first"
 NO_ROOM = "no server may take a call: refusing"
@@ -39,6 +44,8 @@
         self._capacities = Capacities()
         self._cold = ColdStarts(settings, self._random)
         self._rooms, self._line = Rooms(settings), Line()
+        self._field, self._look_from = Field(), 0  # for large fleets
+        self._freed: deque[Server] = deque(maxlen=FREED)
         self._times = Times(settings)
         self._pressure = Pressure(self._times)
         self._admission = Admission(settings, self._times, self._random)
@@ -85,8 +92,20 @@
 
     def _take_stock(self, now: float) -> None:
         """The servers that may get work have changed."""
-        self._cold.note(self._roster.last_started())
-        self._rooms.share(self._roster.ready, self._roster.near)
+        roster = self._roster
+        self._cold.note(roster.last_started)
+        self._rooms.share(len(roster.ready), roster.kept, roster.size)
+        moved = roster.moved()
+        if roster.kept <= SCAN:
+            self._field.clear()
+        else:
+            for server in moved if self._field else roster.near(0, roster.kept):
+                if roster.keeps_to(server):
+                    self._field.put(
+                        server, self._capacities.estimate(server, self._cold.warmth(server, now), now)
+                    )
+                else:
+                    self._field.drop(server.member.server)
         self._release(now)
 
     # ---- from one process to the next -----------------------------------------------------------
@@ -204,7 +223,7 @@
             elif copy_after:
                 timeout = copy_after
         server.catch_up(now)
-        server.unused = False
+        self._roster.unused.pop(server.member.server, None)
         server.in_flight += 1
         request.attempts.append(Attempt(server, idle, now, timeout))
         self._cold.sent(server, now)
@@ -213,26 +232,78 @@
 
     def _pick(self, request: Request, now: float) -> Server | None:
         """The server for the next attempt: of those that may get it and have room, by the ordinary path."""
-        roster, cold = self._roster, self._cold
-        self._capacities.refresh(roster.ready, roster.near, now)
-        able = harmless(request, roster.near, roster.ready, self._settings, now)
+        roster = self._roster
+        if self._capacities.is_due(now):
+            self._learn(now)
+        if not may_go_anywhere(request):
+            return self._choose(request, harmless(request, roster.ready.values(), self._settings, now), now)
+        for server in roster.unused.values():
+            # Operators watch for its first call, and as a cold one it would seldom be drawn.
+            if roster.keeps_to(server) and self._may_get(request, server, now):
+                return server
+        if self._settings.calling_tier:
+            # Many call each server, and each sees its own calls alone: few others call those near us.
+            free = [s for s in roster.home() if not s.in_flight and self._may_get(request, s, now)]
+            if free:
+                return self._choose(request, free, now)
+        if roster.kept <= SCAN:
+            return self._choose(request, roster.near(0, SCAN), now)
+        return self._draw(request, now)
+
+    def _may_get(self, request: Request, server: Server, now: float) -> bool:
+        """Whether a server may get the next attempt, and has not had one of this request."""
+        if any(a.server is server for a in request.attempts) or not self._rooms.has(request, server):
+            return False
+        return not self._cold.any(now) or self._has_cold_room(server, now)
+
+    def _has_cold_room(self, server: Server, now: float) -> bool:
+        """Whether the rule on cold servers lets one more call through."""
+        usual, longest = self._capacities.usual.get(server.member.zone, 0.0), max(self._times.work.values())
+        return self._cold.has_room(server, usual, longest, now)
+
+    def _choose(self, request: Request, able: list[Server], now: float) -> Server | None:
+        """Choose from a short list."""
+        cold = self._cold
         if cold.any(now):
             # Two processes have one budget for cold servers between them: the one that leaves uses it last.
             warm = [s for s in able if cold.warmth(s, now) >= 1] if self._leaving else []
-            usual, longest = self._capacities.usual, max(self._times.work.values())
-            able = warm or [s for s in able if cold.has_room(s, usual.get(s.member.zone, 0.0), longest, now)]
+            able = warm or [s for s in able if self._has_cold_room(s, now)]
         if request.attempts:
             able = [s for s in able if all(a.server is not s for a in request.attempts)] or able
-        able = self._rooms.open_to(request, able)
-        if self._settings.calling_tier:
-            # Many call each server, and each sees its own calls alone: few others call those near us.
-            able = [s for s in able if s in roster.home and not s.in_flight] or able
+        able = [s for s in able if self._rooms.has(request, s)]
         if not able:
             return None
-        if back := next((s for s in able if s.unused), None):
-            return back  # operators watch for its first call, and as a cold one it would seldom be drawn
         capacity = [self._capacities.estimate(s, cold.warmth(s, now), now) for s in able]
-        return choose(able, capacity, self._settings.zone, self._random)
+        return least_loaded(draws(able, capacity, self._settings.zone, self._random), self._random)
+
+    def _draw(self, request: Request, now: float) -> Server | None:
+        """Choose from more servers than can be looked at: where draws meet none, look at some of them."""
+        drawn = self._field.draws(self._settings.zone, self._random, TRIES)
+        able = ((s, self._weigh(s, now)) for s in drawn if self._may_get(request, s, now))
+        if (server := least_loaded(able, self._random)) is None:
+            self._look_from = (self._look_from + SCAN) % self._roster.kept
+            some = [s for s in self._freed if self._roster.keeps_to(s)]
+            server = self._choose(request, some + self._roster.near(self._look_from, SCAN), now)
+        return server
+
+    def _weigh(self, server: Server, now: float) -> float:
+        """The capacity of a server, and from now on its weight in draws."""
+        capacity = self._capacities.estimate(server, self._cold.warmth(server, now), now)
+        if self._roster.keeps_to(server):
+            self._field.put(server, capacity)
+        return capacity
+
+    def _learn(self, now: float) -> None:
+        """Take the median and the rates of zones anew, from a part of a large fleet."""
+        roster = self._roster
+        if roster.kept <= SCAN:
+            self._capacities.refresh(roster.ready.values(), roster.near(0, SCAN), now)
+            return
+        some = [roster.near(self._random.randrange(roster.kept), 1)[0] for _ in range(SAMPLE)]
+        for server in some:
+            server.catch_up(now)
+            self._weigh(server, now)  # it may have faded, or warmed, unseen
+        self._capacities.refresh(some, some, now)
 
     # ---- what comes of it -----------------------------------------------------------------------
 
@@ -338,3 +409,7 @@
             self._pressure.weigh(1.0, news, now)
             server.busy += max(attempt.ends - now, 0.0)
         server.in_flight -= 1
+        self._roster.call_ended(server)
+        if self._field:
+            self._weigh(server, now)
+            self._freed.append(server)
--- a/basaltspindle/policy/limits.py
+++ b/basaltspindle/policy/limits.py
@@ -27,17 +27,16 @@
         self._sharers = float(settings.balancers)
         self.waiting_most = 0
 
-    def share(self, ready: list[Server], near: list[Server]) -> None:
-        """Take our part of all servers: each is kept to by so many balancers."""
-        self._sharers = max(self._balancers * len(near) / max(len(ready), 1), 1.0)
-        self.waiting_most = math.ceil(ROOM * sum(s.size for s in ready) / self._balancers)
+    def share(self, ready: int, kept: int, size: float) -> None:
+        """Take our part: of so many ready servers of this size in all we keep to some, as others do."""
+        self._sharers = max(self._balancers * kept / max(ready, 1), 1.0)
+        self.waiting_most = math.ceil(ROOM * size / self._balancers)
 
-    def open_to(self, request: Request, servers: list[Server]) -> list[Server]:
-        """Those of the servers that have room for a request."""
+    def has(self, request: Request, server: Server) -> bool:
+        """Whether a server has room for a request."""
         if not self._bounded:
-            return servers
-        part = 1.0 if request.worth >= self._dearest else CHEAP_PART
-        return [s for s in servers if s.in_flight < self._limit(s, part)]
+            return True
+        return server.in_flight < self._limit(server, 1.0 if request.worth >= self._dearest else CHEAP_PART)
 
     def _limit(self, server: Server, part: float) -> int:
         """Our part of this part of a server's room, one call at the least.
--- a/basaltspindle/policy/repeats.py
+++ b/basaltspindle/policy/repeats.py
@@ -4,6 +4,7 @@
 
 import math
 from collections import deque
+from collections.abc import Iterable
 
 from basaltspindle.interface import Effect, RepeatGroup, Settings
 from basaltspindle.policy.requests import Attempt, Request
@@ -70,14 +71,15 @@
     return after if after >= HEDGE_LEAST * usual else 0.0
 
 
-def harmless(
-    request: Request, near: list[Server], ready: list[Server], settings: Settings, now: float
-) -> list[Server]:
-    """The servers to which the next attempt can do no harm: those we keep to, if none may have run."""
+def may_go_anywhere(request: Request) -> bool:
+    """Whether the next attempt does no harm at any server: none may have run, or running twice is safe."""
+    return request.cls.effect is Effect.SAFE or not any(a.ran for a in request.attempts)
+
+
+def harmless(request: Request, ready: Iterable[Server], settings: Settings, now: float) -> list[Server]:
+    """The servers that drop a repeat of what may have run; none for a class that must not run twice."""
     cls = request.cls
-    ran = next((a for a in request.attempts if a.ran), None)
-    if ran is None or cls.effect is Effect.SAFE:
-        return near
+    ran = next(a for a in request.attempts if a.ran)
     if cls.effect is Effect.UNSAFE or now >= ran.sent + cls.repeat_window_ms - settings.tick_ms:
         return []
     # A server that restarted since may have forgotten what it saw: not asked again.
--- a/basaltspindle/policy/roster.py
+++ b/basaltspindle/policy/roster.py
@@ -4,9 +4,10 @@
 
 import math
 import random
+from bisect import bisect_left, insort
 
 from basaltspindle import interface as face
-from basaltspindle.interface import ListKind, Settings
+from basaltspindle.interface import ListKind, Readiness, Settings
 from basaltspindle.policy.servers import Server
 
 SUBSET_MIN = 12  # servers that a balancer keeps to at the least: losing a few must leave a choice
@@ -16,22 +17,65 @@
 LIST_CALL_MS = 25.0  # of that first pause for each balancer of the tier at the least: after an outage all ask
 
 
+LAST = (math.inf, "")  # behind all ranks
+
+
 class Roster:
-    """The servers known, those that may get work (`ready`), and of these the ones kept to (`near`)."""
+    """The servers known, those that may get work (`ready`), and of these the ones kept to.
+
+    A change of the list costs what it changes, not what the list holds: the servers kept to are the first
+    `kept` of `_ranked`, which is in the order of ranks drawn at random, and a ring for each zone holds the
+    names in their order.
+    """
 
     def __init__(self, settings: Settings, chance: random.Random) -> None:
         self._settings, self._random = settings, chance
         self.servers: dict[str, Server] = {}
-        self.ready: list[Server] = []
-        self.near: list[Server] = []
-        self.home: frozenset[Server] = frozenset()
+        self.ready: dict[str, Server] = {}
+        self.unused: dict[str, Server] = {}  # put back by operators and not called since
+        self.kept, self.size, self.last_started = 0, 0.0, 0.0
+        self._ranked: list[tuple[float, str]] = []
+        self._names: list[str] = []
+        self._rings: dict[str, list[str]] = {}
         self._held: set[str] = set()  # out by operators' hand
         self._back: dict[str, float] = {}  # when operators put servers back
         self._failures = 0
+        self._touched: dict[str, None] = {}
+        self._edge = LAST
+        self._all_near: list[Server] | None = None
 
-    def last_started(self) -> float:
-        """When the newest of the ready servers started, in ms; 0 for long ago."""
-        return max((s.started for s in self.ready), default=0.0)
+    def near(self, first: int, count: int) -> list[Server]:
+        """So many of the servers kept to, from one of them on and round."""
+        if count >= self.kept:
+            if self._all_near is None:
+                self._all_near = [self.ready[name] for _, name in self._ranked[: self.kept]]
+            return self._all_near
+        names = self._ranked[first : min(first + count, self.kept)]
+        names += self._ranked[: count - len(names)]
+        return [self.ready[name] for _, name in names]
+
+    def keeps_to(self, server: Server) -> bool:
+        """Whether a server is one of those kept to."""
+        return server.ready and (server.rank, server.member.server) < self._edge
+
+    def moved(self) -> list[Server]:
+        """The servers that may have come to those kept to, or left them, since this was asked last."""
+        edge = self._ranked[self.kept] if self.kept < len(self._ranked) else LAST
+        low, high = sorted((edge, self._edge))
+        between = self._ranked[bisect_left(self._ranked, low) : bisect_left(self._ranked, high)]
+        names = self._touched | dict.fromkeys(name for _, name in between)
+        self._edge, self._touched = edge, {}
+        return [self.servers[name] for name in names if name in self.servers]
+
+    def home(self) -> list[Server]:
+        """The servers of our zone that are nearest to our place, if names and balancers stand in a ring.
+
+        Each server is near few balancers: their own calls there are then most of what it holds.
+        """
+        ring = self._rings.get(self._settings.zone) or self._names
+        place = len(ring) * (self._settings.number + 0.5) / self._settings.balancers
+        first = round(place - HOMES / 2)
+        return [self.ready[ring[i % len(ring)]] for i in range(first, first + min(HOMES, len(ring)))]
 
     def failed(self, now: float) -> list[face.Action]:
         """The list is out of reach: the old one stands; ask again, not all balancers in step."""
@@ -48,60 +92,92 @@
             self._failures = 0
             told = [face.Log("server list is back")]
         if event.kind is not ListKind.DELTA:
-            for known in self.servers.values():
-                known.listed = False  # missing from a whole list means gone
+            named = {member.server for member in event.members}
+            for server in [s for name, s in self.servers.items() if name not in named]:
+                self._gone(server)  # missing from a whole list
         for member in event.members:
-            if (server := self.servers.get(member.server)) is None:
-                server = self.servers[member.server] = Server(member, now, self._random.random())
-            if member.up_since_ms > server.member.up_since_ms:
-                server.forget(now)  # the same name, a new process
-            server.member, server.listed = member, member.readiness is not face.Readiness.GONE
-            server.size = member.size if 0 < member.size < math.inf else 1.0  # a list may give odd ones
-        self.servers = {name: s for name, s in self.servers.items() if s.listed or s.in_flight}
-        self._choose()
+            self._take(member, now)
         return told
 
     def cordoned(self, event: face.Cordoned, now: float) -> None:
         """Operators' word on a server stands over the list's; one that they put back counts as cold."""
+        server = self.servers.get(event.server)
         if event.out:
             self._held.add(event.server)
         else:
             self._held.discard(event.server)
             self._back = {name: at for name, at in self._back.items() if at > now - self._settings.cold_ms}
             self._back[event.server] = event.back_at_ms
-            if server := self.servers.get(event.server):
+            if server:
                 server.forget(now)
-                server.unused = True
-        self._choose()
+                self.unused[event.server] = server
+        if server:
+            self._sort_in(server, server.member)
 
     def avoided(self) -> list[str]:
         """The listed servers that get no new work: held by operators, or ready and not kept to."""
-        kept = set(self.near)
+        passed_over = {name for _, name in self._ranked[self.kept :]}
+        if self._settings.calling_tier:
+            passed_over -= {s.member.server for s in self.home()}
         return [
             name
             for name, s in self.servers.items()
-            if s.listed and (name in self._held or (s.ready and s not in kept))
+            if s.listed and (name in self._held or name in passed_over)
         ]
 
-    def _choose(self) -> None:
-        """Take stock of the servers that may get work."""
-        for name, server in self.servers.items():
-            is_ready = server.listed and server.member.readiness is face.Readiness.READY
-            server.ready = is_ready and name not in self._held
-            server.started = max(server.member.up_since_ms, self._back.get(name, 0.0))
-        self.ready = [s for s in self.servers.values() if s.ready]
-        # A balancer of hundreds calls each of all too seldom to learn it, or to use a connection twice.
-        keep = max(SUBSET_MIN, math.ceil(len(self.ready) * SUBSET_COVER / self._settings.balancers))
-        self.near = sorted(self.ready, key=lambda s: s.rank)[:keep]
-        self.home = frozenset(self._on_ring())
+    def call_ended(self, server: Server) -> None:
+        """A call of ours at a server is over: one that is gone may be forgotten."""
+        if not server.listed and not server.in_flight:
+            self.servers.pop(server.member.server, None)
 
-    def _on_ring(self) -> list[Server]:
-        """The servers of our zone that are nearest to our place, if names and balancers stand in a ring.
+    def _take(self, member: face.Member, now: float) -> None:
+        if (server := self.servers.get(member.server)) is None:
+            server = self.servers[member.server] = Server(member, now, self._random.random())
+        if member.up_since_ms > server.member.up_since_ms:
+            server.forget(now)  # the same name, a new process
+        server.listed = member.readiness is not Readiness.GONE
+        self._sort_in(server, member)
+        if not server.listed:
+            self._gone(server)
 
-        Each server is near few balancers: their own calls there are then most of what it holds.
-        """
-        own = [s for s in self.ready if s.member.zone == self._settings.zone] or self.ready
-        ring = sorted(own, key=lambda s: s.member.server)
-        place = len(ring) * (self._settings.number + 0.5) / self._settings.balancers
-        first = round(place - HOMES / 2)
-        return [ring[i % len(ring)] for i in range(first, first + min(HOMES, len(ring)))]
+    def _gone(self, server: Server) -> None:
+        server.listed = False
+        self._sort_in(server, server.member)
+        self.unused.pop(server.member.server, None)
+        self.call_ended(server)
+
+    def _sort_in(self, server: Server, member: face.Member) -> None:
+        """Put a server where its entry, its hold and its start say."""
+        name = member.server
+        self._touched[name] = None
+        is_ready = server.listed and member.readiness is Readiness.READY and name not in self._held
+        stays = is_ready and server.ready and member.zone == server.member.zone
+        if server.ready and not stays:
+            self._take_out(server)
+        if stays:
+            self.size -= server.size
+        server.member, server.ready = member, is_ready
+        server.size = member.size if 0 < member.size < math.inf else 1.0  # a list may give odd ones
+        server.started = max(member.up_since_ms, self._back.get(name, 0.0))
+        if is_ready:
+            self.size += server.size
+            self.last_started = max(self.last_started, server.started)
+        if is_ready and not stays:
+            self.ready[name], self._all_near = server, None
+            insort(self._ranked, (server.rank, name))
+            insort(self._names, name)
+            insort(self._rings.setdefault(member.zone, []), name)
+        # A balancer of hundreds calls each of all too seldom to learn it, or to use a connection twice.
+        keep = math.ceil(len(self._ranked) * SUBSET_COVER / self._settings.balancers)
+        self.kept = min(max(SUBSET_MIN, keep), len(self._ranked))
+
+    def _take_out(self, server: Server) -> None:
+        name, self._all_near = server.member.server, None
+        del self.ready[name]
+        del self._ranked[bisect_left(self._ranked, (server.rank, name))]
+        del self._names[bisect_left(self._names, name)]
+        ring = self._rings[server.member.zone]
+        del ring[bisect_left(ring, name)]
+        if not ring:
+            del self._rings[server.member.zone]
+        self.size -= server.size
--- /dev/null
+++ b/basaltspindle/policy/sampler.py
@@ -0,0 +1,146 @@
+"""Draws from servers by weight whose cost hardly grows with their number."""
+
+from __future__ import annotations
+
+import random
+from collections.abc import Iterable, Iterator
+
+from basaltspindle.policy.servers import Server
+
+REBUILD_PER_SLOT = 8  # sums are added up anew after so many changes for each slot: rounding errors stay small
+
+
+class Tree:
+    """Servers and their weights: a Fenwick tree, in which a draw or a change takes log2(size) steps."""
+
+    def __init__(self) -> None:
+        self._size = 1
+        self._sums = [0.0, 0.0]  # from 1 on; each holds the sum of as many weights as its lowest bit
+        self._weights: list[float] = [0.0]
+        self._servers: list[Server | None] = [None]
+        self._slots: dict[str, int] = {}
+        self._free = [0]
+        self._changes = 0
+        self.total = 0.0
+
+    def __len__(self) -> int:
+        return len(self._slots)
+
+    def put(self, server: Server, weight: float) -> None:
+        """Take a server in, or change its weight."""
+        slot = self._slots.get(server.member.server)
+        if slot is None:
+            if not self._free:
+                self._grow()
+            slot = self._slots[server.member.server] = self._free.pop()
+        self._servers[slot] = server
+        self._set(slot, weight)
+
+    def drop(self, name: str) -> None:
+        """Let a server go."""
+        slot = self._slots.pop(name)
+        self._servers[slot] = None
+        self._free.append(slot)
+        self._set(slot, 0.0)
+
+    def find(self, part: float) -> Server | None:
+        """The server in which this part of the total (0 to 1) lies; None if rounding leads past the last."""
+        left, slot, step = part * self.total, 0, self._size
+        while step:
+            if slot + step <= self._size and self._sums[slot + step] <= left:
+                slot += step
+                left -= self._sums[slot]
+            step //= 2
+        return self._servers[slot] if slot < self._size else None
+
+    def _set(self, slot: int, weight: float) -> None:
+        change, self._weights[slot] = weight - self._weights[slot], weight
+        self._changes += 1
+        if self._changes > REBUILD_PER_SLOT * self._size:
+            self._add_up()
+            return
+        self.total += change
+        at = slot + 1
+        while at <= self._size:
+            self._sums[at] += change
+            at += at & -at
+
+    def _grow(self) -> None:
+        self._free.extend(range(2 * self._size - 1, self._size - 1, -1))
+        self._servers += [None] * self._size
+        self._weights += [0.0] * self._size
+        self._size *= 2
+        self._add_up()
+
+    def _add_up(self) -> None:
+        self._changes = 0
+        self._sums = [0.0, *self._weights]
+        for at in range(1, self._size + 1):
+            if (above := at + (at & -at)) <= self._size:
+                self._sums[above] += self._sums[at]
+        self.total = sum(self._weights)
+
+
+class Field:
+    """All that may be drawn: a tree for each zone."""
+
+    def __init__(self) -> None:
+        self._trees: dict[str, Tree] = {}
+        self._zones: dict[str, str] = {}
+
+    def __len__(self) -> int:
+        return len(self._zones)
+
+    def put(self, server: Server, weight: float) -> None:
+        """Take a server in, or change its weight; it may have moved to another zone."""
+        name, zone = server.member.server, server.member.zone
+        if self._zones.get(name, zone) != zone:
+            self.drop(name)
+        self._zones[name] = zone
+        self._trees.setdefault(zone, Tree()).put(server, weight)
+
+    def drop(self, name: str) -> None:
+        """Let a server go, if it is there."""
+        zone = self._zones.pop(name, None)
+        if zone is not None:
+            self._trees[zone].drop(name)
+            if not self._trees[zone]:
+                del self._trees[zone]
+
+    def clear(self) -> None:
+        """Let all go."""
+        self._trees.clear()
+        self._zones.clear()
+
+    def draws(self, own_zone: str, chance: random.Random, most: int) -> Iterator[Server]:
+        """Servers drawn by weight, with those of our zone preferred; the same one may come twice."""
+        totals = {zone: tree.total for zone, tree in self._trees.items()}
+        parts = zone_parts(totals, own_zone)
+        sums = {zone: totals[zone] * part for zone, part in parts.items()}
+        whole = sum(sums.values())
+        for _ in range(most):
+            point = chance.random() * whole
+            for zone, weight in sums.items():
+                if point < weight:
+                    if server := self._trees[zone].find(point / weight):
+                        yield server
+                    break
+                point -= weight
+
+
+def zone_parts(totals: dict[str, float], own: str) -> dict[str, float]:
+    """The part of each zone's capacity that we draw from: our own, and those with more than their part."""
+    if not own or own not in totals or len(totals) < 2:
+        return dict.fromkeys(totals, 1.0)
+    part = sum(totals.values()) / len(totals)
+    over = {zone: max(c - part, 0.0) for zone, c in totals.items()}
+    spill = max(part - totals[own], 0.0) / (sum(over.values()) or 1.0)  # all may be alike
+    return {z: (min(c, part) if z == own else spill * over[z]) / c for z, c in totals.items()}
+
+
+def totals_of(servers: Iterable[Server], capacity: Iterable[float]) -> dict[str, float]:
+    """The capacity of each zone."""
+    zones: dict[str, float] = {}
+    for server, c in zip(servers, capacity, strict=True):
+        zones[server.member.zone] = zones.get(server.member.zone, 0.0) + c
+    return zones
--- a/basaltspindle/policy/servers.py
+++ b/basaltspindle/policy/servers.py
@@ -20,13 +20,12 @@
 
     __slots__ = (
         *"busy chance chance_until in_flight listed member rank".split(),
-        *"ready seen sends served size started unused used".split(),
+        *"ready seen sends served size started used".split(),
     )
 
     def __init__(self, member: face.Member, now: float, rank: float) -> None:
         self.member, self.rank = member, rank
         self.listed, self.ready, self.size, self.used = False, False, 1.0, math.inf
-        self.unused = False  # since operators put it back
         self.started = member.up_since_ms  # or when operators put it back, if that was later
         self.in_flight = 0  # m of the design
         self.sends: deque[float] = deque()
@@ -52,22 +51,27 @@
         self.median, self._taken = 0.0, -math.inf
         self.usual: dict[str, float] = {}  # in each zone, calls a ms by unit of size, at its best
 
-    def refresh(self, ready: Iterable[Server], near: list[Server], now: float) -> float:
-        """The median of the known estimates for each unit of registered size; taken now and then only."""
-        if now - self._taken >= MEDIAN_STEP_MS:
-            fade = math.exp((self._taken - now) / USUAL_MS)
-            self._taken = now
-            known = sorted(s.served / (s.busy * s.size) for s in ready if s.served > 0.5 and s.busy > 0)
-            self.median = known[len(known) // 2] if known else self.median
-            zones: dict[str, list[Server]] = {}
-            for server in near:
-                zones.setdefault(server.member.zone, []).append(server)
-            for zone, own in zones.items():
-                # A lost zone comes back cold, and whoever called it may be new, or in the other zone.
-                parts = [sum(s.served for s in part) / sum(s.size for s in part) for part in (own, near)]
-                rate = max(parts) / MEMORY_MS
-                self.usual[zone] = max(rate, self.usual.get(zone, 0.0) * fade)
-        return self.median or 1.0
+    def is_due(self, now: float) -> bool:
+        """Whether it is time to take the median anew."""
+        return now - self._taken >= MEDIAN_STEP_MS
+
+    def refresh(self, ready: Iterable[Server], near: list[Server], now: float) -> None:
+        """Take the median of the known estimates for each unit of registered size, and the zones' rates.
+
+        Both may be samples of what is ready and of what is kept to.
+        """
+        fade = math.exp((self._taken - now) / USUAL_MS)
+        self._taken = now
+        known = sorted(s.served / (s.busy * s.size) for s in ready if s.served > 0.5 and s.busy > 0)
+        self.median = known[len(known) // 2] if known else self.median
+        zones: dict[str, list[Server]] = {}
+        for server in near:
+            zones.setdefault(server.member.zone, []).append(server)
+        for zone, own in zones.items():
+            # A lost zone comes back cold, and whoever called it may be new, or in the other zone.
+            parts = [sum(s.served for s in part) / sum(s.size for s in part) for part in (own, near)]
+            rate = max(parts) / MEMORY_MS
+            self.usual[zone] = max(rate, self.usual.get(zone, 0.0) * fade)
 
     def estimate(self, server: Server, warmth: float, now: float) -> float:
         """Served calls over our time in flight there, leaning on the median; a cold server has no more."""
--- a/tests/streams.py
+++ b/tests/streams.py
@@ -12,15 +12,10 @@
 import argparse
 import heapq
 import json
-import os
 import random
-import subprocess
 import sys
-import tarfile
-import tempfile
 from collections.abc import Iterator
 from hashlib import sha256
-from io import BytesIO
 from pathlib import Path
 
 from basaltspindle import interface as face
@@ -171,29 +166,6 @@
     return {str(seed): digest(seed) for seed in SEEDS}
 
 
-def _digests_at(commit: str) -> dict[str, str]:
-    """The same with the package as it was at a commit of this repository."""
-    packed = subprocess.run(
-        ["git", "archive", commit, "basaltspindle"], check=True, capture_output=True
-    ).stdout
-    with tempfile.TemporaryDirectory() as folder:
-        with tarfile.open(fileobj=BytesIO(packed)) as tar:
-            tar.extractall(folder, filter="data")
-        tests = Path(folder) / "tests"
-        tests.mkdir()
-        (tests / "streams.py").write_text(Path(__file__).read_text(encoding="utf-8"), encoding="utf-8")
-        told = subprocess.run(
-            [sys.executable, "-m", "tests.streams"],
-            cwd=folder,
-            env=os.environ | {"PYTHONPATH": folder},
-            check=True,
-            capture_output=True,
-            text=True,
-        ).stdout
-    known: dict[str, str] = json.loads(told)
-    return known
-
-
 def main() -> int:
     """Print, record or compare the digests; 1 if they differ."""
     parser = argparse.ArgumentParser(description="Whether the decisions have changed.")
@@ -204,7 +176,9 @@
     if args.record:
         RECORD.write_text(json.dumps(now, indent=1) + "\n", encoding="utf-8")
     elif args.since:
-        before = _digests_at(args.since)
+        from benchmarks.commits import run_at  # only this tree has it
+
+        before = run_at(args.since, "tests/streams.py")
         changed = [seed for seed in now if now[seed] != before[seed]]
         print(
             f"{len(now) - len(changed)} of {len(now)} streams alike; changed: {', '.join(changed) or 'none'}"
--- /dev/null
+++ b/tests/test_sampler.py
@@ -0,0 +1,142 @@
+"""Draws whose cost does not grow with the fleet: the tree itself, and a balancer of thousands."""
+
+from __future__ import annotations
+
+import random
+from collections import Counter
+from typing import Any
+
+import pytest
+
+from basaltspindle.interface import Cordoned, ListKind, Member, Outcome, Readiness, Refuse
+from basaltspindle.policy.sampler import Field, Tree
+from basaltspindle.policy.servers import Capacities, Server
+from tests.helpers import PAY, READ, Desk, members, of_kind, sent
+
+
+def server(name: str, zone: str = "") -> Server:
+    return Server(Member(name, zone=zone), 0.0, 0.0)
+
+
+@pytest.mark.parametrize("seed", range(4))
+def test_a_tree_draws_what_a_walk_over_all_weights_draws(seed: int) -> None:
+    chance, tree = random.Random(seed), Tree()
+    weights: dict[str, float] = {}
+    for step in range(3_000):
+        name = f"s{chance.randrange(70)}"
+        if name in weights and chance.random() < 0.3:
+            tree.drop(name)
+            del weights[name]
+        else:
+            weights[name] = chance.choice((0.0, chance.random(), 5.0))
+            tree.put(server(name), weights[name])
+        assert len(tree) == len(weights)
+        assert tree.total == pytest.approx(sum(weights.values()), abs=1e-9)
+        if step % 100 == 0:
+            found = Counter(s.member.server for i in range(2_000) if (s := tree.find((i + 0.5) / 2_000)))
+            for name, weight in weights.items():
+                assert found[name] == pytest.approx(2_000 * weight / (tree.total or 1), abs=2)
+
+
+def test_a_server_that_changes_its_zone_is_drawn_in_the_new_one_alone() -> None:
+    field, moved = Field(), server("s0", "a")
+    field.put(moved, 1.0)
+    field.put(server("s1", "a"), 1.0)
+    moved.member = Member("s0", zone="b")
+    field.put(moved, 1.0)
+    drawn = Counter(s.member.server for s in field.draws("", random.Random(1), 400))
+    assert len(field) == 2 and abs(drawn["s0"] - 200) < 50 < drawn["s1"]
+    field.drop("s0")
+    assert {s.member.server for s in field.draws("a", random.Random(1), 50)} == {"s1"}
+
+
+@pytest.mark.parametrize("count", [10, 2_000])
+def test_a_decision_looks_at_few_servers_however_many_there_are(
+    count: int, monkeypatch: pytest.MonkeyPatch
+) -> None:
+    """At 10,000 servers each decision took 14 ms: it walked over all of them."""
+    desk, looked = Desk(count, balancers=4), [0]
+    estimate = Capacities.estimate
+
+    def counted(*args: Any) -> float:
+        looked[0] += 1
+        return estimate(*args)
+
+    monkeypatch.setattr(Capacities, "estimate", counted)
+    for _ in range(300):
+        desk.serve()
+    assert looked[0] <= 300 * 15
+
+
+def test_a_change_of_the_list_looks_at_what_it_changes(monkeypatch: pytest.MonkeyPatch) -> None:
+    desk, looked = Desk(2_000), [0]
+
+    def counted(*_: Any) -> float:
+        looked[0] += 1
+        return 1.0
+
+    monkeypatch.setattr(Capacities, "estimate", counted)
+    for number in range(50):
+        readiness = Readiness.DRAINING if number % 2 else Readiness.READY
+        desk.show(Member(f"s{number}", readiness), Member(f"new{number}"), kind=ListKind.DELTA)
+    assert looked[0] <= 100
+
+
+def test_in_a_large_fleet_only_servers_that_may_get_work_do() -> None:
+    desk = Desk(200)
+    gone = {f"s{i}" for i in range(0, 200, 3)}
+    held = {f"s{i}" for i in range(1, 200, 3)}
+    desk.show(*(Member(name, Readiness.DRAINING) for name in gone), kind=ListKind.DELTA)
+    for name in held:
+        desk.tell(Cordoned(name, out=True))
+    used = {desk.serve() for _ in range(1_500)}
+    assert not used & (gone | held) and len(used) > 60, "66 are left"
+    desk.show(*members(200))
+    assert {desk.serve() for _ in range(1_500)} & gone
+
+
+def test_in_a_large_fleet_capacity_is_learned_and_followed() -> None:
+    desk = Desk(100)
+    slow = {f"s{i}" for i in range(50)}
+    times = {f"s{i}": 60.0 if f"s{i}" in slow else 10.0 for i in range(100)}
+    for _ in range(1_500):
+        desk.serve(takes=times)
+    got = Counter(desk.serve(takes=10.0) in slow for _ in range(600))
+    assert got[False] > 1.5 * got[True] > 0
+
+
+def test_in_a_large_fleet_the_last_room_is_found_and_nothing_goes_past_it() -> None:
+    """Draws meet full servers then, and a walk over all would cost most when there is least to spare."""
+    desk = Desk(100, balancers=1)
+    out: list[tuple[int, str]] = []
+    for _ in range(600):
+        request, actions = desk.ask(PAY)
+        out += [(request, send.server) for send in sent(actions)]
+    held = Counter(where for _, where in out)
+    assert max(held.values()) <= 5 and len(out) >= 480
+    request, where = out[0]
+    assert sent(desk.end(request, 0, where, Outcome.SERVED)), "what has just ended a call has room"
+
+
+def test_in_a_large_fleet_a_repeat_goes_to_another_server() -> None:
+    desk = Desk(100)
+    for _ in range(30):
+        request, actions = desk.ask(READ)
+        first = sent(actions)[0].server
+        again = desk.end(request, 0, first, Outcome.CONNECT_FAILED)
+        assert not of_kind(again, Refuse) and sent(again)[0].server != first
+        desk.end(request, 1, sent(again)[0].server, Outcome.SERVED)
+
+
+def test_each_of_many_balancers_keeps_to_a_part_of_a_large_fleet_as_it_changes() -> None:
+    desk = Desk(0, balancers=60)
+    desk.show(*members(400))
+    assert len(desk.balancer.avoided()) == 200
+    desk.show(*(Member(f"s{i}", Readiness.GONE) for i in range(200)), kind=ListKind.DELTA)
+    avoided = set(desk.balancer.avoided())
+    assert len(avoided) == 100
+    assert not {desk.serve() for _ in range(600)} & avoided
+    desk.show(*members(300))
+    avoided = set(desk.balancer.avoided())
+    assert len(avoided) == 150
+    assert not {desk.serve() for _ in range(600)} & avoided
