Add a model of the fleet in virtual time, and a lab that plays it

`basaltspindle/world`: clients with open arrivals, classes, tenants and retries; fronts; balancers that run the real decisions, at the front and beside every first-tier server; servers that share their cores, hold slots while they call on, choke, thrash, warm, pause, fail, drain and vanish; handshakes, connections, zones and cuts; a list that comes late; the four rules with the event that broke one; the worth and its prices. One seed, a stream for each part.

Checked against closed forms: M/M/1 with shared cores, M/M/2 first come first served, Little's law, an empty fleet's times to the hundredth of a ms; each rule is seen to be broken by a policy that breaks it.

--- /dev/null
+++ b/basaltspindle/cli/main.py
@@ -0,0 +1,42 @@
+"""The commands, each a thin way into a part of the package; errors are one plain line, and status 2."""
+
+from __future__ import annotations
+
+import sys
+from importlib.metadata import version
+from typing import Annotated
+
+import typer
+
+from basaltspindle.cli import lab
+from basaltspindle.lab.policies import PolicyError
+from basaltspindle.world.scenario import ScenarioError
+
+app = typer.Typer(no_args_is_help=True, add_completion=False, pretty_exceptions_enable=False)
+app.add_typer(lab.app, name="lab")
+
+
+def _show_version(wanted: bool) -> None:
+    if wanted:
+        typer.echo(f"irondrum {version('basaltspindle')}")
+        raise typer.Exit
+
+
+@app.callback()
+def irondrum(
+    show: Annotated[
+        bool, typer.Option("--version", callback=_show_version, is_eager=True, help="Tell the version.")
+    ] = False,
+) -> None:
+    """A load balancer for services that call services, and the tools round it."""
+
+
+def main() -> None:
+    """Run a command; what is used wrongly is told in one line on standard error."""
+    try:
+        app()
+    except (ScenarioError, PolicyError, lab.Misuse) as error:
+        print(f"irondrum: {error}", file=sys.stderr)
+        sys.exit(2)
+    except KeyboardInterrupt:
+        sys.exit(130)
--- /dev/null
+++ b/basaltspindle/world/discovery.py
@@ -0,0 +1,90 @@
+"""The list of servers: late, asked for, and limited in calls a second."""
+
+from __future__ import annotations
+
+from typing import TYPE_CHECKING
+
+from basaltspindle import interface as face
+from basaltspindle.world.scenario import Day, number
+
+if TYPE_CHECKING:
+    from basaltspindle.world.balancers import Host
+    from basaltspindle.world.clock import Clock
+
+
+class Discovery:
+    """One service for all balancers; whoever has asked is told of changes from then on."""
+
+    def __init__(self, clock: Clock, day: Day) -> None:
+        plan = day.scenario.discovery
+        self._clock, self._rng = clock, day.stream("discovery")
+        self._pace_ms = 1_000.0 / number(plan.calls_per_s)
+        self._timeout_ms = number(plan.timeout_ms)
+        self._notice_ms = number(plan.notice_s) * 1_000
+        self._silent_ms = number(plan.silent_notice_s) * 1_000
+        self._add_ms = number(plan.add_s) * 1_000
+        self._entries: list[dict[str, face.Member]] = [{}, {}]
+        self._followers: list[dict[str, Host]] = [{}, {}]
+        self._free_at = 0.0
+        self._is_down = False
+        self.calls = 0
+
+    def put(self, tier: int, member: face.Member) -> None:
+        """An entry that is there from the start."""
+        self._entries[tier][member.server] = member
+
+    def notice(self, tier: int, member: face.Member, silent: bool = False) -> None:
+        """Something has happened to a server: the list shows it some time later."""
+        if member.readiness is face.Readiness.READY:
+            delay = self._add_ms
+        else:
+            delay = self._silent_ms if silent else self._notice_ms
+        self._clock.after(delay, self._show, tier, member)
+
+    def whole(self, tier: int) -> face.ListUpdate:
+        """The list as it is now."""
+        return face.ListUpdate(face.ListKind.FULL, tuple(self._entries[tier].values()))
+
+    def cached(self, tier: int) -> face.ListUpdate:
+        """The list that a balancer finds when it starts."""
+        return face.ListUpdate(face.ListKind.CACHED, tuple(self._entries[tier].values()))
+
+    def ask(self, host: Host) -> None:
+        """A call for the list: worked through in turn, failed when it waits too long or all is down."""
+        self.calls += 1
+        now = self._clock.now
+        wait = max(self._free_at - now, 0.0)
+        if self._is_down or wait > self._timeout_ms:
+            self._clock.after(min(wait, self._timeout_ms), host.listed, face.ListUpdate(face.ListKind.FAILED))
+            return
+        self._free_at = now + wait + self._pace_ms
+        self._clock.at(self._free_at, self._answer, host)
+
+    def set_down(self, down: bool) -> None:
+        """It goes down, and all who follow are told so; or it is back."""
+        self._is_down = down
+        if down:
+            followers = [host for tier in self._followers for host in tier.values()]
+            self._followers = [{}, {}]
+            for host in followers:
+                self._clock.after(float(self._rng.uniform(0, 200)), host.listed, FAILED)
+
+    def _answer(self, host: Host) -> None:
+        if self._is_down:
+            host.listed(FAILED)
+            return
+        self._followers[host.tier][host.name] = host
+        host.listed(self.whole(host.tier))
+
+    def _show(self, tier: int, member: face.Member) -> None:
+        if member.readiness is face.Readiness.GONE:
+            self._entries[tier].pop(member.server, None)
+        else:
+            self._entries[tier][member.server] = member
+        update = face.ListUpdate(face.ListKind.DELTA, (member,))
+        for host in list(self._followers[tier].values()):
+            if host.alive:
+                self._clock.after(float(self._rng.uniform(1, 50)), host.listed, update)
+
+
+FAILED = face.ListUpdate(face.ListKind.FAILED)
--- /dev/null
+++ b/basaltspindle/world/scenario.py
@@ -0,0 +1,303 @@
+"""Scenarios: what a day may be like, as ranges in TOML, and the days drawn from them.
+
+Every figure is a number or a pair `[lowest, highest]`, from which each day draws its own. Times are in ms
+unless the name ends in `_s`. Defaults follow the operators' fleet; a file needs to name what differs.
+"""
+
+from __future__ import annotations
+
+import re
+import tomllib
+from collections.abc import Iterable
+from dataclasses import dataclass
+from pathlib import Path
+from typing import Any
+
+import msgspec
+import numpy as np
+
+Range = float | tuple[float, float]
+TROUBLES = ("burst", "slow", "errors", "pauses", "replace", "zone_loss", "cut", "discovery_down", "balancers")
+
+
+class ScenarioError(ValueError):
+    """A scenario that can't be used: one line that names file, key and what is allowed."""
+
+
+class Part(msgspec.Struct, frozen=True, forbid_unknown_fields=True):
+    """A table of a scenario, in which no unknown key may stand."""
+
+
+class Load(Part, frozen=True, forbid_unknown_fields=True):
+    """How much is asked for, as a part of what the fleet can do."""
+
+    seconds: Range = 30.0
+    of_capacity: Range = (0.6, 0.7)
+    swing: Range = (0.16, 0.37)  # of the wave over the day
+    zone_skew: Range = (0.0, 0.15)
+
+
+class Fleet(Part, frozen=True, forbid_unknown_fields=True):
+    """How many of what."""
+
+    servers: Range = (9.0, 12.0)
+    balancers: Range = (2.0, 3.0)
+    inner_per_server: Range = (2.0, 2.4)
+    zones: tuple[str, ...] = ("zagreb-dc", "split-dc")
+
+
+class Tier(Part, frozen=True, forbid_unknown_fields=True):
+    """The servers of a tier; speeds are against the standard core."""
+
+    work: Range = 0.54  # the part of a class's work that is done here
+    calls: Range = 0.0  # to the next tier for each request, one after another
+    cores: tuple[int, ...] = (1, 2)
+    core_parts: tuple[float, ...] = (0.41, 0.59)
+    speed: tuple[Range, ...] = ((0.85, 1.1), (0.64, 0.86))
+    speed_cv: Range = (0.03, 0.25)
+    slots_per_core: Range = (9.0, 22.0)
+    queue_per_core: Range = (210.0, 800.0)
+    thrash: Range = (0.12, 0.25)
+    thrash_at: Range = (41.0, 62.0)
+    error_rate: Range = (0.0, 0.002)
+    cold_from: Range = (0.32, 0.57)
+    cold_s: Range = (3.2, 8.7)
+    connections_per_core: Range = (600.0, 900.0)
+
+
+class First(Tier, frozen=True, forbid_unknown_fields=True):
+    """The tier that the front balancers send to."""
+
+    calls: Range = (1.5, 2.5)
+
+
+class Inner(Tier, frozen=True, forbid_unknown_fields=True):
+    """The tier that the first one calls: one request at a time on each core."""
+
+    work: Range = 0.46
+    cores: tuple[int, ...] = (1,)
+    core_parts: tuple[float, ...] = (1.0,)
+    speed: tuple[Range, ...] = ((0.85, 1.1),)
+    slots_per_core: Range = 1.0
+    thrash_at: Range = (9.4, 14.0)
+
+
+class Choke(Part, frozen=True, forbid_unknown_fields=True):
+    """What a crowd does: more waiting calls a core than `at` for `over_s` make a server `slower`."""
+
+    share: float = 0.6  # of days that have it
+    at: Range = (4.0, 7.0)
+    over_s: Range = (1.5, 2.5)
+    slower: Range = (2.4, 3.5)
+    below: Range = (0.25, 0.4)  # waiting calls a core; it must stay there for `rest_s`
+    rest_s: Range = (2.1, 4.1)
+    most_s: Range = (16.0, 30.0)
+
+
+class Network(Part, frozen=True, forbid_unknown_fields=True):
+    """One-way delays, and what connections cost."""
+
+    same_ms: Range = (0.12, 0.35)
+    cross_ms: Range = (2.8, 5.2)
+    client_ms: Range = (0.23, 1.1)
+    jitter: Range = (0.07, 0.28)
+    handshake_rtts: Range = (1.0, 3.0)
+    handshake_ms: Range = (1.4, 2.6)  # of the server's work
+    idle_s: Range = 15.0
+    connect_timeout_ms: Range = 120.0
+
+
+class Discovery(Part, frozen=True, forbid_unknown_fields=True):
+    """The list of servers: asked for, late, and limited in calls a second."""
+
+    notice_s: Range = (0.49, 3.8)
+    silent_notice_s: Range = (5.6, 12.0)
+    add_s: Range = (0.33, 1.6)
+    calls_per_s: Range = (40.0, 60.0)
+    timeout_ms: Range = 2_000.0
+
+
+class Clients(Part, frozen=True, forbid_unknown_fields=True):
+    """What callers do on their own."""
+
+    retries: Range = (3.0, 4.99)
+    try_share: Range = (0.5, 0.6)  # of a class's deadline, after which a try is given up
+    backoff_ms: Range = (0.0, 2.0)
+    honour: Range = (0.04, 0.26)  # the part that heeds Retry-After
+    impatient: Range = (0.0, 0.02)  # the part that leaves after a tenth of its time
+    notice_s: Range = (0.95, 3.6)  # after which the front passes a dead balancer over
+
+
+class Class(Part, frozen=True, forbid_unknown_fields=True):
+    """A class of requests."""
+
+    name: str
+    share: Range
+    work_ms: Range
+    aim_ms: float
+    deadline_ms: float
+    cv: Range = (0.8, 1.4)
+    worth: float = 1.0
+    effect: str = "safe"
+
+
+class Tenant(Part, frozen=True, forbid_unknown_fields=True):
+    """A customer; its quota is a part of the fleet's capacity."""
+
+    name: str
+    share: float
+    usage: Range = 1.0
+
+
+class Trouble(Part, frozen=True, forbid_unknown_fields=True):
+    """Something that happens; `part` is of the servers, `size` how strong it is."""
+
+    kind: str
+    at_s: Range
+    for_s: Range = 5.0
+    part: Range = 0.1
+    size: Range = 2.0
+
+
+class Goal(Part, frozen=True, forbid_unknown_fields=True):
+    """The weights of the parts of the figure."""
+
+    whole: float = 0.25
+    worst_window: float = 0.15
+    worst_class: float = 0.2
+    worst_tenant: float = 0.4
+
+
+class Prices(Part, frozen=True, forbid_unknown_fields=True):
+    """Points of 1 taken off for each unit; see `worth`."""
+
+    waste: float = 0.12
+    late_fail: float = 0.059
+    choke: float = 0.04
+    cross_zone: float = 0.0061
+    probe: float = 0.01
+
+
+_CLASSES = (
+    Class("karta", (0.38, 0.56), (38.0, 71.0), 400.0, 2_000.0),
+    Class("voznja", (0.28, 0.42), (99.0, 170.0), 1_000.0, 2_500.0),
+    Class("otkljucaj", (0.14, 0.22), (120.0, 210.0), 1_200.0, 4_000.0, worth=10.0, effect="unsafe"),
+)
+_TENANTS = (Tenant("grad-zagreb", 0.72, (0.78, 1.3)), Tenant("grad-split", 0.28, (0.52, 1.4)))
+
+
+class Scenario(Part, frozen=True, forbid_unknown_fields=True):
+    """All that a scenario's file may hold."""
+
+    title: str = ""
+    load: Load = Load()
+    fleet: Fleet = Fleet()
+    tier: First = First()
+    inner: Inner = Inner()
+    choke: Choke = Choke()
+    network: Network = Network()
+    discovery: Discovery = Discovery()
+    clients: Clients = Clients()
+    classes: tuple[Class, ...] = _CLASSES
+    tenants: tuple[Tenant, ...] = _TENANTS
+    quota_of_capacity: Range = (0.7, 0.95)
+    over_share_worth: float = 0.05
+    trouble: tuple[Trouble, ...] = ()
+    goal: Goal = Goal()
+    prices: Prices = Prices()
+
+
+def _allowed(where: str) -> str:
+    """The keys that may stand at a place such as `$.tier` or `$.trouble[...]`."""
+    kind: Any = Scenario
+    for step in [s for s in re.split(r"[.\[\]]+", where.removeprefix("$")) if s and s != "..."]:
+        kind = next(f.type for f in msgspec.structs.fields(kind) if f.name == step)
+        kind = getattr(kind, "__args__", (kind,))[0]
+    return ", ".join(f.name for f in msgspec.structs.fields(kind))
+
+
+def parse(text: str, name: str = "scenario", changes: Iterable[tuple[list[str], Any]] = ()) -> Scenario:
+    """A scenario from TOML, with changes (a path of keys, and its value) made to it.
+
+    ScenarioError tells in one line what is wrong where, and what is allowed.
+    """
+    try:
+        tables = tomllib.loads(text)
+    except tomllib.TOMLDecodeError as error:
+        raise ScenarioError(f"{name}: not TOML: {error}") from None
+    for path, value in changes:
+        table = tables
+        for key in path[:-1]:
+            table = table.setdefault(key, {})
+            if not isinstance(table, dict):
+                raise ScenarioError(f"{name}: {'.'.join(path)}: {key} is no table")
+        table[path[-1]] = value
+    try:
+        scenario = msgspec.convert(tables, type=Scenario)
+    except msgspec.ValidationError as error:
+        told, _, where = str(error).partition(" - at `")
+        place = where.rstrip("`") or "$"
+        hint = f"; allowed: {_allowed(place)}" if "unknown field" in told else ""
+        raise ScenarioError(f"{name}: {place.removeprefix('$.')}: {told}{hint}") from None
+    for key, tier in (("tier", scenario.tier), ("inner", scenario.inner)):
+        if not len(tier.cores) == len(tier.core_parts) == len(tier.speed):
+            raise ScenarioError(f"{name}: {key}: cores, core_parts and speed must hold as many kinds each")
+    for number, trouble in enumerate(scenario.trouble):
+        if trouble.kind not in TROUBLES:
+            allowed = ", ".join(TROUBLES)
+            raise ScenarioError(f"{name}: trouble[{number}].kind: {trouble.kind!r}; allowed: {allowed}")
+    for item in scenario.classes:
+        if item.effect not in ("safe", "unsafe"):
+            raise ScenarioError(
+                f"{name}: classes: {item.name}: effect {item.effect!r}; allowed: safe, unsafe"
+            )
+    return scenario
+
+
+def load(path: Path, changes: Iterable[tuple[list[str], Any]] = ()) -> Scenario:
+    """A scenario from a file; ScenarioError if it can't be read or used."""
+    try:
+        return parse(path.read_text(encoding="utf-8"), str(path), changes)
+    except (OSError, UnicodeDecodeError) as error:
+        raise ScenarioError(f"{path}: can't be read: {error}") from None
+
+
+@dataclass(frozen=True)
+class Day:
+    """One draw: the scenario with a number in place of each range, and the seeds of its parts."""
+
+    scenario: Scenario
+    seed: int
+
+    def stream(self, part: str) -> np.random.Generator:
+        """The chance of one part of the world; the same name gives the same stream."""
+        key = int.from_bytes(part.encode()[:16].ljust(16, b"\0"), "big")
+        return np.random.Generator(np.random.PCG64(np.random.SeedSequence(self.seed, spawn_key=(key,))))
+
+
+def draw(scenario: Scenario, seed: int) -> Day:
+    """A day of a scenario: each range gives way to a number of its own."""
+    rng = Day(scenario, seed).stream("scenario")
+    return Day(_settled(scenario, rng), seed)
+
+
+def _settled(value: Any, rng: np.random.Generator) -> Any:
+    if isinstance(value, Part):
+        kept = {"cores", "core_parts", "zones"}
+        new = {
+            f.name: (v if (f.name in kept) else _settled(v, rng))
+            for f, v in ((f, getattr(value, f.name)) for f in msgspec.structs.fields(type(value)))
+        }
+        return type(value)(**new)
+    if isinstance(value, tuple):
+        if len(value) == 2 and all(isinstance(v, int | float) for v in value):
+            return float(rng.uniform(value[0], value[1]))
+        return tuple(_settled(v, rng) for v in value)
+    return value
+
+
+def number(value: Range) -> float:
+    """A figure of a drawn day."""
+    if isinstance(value, tuple):
+        raise TypeError("a range that no day has drawn from")
+    return float(value)
--- /dev/null
+++ b/basaltspindle/world/troubles.py
@@ -0,0 +1,117 @@
+"""What goes wrong on a day, and what is done on purpose: begun and ended at the times drawn."""
+
+from __future__ import annotations
+
+from typing import TYPE_CHECKING
+
+from basaltspindle.interface import Member, Readiness
+from basaltspindle.world.scenario import Trouble, number
+
+if TYPE_CHECKING:
+    from basaltspindle.world.fleet import World
+    from basaltspindle.world.servers import Server
+
+DRAIN_MS = 4_000.0  # a server that is replaced may end what it has for so long
+PAUSE_EVERY_MS = 2_000.0
+
+
+class Troubles:
+    """Brings each trouble of the day about."""
+
+    def __init__(self, world: World) -> None:
+        self._world = world
+        self._rng = world.day.stream("troubles")
+        self.log: list[tuple[float, str]] = []
+        for item in world.day.scenario.trouble:
+            begin = getattr(self, f"_{item.kind}", None)
+            if begin is not None:  # bursts are in the arrivals
+                world.clock.at(number(item.at_s) * 1_000, self._begin, begin, item)
+
+    def _begin(self, begin: object, item: Trouble) -> None:
+        self.log.append((self._world.clock.now, item.kind))
+        begin(item, number(item.for_s) * 1_000)  # type: ignore[operator]
+
+    def _some(self, part: float) -> list[Server]:
+        """So many of the servers of both tiers, one at the least."""
+        chosen: list[Server] = []
+        for tier in (0, 1):
+            up = [s for s in self._world.tiers[tier] if s.is_up and not s.is_draining]
+            count = max(round(part * len(up)), 1 if tier == 0 else 0)
+            chosen += [up[i] for i in self._rng.choice(len(up), min(count, len(up)), replace=False)]
+        return chosen
+
+    def _slow(self, item: Trouble, length: float) -> None:
+        for server in self._some(number(item.part)):
+            self._set(server, "slow", number(item.size))
+            self._world.clock.after(length, self._set, server, "slow", 1.0)
+
+    def _errors(self, item: Trouble, length: float) -> None:
+        for server in self._some(number(item.part)):
+            self._set(server, "failing", min(number(item.size), 1.0))
+            self._world.clock.after(length, self._set, server, "failing", server.build.error_rate)
+
+    def _pauses(self, item: Trouble, length: float) -> None:
+        clock = self._world.clock
+        for server in self._some(number(item.part)):
+            at = float(self._rng.uniform(0, PAUSE_EVERY_MS))
+            while at < length:
+                clock.after(at, self._set, server, "paused", True)
+                clock.after(at + number(item.size), self._set, server, "paused", False)
+                at += PAUSE_EVERY_MS * float(self._rng.uniform(0.6, 1.4))
+
+    def _set(self, server: Server, what: str, value: float) -> None:
+        setattr(server, what, value)
+        server.changed()
+
+    def _replace(self, item: Trouble, length: float) -> None:
+        """Some servers drain one after another and are replaced by cold ones with new names."""
+        servers = self._some(number(item.part))
+        for order, server in enumerate(servers):
+            self._world.clock.after(length * order / len(servers), self._drain, server)
+
+    def _drain(self, server: Server) -> None:
+        world = self._world
+        server.is_draining = True
+        self._tell(server, Readiness.DRAINING)
+        world.clock.after(DRAIN_MS, self._remove, server)
+        world.clock.after(DRAIN_MS / 2, world.add_like, server)
+
+    def _remove(self, server: Server) -> None:
+        self._world.stop(server)
+        self._tell(server, Readiness.GONE)
+
+    def _zone_loss(self, item: Trouble, length: float) -> None:
+        """The servers of a zone vanish, silently, and come back cold."""
+        world = self._world
+        zone = world.zones[-1]
+        lost = [s for tier in world.tiers for s in tier if s.build.zone == zone and s.is_up]
+        for server in lost:
+            world.stop(server, silent=True)
+            self._tell(server, Readiness.GONE, silent=True)
+            world.clock.after(length, self._return, server)
+
+    def _return(self, server: Server) -> None:
+        self._world.start_anew(server)
+        self._tell(server, Readiness.READY)
+
+    def _cut(self, item: Trouble, length: float) -> None:
+        zone = self._world.zones[-1]
+        self._world.network.cut(zone, True)
+        self._world.clock.after(length, self._world.network.cut, zone, False)
+
+    def _discovery_down(self, item: Trouble, length: float) -> None:
+        self._world.discovery.set_down(True)
+        self._world.clock.after(length, self._world.discovery.set_down, False)
+
+    def _balancers(self, item: Trouble, length: float) -> None:
+        """Some front balancers are killed at once, and start from nothing."""
+        fronts = self._world.fronts
+        count = max(round(number(item.part) * len(fronts)), 1)
+        for index in self._rng.choice(len(fronts), min(count, len(fronts)), replace=False):
+            self._world.kill_front(int(index))
+            self._world.clock.after(length, self._world.start_front, int(index))
+
+    def _tell(self, server: Server, readiness: Readiness, silent: bool = False) -> None:
+        build = server.build
+        member = Member(build.name, readiness, build.zone, 0, float(build.cores), server.started_at)
+        self._world.discovery.notice(build.tier, member, silent)
