--- a/basaltspindle/world/clients.py
+++ b/basaltspindle/world/clients.py
@@ -120,7 +120,7 @@
         tenant = scenario.tenants[arrival.tenant].name if arrival.tenant >= 0 else ""
         ask = Ask(
             cls.name, (arrival.work * number(tier.work), per_call), arrival.calls, remaining - way, tenant,
-            tries > 1, cls.effect == "unsafe", host.zone, answered, self._wish.number,
+            tries > 1, cls.effect == "unsafe", host.zone, answered,
         )  # fmt: skip
         world.clock.after(way, self._reach, host, ask, tries)
 
--- a/tests/test_world.py
+++ b/tests/test_world.py
@@ -163,6 +163,7 @@
 jitter = 0
 handshake_ms = 0
 handshake_rtts = 1
+idle_s = 1000
 [tier]
 calls = 2
 cores = [1]
