Forget a request when it is refused with a timer or for another request

Cause: `Driver._handle` forgets only the request that its event names. Since requests wait in the module a refusal may come with a timer, or for the last in line when a dearer one arrives: that request was answered and kept for good, with its head and body.

Change: `Driver._answer` forgets what is over as soon as it has answered. The test fails without it: 2 held in place of 1.

--- a/basaltspindle/net/driver.py
+++ b/basaltspindle/net/driver.py
@@ -519,6 +519,7 @@
         request = self._requests.get(number)
         if request is not None and request.open:
             self._end(request, status, headers)
+            self._forget_if_over(request)  # its end may come with another's event, or with a timer
 
     def _send(self, action: face.Send) -> None:
         request, server = self._requests[action.request], action.server
--- a/tests/test_net.py
+++ b/tests/test_net.py
@@ -684,3 +684,33 @@
                 assert await caller.reader.read() == b""
 
     run(scenario())
+
+
+def test_what_is_refused_with_a_timer_or_for_another_request_leaves_nothing_behind() -> None:
+    """A balancer grew by 50 MB in half an hour: whoever had waited in vain was kept for good."""
+
+    async def scenario() -> None:
+        gate = asyncio.Event()
+
+        async def gated(asked: Asked, writer: asyncio.StreamWriter) -> None:
+            await gate.wait()
+            writer.write(response())
+
+        upstream = Upstream(gated)
+        async with Rig(upstream) as rig:
+            address = rig.entries[0]["address"]
+            await rig.discovery.calls.get()
+            rig.discovery.tell(8, entry("s0", address, weight=0.4), snapshot=True)
+            while rig.driver.balancer._roster.size != 0.4:
+                await asyncio.sleep(0)
+            callers = [await rig.caller() for _ in range(4)]
+            for caller in callers:
+                caller.send()
+            answers = [status(await caller.answer()) for caller in callers[1:]]
+            assert answers == [503, 503, 503], "one is with the server, one waits in vain, two find no place"
+            assert len(rig.driver._requests) == 1
+            gate.set()
+            assert status(await callers[0].answer()) == 200
+            assert not rig.driver._requests
+
+    run(scenario())
