--- a/basaltspindle/world/balancers.py
+++ b/basaltspindle/world/balancers.py
@@ -259,10 +259,7 @@
             server.connections = max(server.connections - 1, 0)
             if attempt.cancel:
                 self.world.clock.after(self.world.network.delay(self.zone, server.build.zone), attempt.cancel)
-        answered = outcome is Outcome.SERVED and request.open
-        if answered:
-            request.open = False
-            self.world.rules.answered(self, number)
-            request.ask.answer("served", 0.0)
+        if outcome is Outcome.SERVED and request.open:
+            self._answer(number, request, "served", 0.0)
         self.tell(face.AttemptEnded(number, index, attempt.server, outcome, not request.open))
         self._forget(number)
--- a/basaltspindle/world/discovery.py
+++ b/basaltspindle/world/discovery.py
@@ -41,13 +41,9 @@
             delay = self._silent_ms if silent else self._notice_ms
         self._clock.after(delay, self._show, tier, member)
 
-    def whole(self, tier: int) -> face.ListUpdate:
-        """The list as it is now."""
-        return face.ListUpdate(face.ListKind.FULL, tuple(self._entries[tier].values()))
-
-    def cached(self, tier: int) -> face.ListUpdate:
-        """The list that a balancer finds when it starts."""
-        return face.ListUpdate(face.ListKind.CACHED, tuple(self._entries[tier].values()))
+    def whole(self, tier: int, kind: face.ListKind = face.ListKind.FULL) -> face.ListUpdate:
+        """The list as it is now; a balancer that starts finds it as a cached one."""
+        return face.ListUpdate(kind, tuple(self._entries[tier].values()))
 
     def ask(self, host: Host) -> None:
         """A call for the list: worked through in turn, failed when it waits too long or all is down."""
@@ -55,7 +51,7 @@
         now = self._clock.now
         wait = max(self._free_at - now, 0.0)
         if self._is_down or wait > self._timeout_ms:
-            self._clock.after(min(wait, self._timeout_ms), host.listed, face.ListUpdate(face.ListKind.FAILED))
+            self._clock.after(min(wait, self._timeout_ms), host.listed, FAILED)
             return
         self._free_at = now + wait + self._pace_ms
         self._clock.at(self._free_at, self._answer, host)
--- a/basaltspindle/world/fleet.py
+++ b/basaltspindle/world/fleet.py
@@ -91,13 +91,13 @@
 
     def _build_fleet(self) -> None:
         scenario = self.day.scenario
-        count = max(round(number(scenario.fleet.servers)), 1)
+        count = self._first_count
         for tier, plan in enumerate((scenario.tier, scenario.inner)):
             many = count if tier == 0 else max(round(count * number(scenario.fleet.inner_per_server)), 1)
             for index in range(many):
                 self._add(tier, plan, self.zones[index % len(self.zones)])
             for server in self.tiers[tier]:
-                self.discovery.put(tier, self._member(server, face.Readiness.READY))
+                self.discovery.put(tier, self.member(server, face.Readiness.READY))
 
     def _add(self, tier: int, plan: Tier, zone: str) -> Server:
         rng, parts = self._rng, plan.core_parts
@@ -130,7 +130,8 @@
         self.tiers[tier].append(server)
         return server
 
-    def _member(self, server: Server, readiness: face.Readiness) -> Member:
+    def member(self, server: Server, readiness: face.Readiness) -> Member:
+        """The entry of a server in the list."""
         build = server.build
         return Member(build.name, readiness, build.zone, 0, float(build.cores), server.started_at)
 
@@ -173,7 +174,7 @@
         settings = _changed(self._settings, calling_tier=tier, zone=zone, number=index, balancers=balancers)
         seed = int(self.day.stream(f"{name}/{start}").integers(1 << 62))
         host = Host(self, name, tier, zone, self._policy(settings, seed))
-        host.listed(self.discovery.cached(tier))
+        host.listed(self.discovery.whole(tier, face.ListKind.CACHED))
         return host
 
     # ---- what happens in a day ------------------------------------------------------------------
@@ -230,8 +231,7 @@
             h.cold_known.get(server.build.name) == server.started_at for h in told
         )
         if server.started_at and self.rules.pushed(server, ask.work[server.build.tier], knew):
-            self.stop(server)
-            server.fall()
+            self.stop(server)  # it falls over, and stays down
             return None
         if server.failing and self._chance.uniform() < server.failing:
             self.clock.after(ERROR_MS, ended, Outcome.ERROR)
@@ -284,7 +284,7 @@
         server.started_at = self.clock.now
         if old.build.tier == 0:
             self._start_inner(server, self.tiers[0].index(old), start=int(self.clock.now))
-        self.discovery.notice(old.build.tier, self._member(server, face.Readiness.READY))
+        self.discovery.notice(old.build.tier, self.member(server, face.Readiness.READY))
 
     def kill_front(self, index: int) -> None:
         """A front balancer is killed; the front notices some time later."""
--- a/basaltspindle/world/servers.py
+++ b/basaltspindle/world/servers.py
@@ -62,7 +62,6 @@
         self.started_at = 0.0  # 0 for long ago
         self.slow, self.failing, self.paused = 1.0, build.error_rate, False
         self.is_choked, self.choked_times, self.choked_ms = False, 0, 0.0
-        self.has_fallen = False
         self.connections = 0
         self.worked = 0.0
         self._given, self._seen, self._pace_now = 0.0, clock.now, 0.0
@@ -224,16 +223,11 @@
 
     def start_anew(self) -> None:
         """It is back, and cold."""
-        self.is_up, self.is_silent, self.is_choked, self.has_fallen = True, False, False, False
+        self.is_up, self.is_silent, self.is_choked = True, False, False
         self.started_at = self.clock.now
         self._crowded_since = self._idle_since = math.inf
         self.changed()
 
-    def fall(self) -> None:
-        """Pushed over while cold: it goes down and stays down."""
-        self.has_fallen = True
-        self.stop()
-
     def _watch(self) -> None:
         """Look whether a crowd has been here long enough, or has been gone."""
         build, now = self.build, self.clock.now
--- a/basaltspindle/world/troubles.py
+++ b/basaltspindle/world/troubles.py
@@ -4,7 +4,7 @@
 
 from typing import TYPE_CHECKING
 
-from basaltspindle.interface import Member, Readiness
+from basaltspindle.interface import Readiness
 from basaltspindle.world.scenario import Trouble, number
 
 if TYPE_CHECKING:
@@ -112,6 +112,4 @@
             self._world.clock.after(length, self._world.start_front, int(index))
 
     def _tell(self, server: Server, readiness: Readiness, silent: bool = False) -> None:
-        build = server.build
-        member = Member(build.name, readiness, build.zone, 0, float(build.cores), server.started_at)
-        self._world.discovery.notice(build.tier, member, silent)
+        self._world.discovery.notice(server.build.tier, self._world.member(server, readiness), silent)
