--- a/basaltspindle/world/balancers.py
+++ b/basaltspindle/world/balancers.py
@@ -4,15 +4,16 @@
 
 from collections.abc import Callable
 from dataclasses import dataclass, field
-from typing import TYPE_CHECKING, Protocol
+from typing import Protocol
 
 from basaltspindle import interface as face
 from basaltspindle.interface import Outcome
-
-if TYPE_CHECKING:
-    from basaltspindle.world.clock import Due
-    from basaltspindle.world.fleet import World
-    from basaltspindle.world.servers import Server
+from basaltspindle.world.clock import Clock, Due
+from basaltspindle.world.discovery import Discovery
+from basaltspindle.world.network import Network
+from basaltspindle.world.rules import Rules
+from basaltspindle.world.servers import Server
+from basaltspindle.world.worth import Ledger
 
 
 class Decisions(Protocol):
@@ -58,10 +59,33 @@
     tries: list[Try] = field(default_factory=list)
 
 
+class Surroundings(Protocol):
+    """What a balancer finds round it."""
+
+    clock: Clock
+    network: Network
+    rules: Rules
+    discovery: Discovery
+    ledger: Ledger
+    servers: dict[str, Server]
+    idle_ms: float
+    connect_ms: float
+    handshake_rtts: float
+    handshake_ms: float
+
+    def serve(
+        self, server: Server, ask: Ask, timeout: float, ended: Callable[[Outcome], None]
+    ) -> Callable[[], None] | None:
+        """An attempt has reached a server; what is returned calls it off."""
+
+    def probe(self, host: Host, name: str) -> None:
+        """Ask a server how it is."""
+
+
 class Host:
     """One balancer: the decisions, and the network round them."""
 
-    def __init__(self, world: World, name: str, tier: int, zone: str, decisions: Decisions) -> None:
+    def __init__(self, world: Surroundings, name: str, tier: int, zone: str, decisions: Decisions) -> None:
         self.world, self.name, self.tier, self.zone = world, name, tier, zone
         self.decisions = decisions
         self.alive = True
@@ -193,7 +217,7 @@
         timeout = min(action.timeout_ms or left, left)
         attempt.timer = world.clock.after(max(timeout, 0.0), self._over, number, index, Outcome.TIMED_OUT)
         server = world.servers[name]
-        world.ledger.attempt(self, server)
+        world.ledger.attempt(self.zone != server.build.zone)
         idle = self._idle.get(name)
         if idle:
             stale = world.clock.now - idle.pop() >= world.idle_ms
--- a/basaltspindle/world/clients.py
+++ b/basaltspindle/world/clients.py
@@ -3,18 +3,16 @@
 from __future__ import annotations
 
 from dataclasses import dataclass
-from typing import TYPE_CHECKING
+from typing import Protocol
 
 import numpy as np
 
 from basaltspindle.world.balancers import Ask, Host
+from basaltspindle.world.clock import Clock, Due
+from basaltspindle.world.network import Network
 from basaltspindle.world.rules import GRACE_MS
 from basaltspindle.world.scenario import Day, number
-
-if TYPE_CHECKING:
-    from basaltspindle.world.clock import Due
-    from basaltspindle.world.fleet import World
-    from basaltspindle.world.worth import Wish
+from basaltspindle.world.worth import Wish
 
 GRID_MS = 10.0
 IMPATIENT_PART = 0.1  # of its time, after which an impatient client leaves
@@ -70,6 +68,20 @@
     ]  # fmt: skip
 
 
+class Front(Protocol):
+    """What clients find: the way to a balancer, and how they are to go about it."""
+
+    clock: Clock
+    day: Day
+    network: Network
+    retries: int
+    try_share: float
+    backoff_ms: float
+
+    def front(self, zone: str) -> Host | None:
+        """The balancer that a new try goes to."""
+
+
 class Client:
     """One wish and its tries."""
 
@@ -78,7 +90,7 @@
         *"_until _wish _world".split(),
     )
 
-    def __init__(self, world: World, arrival: Arrival, wish: Wish, honours: bool, impatient: bool) -> None:
+    def __init__(self, world: Front, arrival: Arrival, wish: Wish, honours: bool, impatient: bool) -> None:
         self._world, self._arrival, self._wish = world, arrival, wish
         self._honours, self._impatient = honours, impatient
         cls = world.day.scenario.classes[arrival.cls]
--- a/basaltspindle/world/discovery.py
+++ b/basaltspindle/world/discovery.py
@@ -2,14 +2,22 @@
 
 from __future__ import annotations
 
-from typing import TYPE_CHECKING
+from typing import Protocol
 
 from basaltspindle import interface as face
+from basaltspindle.world.clock import Clock
 from basaltspindle.world.scenario import Day, number
 
-if TYPE_CHECKING:
-    from basaltspindle.world.balancers import Host
-    from basaltspindle.world.clock import Clock
+
+class Follower(Protocol):
+    """Who asks for the list, and is told of its changes from then on."""
+
+    name: str
+    tier: int
+    alive: bool
+
+    def listed(self, update: face.ListUpdate) -> None:
+        """The list, a change of it, or word that the call failed."""
 
 
 class Discovery:
@@ -24,7 +32,7 @@
         self._silent_ms = number(plan.silent_notice_s) * 1_000
         self._add_ms = number(plan.add_s) * 1_000
         self._entries: list[dict[str, face.Member]] = [{}, {}]
-        self._followers: list[dict[str, Host]] = [{}, {}]
+        self._followers: list[dict[str, Follower]] = [{}, {}]
         self._free_at = 0.0
         self._is_down = False
         self.calls = 0
@@ -45,7 +53,7 @@
         """The list as it is now; a balancer that starts finds it as a cached one."""
         return face.ListUpdate(kind, tuple(self._entries[tier].values()))
 
-    def ask(self, host: Host) -> None:
+    def ask(self, host: Follower) -> None:
         """A call for the list: worked through in turn, failed when it waits too long or all is down."""
         self.calls += 1
         now = self._clock.now
@@ -65,7 +73,7 @@
             for host in followers:
                 self._clock.after(float(self._rng.uniform(0, 200)), host.listed, FAILED)
 
-    def _answer(self, host: Host) -> None:
+    def _answer(self, host: Follower) -> None:
         if self._is_down:
             host.listed(FAILED)
             return
--- a/basaltspindle/world/rules.py
+++ b/basaltspindle/world/rules.py
@@ -4,14 +4,11 @@
 
 from collections import deque
 from dataclasses import dataclass
-from typing import TYPE_CHECKING
+from typing import Protocol
 
 from basaltspindle.interface import Readiness
-
-if TYPE_CHECKING:
-    from basaltspindle.world.balancers import Host
-    from basaltspindle.world.clock import Clock
-    from basaltspindle.world.servers import Server
+from basaltspindle.world.clock import Clock
+from basaltspindle.world.servers import Server
 
 GRACE_MS = 50.0  # past the caller's time, in which an answer still counts
 DRAIN_MS = 3_000.0  # after it was told, a balancer sends a draining server nothing new
@@ -20,6 +17,13 @@
 TOLD_PART = 2 / 3  # of that work must come from balancers that knew of the start
 
 
+class Judged(Protocol):
+    """What the rules ask of a balancer: its name, and what the list has told it, since when."""
+
+    name: str
+    told: dict[str, tuple[Readiness, float]]
+
+
 @dataclass(frozen=True)
 class Breach:
     """One broken rule."""
@@ -43,17 +47,17 @@
         """A rule has been broken."""
         self.breaches.append(Breach(self._clock.now, rule, balancer, str(what)))
 
-    def taken(self, host: Host, number: int, until: float) -> None:
+    def taken(self, host: Judged, number: int, until: float) -> None:
         """A balancer has taken a request: its answer is owed by then."""
         self._open[host.name, number] = until
 
-    def answered(self, host: Host, number: int) -> None:
+    def answered(self, host: Judged, number: int) -> None:
         """A request has its answer."""
         until = self._open.pop((host.name, number), None)
         if until is not None and self._clock.now > until + GRACE_MS:
             self.broken("answered too late", host.name, number)
 
-    def left(self, host: Host, number: int) -> None:
+    def left(self, host: Judged, number: int) -> None:
         """A caller has gone: before its time nothing more is owed, after it the answer was."""
         if self._clock.now < self._open.get((host.name, number), 0.0):
             del self._open[host.name, number]
@@ -63,7 +67,7 @@
         for name, number in self._open:
             self.broken("never answered", name, number)
 
-    def sent(self, host: Host, server: str) -> None:
+    def sent(self, host: Judged, server: str) -> None:
         """A balancer has sent something to a server."""
         readiness, since = host.told.get(server, (None, 0.0))
         if readiness is None:
--- a/basaltspindle/world/troubles.py
+++ b/basaltspindle/world/troubles.py
@@ -2,23 +2,57 @@
 
 from __future__ import annotations
 
-from typing import TYPE_CHECKING
+from collections.abc import Sequence
+from typing import Protocol
 
-from basaltspindle.interface import Readiness
-from basaltspindle.world.scenario import Trouble, number
-
-if TYPE_CHECKING:
-    from basaltspindle.world.fleet import World
-    from basaltspindle.world.servers import Server
+from basaltspindle.interface import Member, Readiness
+from basaltspindle.world.clock import Clock
+from basaltspindle.world.discovery import Discovery
+from basaltspindle.world.network import Network
+from basaltspindle.world.scenario import Day, Trouble, number
+from basaltspindle.world.servers import Server
 
 DRAIN_MS = 4_000.0  # a server that is replaced may end what it has for so long
 PAUSE_EVERY_MS = 2_000.0
 
 
+class Stage(Protocol):
+    """What troubles befall."""
+
+    clock: Clock
+    day: Day
+    discovery: Discovery
+    network: Network
+    tiers: list[list[Server]]
+    zones: tuple[str, ...]
+
+    @property
+    def fronts(self) -> Sequence[object]:
+        """The front balancers."""
+
+    def member(self, server: Server, readiness: Readiness) -> Member:
+        """The entry of a server in the list."""
+
+    def stop(self, server: Server, silent: bool = False) -> None:
+        """A server goes down."""
+
+    def start_anew(self, server: Server) -> None:
+        """A server is back, cold."""
+
+    def add_like(self, old: Server) -> None:
+        """A new server takes the place of an old one."""
+
+    def kill_front(self, index: int) -> None:
+        """A front balancer is killed."""
+
+    def start_front(self, index: int) -> None:
+        """It is started again."""
+
+
 class Troubles:
     """Brings each trouble of the day about."""
 
-    def __init__(self, world: World) -> None:
+    def __init__(self, world: Stage) -> None:
         self._world = world
         self._rng = world.day.stream("troubles")
         self.log: list[tuple[float, str]] = []
--- a/basaltspindle/world/worth.py
+++ b/basaltspindle/world/worth.py
@@ -4,14 +4,9 @@
 
 from collections import defaultdict
 from dataclasses import dataclass, field
-from typing import TYPE_CHECKING
 
 from basaltspindle.world.scenario import Day
 
-if TYPE_CHECKING:
-    from basaltspindle.world.balancers import Host
-    from basaltspindle.world.servers import Server
-
 WINDOW_MS = 10_000.0
 QUOTA_BURST_MS = 2_000.0
 SKIP_MS = 1_000.0  # what comes in the first second does not count
@@ -73,10 +68,10 @@
         self.wishes.append(wish)
         return wish
 
-    def attempt(self, host: Host, server: Server) -> None:
-        """An attempt has been made."""
+    def attempt(self, crosses: bool) -> None:
+        """An attempt has been made; `crosses` says that it leaves its zone."""
         self.attempts += 1
-        self.crossings += host.zone != server.build.zone
+        self.crossings += crosses
 
     def close(self, worked: float, choked: float) -> Worth:
         """The day's figure; `worked` is all work done, `choked` the part of servers that a crowd slowed."""
