--- /dev/null
+++ b/basaltspindle/drill/clock.py
@@ -0,0 +1,34 @@
+"""The one clock of a drill: Unix milliseconds that never go back, the same in all its processes."""
+
+from __future__ import annotations
+
+import asyncio
+import time
+from collections.abc import Callable
+from typing import Any
+
+
+def offset_ms() -> float:
+    """What is to be added to this machine's monotonic clock; taken once, by the driver."""
+    return time.time() * 1_000 - time.monotonic() * 1_000
+
+
+class RealClock:
+    """Hosts parts of the model on real time (`basaltspindle.world.clock.Timekeeper`)."""
+
+    def __init__(self, offset: float) -> None:
+        """`offset` is the driver's `offset_ms()`."""
+        self._offset = offset
+
+    @property
+    def now(self) -> float:
+        """The time, in ms."""
+        return self._offset + time.monotonic() * 1_000
+
+    def at(self, when: float, do: Callable[..., Any], *args: Any) -> asyncio.TimerHandle:
+        """Do something at a time, at once if that has passed."""
+        return self.after(when - self.now, do, *args)
+
+    def after(self, delay: float, do: Callable[..., Any], *args: Any) -> asyncio.TimerHandle:
+        """Do something so many ms from now."""
+        return asyncio.get_running_loop().call_later(max(delay, 0.0) / 1_000, do, *args)
--- a/basaltspindle/world/clock.py
+++ b/basaltspindle/world/clock.py
@@ -4,7 +4,28 @@
 
 import heapq
 from collections.abc import Callable
-from typing import Any
+from typing import Any, Protocol
+
+
+class Pending(Protocol):
+    """Something that is due."""
+
+    def cancel(self) -> object:
+        """Let it not happen; nothing if it has."""
+
+
+class Timekeeper(Protocol):
+    """What parts of the model ask of a clock, so that sockets can host them as virtual time does."""
+
+    @property
+    def now(self) -> float:
+        """The time, in ms."""
+
+    def at(self, when: float, do: Callable[..., Any], *args: Any) -> Pending:
+        """Do something at a time, at once if that has passed."""
+
+    def after(self, delay: float, do: Callable[..., Any], *args: Any) -> Pending:
+        """Do something so many ms from now."""
 
 
 class Due:
--- a/basaltspindle/world/servers.py
+++ b/basaltspindle/world/servers.py
@@ -8,7 +8,7 @@
 from collections.abc import Callable
 from dataclasses import dataclass
 
-from basaltspindle.world.clock import Clock, Due
+from basaltspindle.world.clock import Pending, Timekeeper
 
 WARM_STEP_MS = 100.0  # the pace of a cold server is brought up to date in steps of this
 
@@ -56,7 +56,7 @@
     reached what it was at its begin and its work on top: one heap, and one thing due, for all.
     """
 
-    def __init__(self, clock: Clock, build: Build) -> None:
+    def __init__(self, clock: Timekeeper, build: Build) -> None:
         self.clock, self.build = clock, build
         self.is_up, self.is_silent, self.is_draining = True, False, False
         self.started_at = 0.0  # 0 for long ago
@@ -68,10 +68,10 @@
         self._heap: list[tuple[float, int, Job]] = []
         self._running, self._held, self._order = 0, 0, 0
         self._queue: deque[Job] = deque()
-        self._next: Due | None = None
+        self._next: Pending | None = None
         self._crowded_since = self._idle_since = math.inf
         self._choked_at = 0.0
-        self._choke_due: Due | None = None
+        self._choke_due: Pending | None = None
 
     @property
     def held(self) -> int:
--- /dev/null
+++ b/tests/test_drill_links.py
@@ -0,0 +1,196 @@
+"""Relays between processes: what is passed on, and what each fault does to connections and datagrams."""
+
+from __future__ import annotations
+
+import asyncio
+import random
+import socket
+from collections.abc import AsyncIterator
+from contextlib import asynccontextmanager
+
+import pytest
+
+from basaltspindle.drill.links import DatagramLink, Fault, Link
+from tests.loopback import run
+
+HOST = "127.0.0.1"
+
+
+async def echo(reader: asyncio.StreamReader, writer: asyncio.StreamWriter) -> None:
+    while data := await reader.read(65_536):
+        writer.write(data)
+    writer.close()
+
+
+@asynccontextmanager
+async def linked() -> AsyncIterator[Link]:
+    server = await asyncio.start_server(echo, HOST, 0)
+    link = Link("a>b", HOST, HOST, server.sockets[0].getsockname()[:2], random.Random(1))
+    link.start()
+    try:
+        yield link
+    finally:
+        link.close()
+        server.close()
+
+
+async def said(link: Link, data: bytes) -> bytes:
+    """What comes back for some bytes on a new connection."""
+    reader, writer = await asyncio.open_connection(*link.address)
+    try:
+        writer.write(data)
+        return await reader.readexactly(len(data))
+    finally:
+        writer.close()
+
+
+def test_bytes_and_ends_are_passed_on_both_ways() -> None:
+    async def scenario() -> None:
+        async with linked() as link:
+            reader, writer = await asyncio.open_connection(*link.address)
+            data = bytes(range(256)) * 8_000
+            writer.write(data)
+            writer.write_eof()
+            assert await reader.read(-1) == data
+            writer.close()
+
+    run(scenario())
+
+
+def test_a_delay_holds_every_piece_in_order_and_ends_when_it_is_lifted() -> None:
+    async def scenario() -> None:
+        async with linked() as link:
+            link.set("slow", Fault(delay_ms=40, jitter_ms=40), "back")
+            loop = asyncio.get_running_loop()
+            began = loop.time()
+            reader, writer = await asyncio.open_connection(*link.address)
+            for number in range(10):
+                writer.write(b"%d" % number)
+                await asyncio.sleep(0)
+            assert await reader.readexactly(10) == b"0123456789"
+            assert loop.time() - began >= 0.04
+            link.lift("slow")
+            assert not list(link.directions["back"].faults)
+            writer.close()
+
+    run(scenario())
+
+
+def test_a_cut_is_silent_for_open_and_new_connections_and_heals() -> None:
+    async def scenario() -> None:
+        async with linked() as link:
+            reader, writer = await asyncio.open_connection(*link.address)
+            writer.write(b"a")
+            assert await reader.readexactly(1) == b"a"
+            link.set("cut", Fault(cut=True), "there")
+            writer.write(b"b")
+            with pytest.raises(TimeoutError):
+                await asyncio.wait_for(reader.readexactly(1), 0.2)
+            with pytest.raises(TimeoutError):
+                await asyncio.wait_for(asyncio.open_connection(*link.address), 0.2)
+            link.lift("cut")
+            assert await reader.readexactly(1) == b"b"
+            assert await said(link, b"again") == b"again"
+            writer.close()
+
+    run(scenario())
+
+
+def test_refused_reset_and_short_are_three_things_to_a_caller() -> None:
+    async def scenario() -> None:
+        async with linked() as link:
+            link.set("no", Fault(refuse=True))
+            with pytest.raises(ConnectionRefusedError):
+                await asyncio.open_connection(*link.address)
+            link.lift("no")
+            link.set("reset", Fault(reset_after=3), "back")
+            with pytest.raises(ConnectionResetError):
+                reader, writer = await asyncio.open_connection(*link.address)
+                writer.write(b"abcdef")
+                await reader.read(-1)
+                raise AssertionError("an end in place of a reset")
+            link.lift("reset")
+            link.set("short", Fault(short_after=3), "back")
+            reader, writer = await asyncio.open_connection(*link.address)
+            writer.write(b"abcdef")
+            assert await reader.read(-1) == b"abc"
+            writer.close()
+
+    run(scenario())
+
+
+def test_a_process_that_is_down_is_refused_and_a_removed_one_trips_the_wire() -> None:
+    async def scenario() -> None:
+        async with linked() as link:
+            knocks: list[str] = []
+            link._on_knock = knocks.append
+            link.put(up=False)
+            with pytest.raises(ConnectionRefusedError):
+                await asyncio.open_connection(*link.address)
+            assert knocks == []
+            link.put(barred=True)
+            with pytest.raises(ConnectionResetError):
+                reader, _ = await asyncio.open_connection(*link.address)
+                await reader.read(-1)
+            assert knocks == ["a>b"]
+            link.put(up=True, barred=False)
+            assert await said(link, b"back") == b"back"
+
+    run(scenario())
+
+
+def test_a_reset_at_one_end_is_one_at_the_other_but_not_through_a_cut() -> None:
+    async def scenario() -> None:
+        async with linked() as link:
+            reader, _ = await asyncio.open_connection(*link.address)
+            while not link._open or len(link._open) < 2:
+                await asyncio.sleep(0.001)
+            link.set("cut", Fault(cut=True))
+            for transport in list(link._open):
+                if transport.get_extra_info("peername")[1] == link.target[1]:
+                    transport.abort()
+            with pytest.raises(TimeoutError):
+                await asyncio.wait_for(reader.read(1), 0.2)
+            link.lift("cut")
+            with pytest.raises(ConnectionResetError):
+                await reader.read(1)
+
+    run(scenario())
+
+
+def test_datagrams_are_lost_doubled_and_disordered_as_told() -> None:
+    async def scenario() -> None:
+        sock = socket.socket(socket.AF_INET, socket.SOCK_DGRAM)
+        sock.bind((HOST, 0))
+        sock.setblocking(False)
+        loop = asyncio.get_running_loop()
+        link = DatagramLink("a>b", sock.getsockname(), random.Random(3))
+        await link.start(HOST)
+        sender = socket.socket(socket.AF_INET, socket.SOCK_DGRAM)
+
+        async def exchange(fault: Fault, count: int) -> list[int]:
+            link.direction.set("f", fault)
+            passed, lost = link.passed, link.lost
+            for number in range(count):
+                sender.sendto(b"%d" % number, link.address)
+                while link.passed + link.lost == passed + lost and fault == Fault():
+                    await asyncio.sleep(0)
+            while link.passed - passed < (count - (link.lost - lost)) * (2 if fault.doubled else 1):
+                await asyncio.sleep(0.001)
+            got = link.passed - passed
+            return [int(await loop.sock_recv(sock, 256)) for _ in range(got)]
+
+        assert await exchange(Fault(), 3) == [0, 1, 2]
+        assert sorted(await exchange(Fault(doubled=1.0), 2)) == [0, 0, 1, 1]
+        mixed = await exchange(Fault(disorder=1.0), 20)
+        assert sorted(mixed) == list(range(20)) and mixed != sorted(mixed)
+        link.direction.set("f", Fault(loss=1.0))
+        before = link.lost
+        sender.sendto(b"x", link.address)
+        while link.lost == before:
+            await asyncio.sleep(0.001)
+        link.close()
+        sender.close()
+        sock.close()
+
+    run(scenario())
