--- /dev/null
+++ b/basaltspindle/drill/drive.py
@@ -0,0 +1,341 @@
+"""Plays a drill: starts all processes, follows the timeline, and leaves nothing behind."""
+
+from __future__ import annotations
+
+import asyncio
+import signal
+import sys
+from collections.abc import Callable
+from pathlib import Path
+from typing import Any
+
+import aiohttp
+
+from basaltspindle.drill import script as steps
+from basaltspindle.drill.clock import RealClock, offset_ms
+from basaltspindle.drill.fleet import FIRST, Fleet, Spot, environment, free_port, run_argv
+from basaltspindle.drill.history import Writer
+from basaltspindle.drill.links import Fault
+from basaltspindle.drill.processes import Process
+
+READY_S = 60.0  # for a process to be ready, on a machine that is busy
+PATIENCE_S = 120.0  # past the load's own length, after which a drill is given up
+DOWN = "list down"
+READ_ONLY = "/proc/1"  # a folder in which nobody can make a file, whatever rights they have
+
+
+class DriveError(RuntimeError):
+    """A drill that could not be played to its end, in a line."""
+
+
+class Drive:
+    """One play of a drill."""
+
+    def __init__(
+        self, script: steps.Script, seed: int, out: Path, plant: str = "",
+        on_progress: Callable[[dict[str, Any]], None] = lambda line: None,
+    ) -> None:  # fmt: skip
+        """`out` is an empty folder for all that is written; `plant` starts balancers with that defect."""
+        self._script, self._seed, self._out, self._plant = script, seed, out, plant
+        self._on_progress = on_progress
+        self._offset = offset_ms()
+        self.processes: dict[str, Process] = {}
+        self._ready: dict[str, asyncio.Event] = {}
+        self._progress = asyncio.Condition()
+        self._asked = 0
+        self._up: list[str] = []
+        self._later: set[asyncio.Task[None]] = set()
+
+    async def run(self) -> None:
+        """Play it; DriveError says why it could not be."""
+        self._out.mkdir(parents=True, exist_ok=True)
+        if any(self._out.iterdir()):
+            raise DriveError(f"{self._out} is not empty")
+        self._history = Writer(self._out, "driver", RealClock(self._offset))
+        self._fleet = Fleet(self._script, self._seed, self._out, self._offset, self._knocked)
+        load = self._script.load
+        try:
+            async with aiohttp.ClientSession() as self._http:
+                async with asyncio.timeout(PATIENCE_S + 2 * load.requests / load.rate):
+                    await self._play()
+        except TimeoutError:
+            raise DriveError("the drill did not come to its end in time") from None
+        finally:
+            for task in self._later:
+                task.cancel()
+            await asyncio.gather(*(p.finish() for p in self.processes.values()))
+            self._fleet.close()
+            self._history.close()
+
+    def _knocked(self, link: str) -> None:
+        self._history.write("knock", link=link)
+
+    async def _play(self) -> None:
+        fleet = self._fleet
+        for spot in fleet.spots.values():
+            self._history.write("place", name=spot.name, host=spot.host, zone=spot.zone, tier=spot.tier)
+        await self._start_all([s.name for s in fleet.servers()] + ["list"])
+        await self._start_all([s.name for s in fleet.balancers()])
+        await self._start_all(["clients"])
+        async with self._progress:
+            fronts = {s.name for s in fleet.balancers(FIRST)}
+            await self._progress.wait_for(lambda: set(self._up) >= fronts)
+        self.processes["clients"].tell({"begin": True})
+        asked = 0
+        for step in self._script.step:
+            asked += step.after
+            await self._until(asked)
+            await self._do(step)
+        await self._until(self._script.load.requests)
+        await self.processes["clients"].ended.wait()
+        await asyncio.gather(*self._later)
+        self._history.write("over")
+
+    async def _until(self, asked: int) -> None:
+        """Wait until so many first tries were made."""
+        clients = self.processes["clients"]
+        async with self._progress:
+            await self._progress.wait_for(lambda: self._asked >= asked or clients.ended.is_set())
+        if self._asked < asked:
+            raise DriveError(f"the clients ended with status {clients.code}; see {self._out}/clients.log")
+
+    async def _heard(self, line: dict[str, Any]) -> None:
+        async with self._progress:
+            self._asked, self._up = line["asked"], line["up"]
+            self._progress.notify_all()
+        self._on_progress(line)
+
+    # ---- processes ------------------------------------------------------------------------------
+
+    async def _start_all(self, names: list[str]) -> None:
+        await asyncio.gather(*(self._start(self._fleet.spots[name]) for name in names))
+
+    async def _start(self, spot: Spot, folder: Path | None = None) -> None:
+        """Start a process and wait until it is ready."""
+        if spot.kind == "balancer":
+            process = self._launch_balancer(spot, spot.console, folder)
+            self.processes[spot.name] = process
+            await self._wait_healthy(process, spot.console)
+            self._fleet.reached(spot.name, (spot.host, spot.port))
+        else:
+            await self._start_stand_in(spot)
+        self._history.write("process", name=spot.name, state="ready")
+
+    async def _start_stand_in(self, spot: Spot) -> None:
+        module = {"server": "server", "list": "lists", "clients": "clients"}[spot.kind]
+        argv = [sys.executable, "-m", f"basaltspindle.drill.{module}", str(self._fleet.spec(spot))]
+        ready = asyncio.Event()
+
+        def heard(line: dict[str, Any]) -> None:
+            if "ready" in line:
+                host, port = line["ready"]
+                self._fleet.reached(spot.name, (host, port))
+                ready.set()
+            else:
+                self._keep(asyncio.get_running_loop().create_task(self._heard(line)))
+
+        process = Process(
+            spot.name, argv, self._out / f"{spot.name}.log", env=environment(None), on_line=heard,
+            on_end=self._ended,
+        )  # fmt: skip
+        self._begin(process)
+        await self._first_of(ready, process)
+
+    def _launch_balancer(self, spot: Spot, console: str, folder: Path | None = None) -> Process:
+        config = self._fleet.config(spot, console)
+        own = self._out / f"{spot.name}.folder"
+        own.mkdir(exist_ok=True)
+        kind = self._script.fleet.folders
+        tmp = READ_ONLY if kind == "read-only" else str(own)
+        argv = run_argv(folder, self._plant if spot.tier == FIRST else "")
+        process = Process(
+            spot.name, argv, self._out / f"{spot.name}.log", folder=folder or None,
+            env=environment(folder, LB_CONFIG=str(config), TMPDIR=tmp),
+            on_end=self._ended, file_limit=0 if kind == "full" else None,
+        )  # fmt: skip
+        self._begin(process, keep=False)
+        return process
+
+    def _begin(self, process: Process, keep: bool = True) -> None:
+        try:
+            process.start()
+        except OSError as error:
+            raise DriveError(f"{process.name} can't be started: {error}") from None
+        if keep:
+            self.processes[process.name] = process
+        self._history.write("process", name=process.name, state="started", pid=process.pid)
+
+    def _ended(self, process: Process) -> None:
+        self._history.write(
+            "process", name=process.name, state="ended", code=process.code, wanted=process.wanted
+        )
+        if self.processes.get(process.name) is process:
+            for link in self._fleet.links_to(process.name):
+                link.put(up=False)
+        if process.name == "clients":
+            self._keep(asyncio.get_running_loop().create_task(self._wake()))
+
+    async def _wake(self) -> None:
+        async with self._progress:
+            self._progress.notify_all()
+
+    def _keep(self, task: asyncio.Task[None]) -> None:
+        self._later.add(task)
+        task.add_done_callback(self._later.discard)
+
+    async def _first_of(self, ready: asyncio.Event, process: Process) -> None:
+        """Wait until a process is ready; DriveError if it ends or takes too long."""
+        waits = [asyncio.ensure_future(e.wait()) for e in (ready, process.ended)]
+        await asyncio.wait(waits, timeout=READY_S, return_when=asyncio.FIRST_COMPLETED)
+        for wait in waits:
+            wait.cancel()
+        if not ready.is_set():
+            raise DriveError(f"{process.name} did not get ready; see {self._out}/{process.name}.log")
+
+    async def _wait_healthy(self, process: Process, console: str) -> None:
+        """Wait until a balancer's console says that it takes clients."""
+        async with asyncio.timeout(READY_S):
+            while not process.ended.is_set():
+                if await self._call(console, "GET", "health", quiet=True) == 200:
+                    return
+                await asyncio.sleep(0.02)
+        log = f"{self._out}/{process.name}.log"
+        raise DriveError(f"{process.name} ended with status {process.code}; see {log}")
+
+    async def _call(self, console: str, method: str, what: str, body: str = "", quiet: bool = False) -> int:
+        """An operator's call; its status, 0 where nobody answers."""
+        status = 0
+        timeout = aiohttp.ClientTimeout(total=READY_S if not quiet else 1.0)
+        try:
+            url = f"http://{console}/admin/{what}"
+            async with self._http.request(method, url, data=body or None, timeout=timeout) as answer:
+                status = answer.status
+        except (aiohttp.ClientError, OSError, TimeoutError):
+            status = 0
+        if not quiet:
+            host = console.partition(":")[0]
+            self._history.write("call", to=host, call=what, body=body, status=status)
+        return status
+
+    # ---- steps ----------------------------------------------------------------------------------
+
+    def _fault(self, kind: str, on: bool, targets: list[str], **more: Any) -> None:
+        self._history.write("fault", kind=kind, on=on, targets=targets, **more)
+
+    async def _do(self, step: steps.Steps) -> None:
+        """Carry a step out."""
+        match step:
+            case steps.Kill(who=who):
+                self._signal("kill", who, signal.SIGKILL)
+                await asyncio.gather(*(self.processes[n].ended.wait() for n in self._fleet.beside(who)))
+            case steps.Term(who=who):
+                self._signal("term", who, signal.SIGTERM)
+            case steps.Stop(who=who, for_s=length):
+                self._signal("stop", who, signal.SIGSTOP)
+                self._keep(asyncio.create_task(self._continue(who, length)))
+            case steps.Start():
+                await self._start_again(step)
+            case steps.Drain(who=who):
+                self._list(who, "terminating")
+            case steps.Remove(who=who):
+                self._list(who, "terminated")
+                for link in self._fleet.links_to(who):
+                    link.put(barred=True)
+                for name in self._fleet.beside(who):
+                    self.processes[name].signal(signal.SIGTERM)
+            case steps.Behave(who=who, slower=slower, fails=fails, paused=paused):
+                well = slower == 1.0 and not fails and not paused
+                self._fault("behave", not well, [who], slower=slower, fails=fails, paused=paused)
+                self.processes[who].tell({"slower": slower, "fails": fails, "paused": paused})
+            case steps.Break():
+                self._break(step.name, step.link, step.fault, step.direction)
+            case steps.Lift(name=name):
+                self._lift(name)
+            case steps.List(state=state):
+                self._change_list(state)
+            case steps.Cordon(who=who, out=out):
+                await self._cordon(who, out)
+            case steps.Replace():
+                await self._replace(step)
+            case steps.Surge(rate=rate, retries=retries, backoff_ms=backoff):
+                self._fault("surge", True, ["clients"], rate=rate, retries=retries)
+                self.processes["clients"].tell({"rate": rate, "retries": retries, "backoff_ms": backoff})
+
+    def _signal(self, kind: str, who: str, number: int) -> None:
+        names = self._fleet.beside(who)
+        self._fault(kind, True, names)
+        for name in names:
+            self.processes[name].signal(number)
+
+    async def _continue(self, who: str, length: float) -> None:
+        await asyncio.sleep(length)
+        names = self._fleet.beside(who)
+        for name in names:
+            self.processes[name].signal(signal.SIGCONT)
+        self._fault("stop", False, names)
+
+    async def _start_again(self, step: steps.Start) -> None:
+        spot = self._fleet.spots[step.who]
+        await asyncio.gather(*(self.processes[n].ended.wait() for n in self._fleet.beside(step.who)))
+        folder = Path(step.folder).resolve() if step.folder else None
+        if spot.kind == "server":
+            spot.since_ms, spot.version = RealClock(self._offset).now, step.version
+        await self._start(spot, folder)
+        for name in self._fleet.beside(step.who)[1:]:
+            await self._start(self._fleet.spots[name], folder)
+        if spot.kind == "server":
+            self._list(step.who, "in_service")
+        self._fault("kill", False, self._fleet.beside(step.who))
+
+    def _list(self, who: str, status: str) -> None:
+        """Have the list show a server otherwise."""
+        spot = self._fleet.spots[who]
+        spot.status = status
+        self._fault("list", status != "in_service", [who], status=status)
+        self.processes["list"].tell({"tier": spot.tier, "entry": self._fleet.entry(spot)})
+
+    def _break(self, name: str, pattern: str, fault: Fault, direction: str = "both") -> None:
+        links = self._fleet.matching(pattern)
+        if not links:
+            raise DriveError(f"no link is called {pattern!r}; there are {', '.join(self._fleet.links)}")
+        self._fault(name, True, [link.name for link in links])
+        for link in links:
+            link.set(name, fault, direction)
+
+    def _lift(self, name: str) -> None:
+        self._fault(name, False, [])
+        for link in self._fleet.links.values():
+            link.lift(name)
+
+    def _change_list(self, state: str) -> None:
+        match state:
+            case "down":
+                self._break(DOWN, "*>list", Fault(refuse=True))
+                for link in self._fleet.links_to("list"):
+                    link.reset_all()
+            case "up":
+                self._lift(DOWN)
+            case _:
+                self._fault("stale list", state == "stale", ["list"])
+                self.processes["list"].tell({"stale": state == "stale"})
+
+    async def _cordon(self, who: str, out: bool) -> None:
+        self._fault("cordon", out, [who])
+        call = "cordon" if out else "uncordon"
+        for spot in self._fleet.balancers(self._fleet.spots[who].tier):
+            await self._call(spot.console, "POST", call, who)
+
+    async def _replace(self, step: steps.Replace) -> None:
+        """The console's way: start the new process beside the old one, see it healthy, end the old one."""
+        spot, old = self._fleet.spots[step.who], self.processes[step.who]
+        self._fault("replace", True, [step.who])
+        console = f"{spot.host}:{free_port(spot.host)}"
+        new = self._launch_balancer(spot, console, Path(step.folder).resolve() if step.folder else None)
+        self.processes[f"{step.who} (new)"] = new
+        await self._wait_healthy(new, console)
+        self.processes[step.who], spot.console = new, console
+        del self.processes[f"{step.who} (new)"]
+        try:
+            await old.finish(READY_S)
+        finally:
+            self._fault("replace", False, [step.who])
--- /dev/null
+++ b/basaltspindle/drill/fleet.py
@@ -0,0 +1,262 @@
+"""Who there is in a drill: addresses, what each process is told, and the links between them."""
+
+from __future__ import annotations
+
+import json
+import os
+import random
+import shlex
+import socket
+import sys
+import tomllib
+from collections.abc import Callable
+from dataclasses import dataclass
+from fnmatch import fnmatchcase
+from pathlib import Path
+from typing import Any
+
+import msgspec
+
+from basaltspindle.drill import clients, lists, server
+from basaltspindle.drill.links import Address, Link
+from basaltspindle.drill.script import Script, Version
+
+FIRST, INNER = "first", "inner"
+ROOT = Path(__file__).parent.parent.parent
+WORK_OF_INNER = 0.5  # of a class's work, for each call
+MOST_PLACES = 200 * 250
+_BLOCKS = range(64, 255)
+
+
+@dataclass
+class Spot:
+    """One process's place: its address, its zone, and the tier that it balances or belongs to."""
+
+    name: str
+    kind: str  # 'balancer', 'server', 'list' or 'clients'
+    host: str
+    zone: str = ""
+    tier: str = ""
+    port: int = 0
+    console: str = ""
+    since_ms: float = 0.0
+    status: str = "in_service"
+    version: str = ""
+
+
+class Addresses:
+    """Addresses of the loopback network, each given out once."""
+
+    def __init__(self) -> None:
+        self._block = random.SystemRandom().choice(_BLOCKS)
+        self._next = 0
+
+    def host(self) -> str:
+        """The next one."""
+        self._next += 1
+        if self._next > MOST_PLACES:
+            raise OSError("a drill has no more addresses")
+        return f"127.{self._block}.{self._next // 250}.{self._next % 250 + 1}"
+
+
+def free_port(host: str) -> int:
+    """A port of an address of our own that nobody listens on."""
+    with socket.socket() as probe:
+        probe.bind((host, 0))
+        return int(probe.getsockname()[1])
+
+
+class Fleet:
+    """The places of a drill's processes, and the links that join them."""
+
+    def __init__(
+        self, script: Script, seed: int, out: Path, offset_ms: float, on_knock: Callable[[str], None]
+    ) -> None:
+        self.script, self.seed, self.out, self._offset = script, seed, out, offset_ms
+        self._addresses = Addresses()
+        self.spots: dict[str, Spot] = {}
+        self.links: dict[str, Link] = {}
+        self._chance = random.Random(f"{seed}/links")
+        plan, zones = script.fleet, script.fleet.zones
+        for index in range(plan.balancers):
+            self._add_balancer(f"b{index}", zones[index % len(zones)], FIRST)
+        for index in range(plan.servers):
+            zone = zones[index % len(zones)]
+            self._add(Spot(f"s{index}", "server", self._addresses.host(), zone, FIRST))
+            if plan.inner:
+                self._add_balancer(f"s{index}.b", zone, INNER)
+        for index in range(plan.inner):
+            self._add(Spot(f"t{index}", "server", self._addresses.host(), zones[index % len(zones)], INNER))
+        self._add(Spot("list", "list", self._addresses.host()))
+        self._add(Spot("clients", "clients", self._addresses.host()))
+        for one, other in self._ways():
+            source, target = self.spots[one], self.spots[other]
+            link = Link(
+                f"{one}>{other}", source.host, self._addresses.host(), (target.host, target.port),
+                self._chance, on_knock,
+            )  # fmt: skip
+            link.start()
+            self.links[link.name] = link
+
+    def _add(self, spot: Spot) -> None:
+        self.spots[spot.name] = spot
+
+    def _add_balancer(self, name: str, zone: str, tier: str) -> None:
+        host = self._addresses.host()
+        spot = Spot(name, "balancer", host, zone, tier, free_port(host))
+        spot.console = f"{host}:{free_port(host)}"
+        self._add(spot)
+
+    def _ways(self) -> list[tuple[str, str]]:
+        """Who calls whom."""
+        ways = []
+        for spot in self.balancers():
+            ways.append((spot.name, "list"))
+            ways += [(spot.name, other.name) for other in self.servers(spot.tier)]
+            ways.append((spot.name.removesuffix(".b") if spot.tier == INNER else "clients", spot.name))
+        return ways
+
+    # ---- who ------------------------------------------------------------------------------------
+
+    def balancers(self, tier: str = "") -> list[Spot]:
+        """Those of a tier, or all."""
+        return [s for s in self.spots.values() if s.kind == "balancer" and tier in ("", s.tier)]
+
+    def servers(self, tier: str = "") -> list[Spot]:
+        """Those of a tier, or all."""
+        return [s for s in self.spots.values() if s.kind == "server" and tier in ("", s.tier)]
+
+    def beside(self, name: str) -> list[str]:
+        """A process, and what starts and stops with it."""
+        return [name, *[f"{name}.b" for _ in [0] if f"{name}.b" in self.spots]]
+
+    def links_to(self, name: str) -> list[Link]:
+        """The links that lead to a process."""
+        return [link for link in self.links.values() if link.name.endswith(f">{name}")]
+
+    def matching(self, pattern: str) -> list[Link]:
+        """The links of a pattern such as `b*>s1`."""
+        return [link for name, link in self.links.items() if fnmatchcase(name, pattern)]
+
+    def reached(self, name: str, address: Address) -> None:
+        """A process listens there now."""
+        for link in self.links_to(name):
+            link.put(up=True, barred=False, target=address)
+
+    # ---- what each is told ----------------------------------------------------------------------
+
+    def entry(self, spot: Spot) -> dict[str, Any]:
+        """A server as the list shows it, but for its address."""
+        cores = float(self.script.server.cores)
+        return {
+            "name": spot.name, "zone": spot.zone, "type": "m", "group": 0, "weight": cores,
+            "status": spot.status, "since_ms": spot.since_ms,
+        }  # fmt: skip
+
+    def _place(self, spot: Spot) -> dict[str, Any]:
+        return {
+            "name": spot.name, "listen": spot.host, "port": spot.port, "folder": str(self.out),
+            "offset_ms": self._offset, "seed": self.seed,
+        }  # fmt: skip
+
+    def spec(self, spot: Spot) -> Path:
+        """The file that tells a stand-in what it is."""
+        place = self._place(spot)
+        told: msgspec.Struct
+        if spot.kind == "server":
+            beside = self.links.get(f"{spot.name}>{spot.name}.b")
+            part = WORK_OF_INNER if spot.tier == INNER else 1.0
+            told = server.Spec(
+                **place, zone=spot.zone, model=self.script.server, since_ms=spot.since_ms,
+                version=self.script.versions.get(spot.version, Version()),
+                work_ms={c.name: c.work_ms * part for c in self.script.load.classes},
+                calls=_text(beside.address) if beside else "",
+            )  # fmt: skip
+        elif spot.kind == "list":
+            tiers = {t: [self.entry(s) for s in self.servers(t)] for t in (FIRST, INNER)}
+            askers = {b.host: b.tier for b in self.balancers()}
+            ways = {
+                b.host: {
+                    s.name: _text(self.links[f"{b.name}>{s.name}"].address) for s in self.servers(b.tier)
+                }
+                for b in self.balancers()
+            }
+            told = lists.Spec(**place, askers=askers, tiers=tiers, addresses=ways)
+        else:
+            fronts = {b.name: _text(self.links[f"clients>{b.name}"].address) for b in self.balancers(FIRST)}
+            told = clients.Spec(**place, balancers=fronts, load=self.script.load)
+        path = self.out / f"{spot.name}.spec.json"
+        path.write_bytes(msgspec.json.encode(told))
+        return path
+
+    def config(self, spot: Spot, console: str = "") -> Path:
+        """The configuration of a balancer, in the platform's form."""
+        model, load, bounds = self.script.server, self.script.load, self.script.bounds
+        tier = self.balancers(spot.tier)
+        effects = {"safe": "retryable", "unsafe": "fragile"}
+        settings = {
+            "classes": [
+                {
+                    "name": c.name, "target": c.aim_ms, "deadline": c.deadline_ms,
+                    "effect": effects[c.effect], "worth": c.worth,
+                }
+                for c in load.classes
+            ],
+            "balancers": len(tier),
+            "myNumber": tier.index(spot),
+            "tier": 0 if spot.tier == FIRST else 1,
+            "discovery": "ask",
+            "zone": spot.zone,
+            "tick": 2.0,
+            "limits": {
+                "attemptsCap": 4, "connIdle": 60_000.0, "connectTimeout": 250.0, "mayCancel": True,
+                "mayDuplicate": True, "retryAfter": True, "maxRetryAfter": 2_000.0,
+            },
+            "contract": {
+                "drainGrace": bounds.drain_s * 1_000, "askWithin": 10_000.0,
+                "coldFrom": model.cold_from, "cold": model.cold_s * 1_000,
+                "overloadFactor": bounds.cold_multiple, "tipAfter": bounds.cold_window_s * 1_000,
+            },
+        }  # fmt: skip
+        told = {
+            "name": spot.name,
+            "listen": f"{spot.host}:{spot.port}",
+            "discovery": _text(self.links[f"{spot.name}>list"].address),
+            "console": console or spot.console,
+            "seed": f"{random.Random(f'{self.seed}/{spot.name}').getrandbits(63):x}",
+            "limits": {"cores": 1.0, "memory_mb": 192, "sockets": 1024},
+            "settings": settings,
+        }
+        path = self.out / f"{spot.name}.config.json"
+        path.write_text(json.dumps(told), encoding="utf-8")
+        return path
+
+    def close(self) -> None:
+        """Take the links down."""
+        for link in self.links.values():
+            link.close()
+
+
+def _text(address: Address) -> str:
+    return f"{address[0]}:{address[1]}"
+
+
+def run_argv(folder: Path | None, plant: str) -> list[str]:
+    """How a balancer is started: as the deploy file of a folder says, where that folder was built.
+
+    Where it was not, the same module is run by this interpreter, as in a checkout without `.venv`.
+    """
+    if plant:
+        return [sys.executable, "-m", "basaltspindle.drill.plants", plant]
+    root = folder or ROOT
+    deploy = root / "deploy" / "balancer.toml"
+    if deploy.exists():
+        argv = shlex.split(tomllib.loads(deploy.read_text(encoding="utf-8"))["run"])
+        if argv[0] == "exec" and (root / argv[1]).exists():
+            return argv[1:]
+    return [sys.executable, "-m", "basaltspindle"]
+
+
+def environment(folder: Path | None, **more: str) -> dict[str, str]:
+    """What a process finds in its environment; the package is taken from `folder`."""
+    return os.environ | {"PYTHONPATH": str(folder or ROOT)} | more
--- /dev/null
+++ b/basaltspindle/drill/lists.py
@@ -0,0 +1,104 @@
+"""A stand-in for discovery as a process: PROTOCOL's list and watches, and what may be wrong with them.
+
+python -m basaltspindle.drill.lists SPEC.json
+"""
+
+from __future__ import annotations
+
+import asyncio
+from typing import Any
+
+from aiohttp import web
+
+from basaltspindle.drill.standin import Place, follow, read_spec, say
+
+Entry = dict[str, Any]
+WAIT_MOST_MS = 60_000.0
+
+
+class Spec(Place, kw_only=True, frozen=True):
+    """What the list is told: who may ask, by address, and what it lists for them."""
+
+    askers: dict[str, str]  # the address of a balancer: the name of its tier
+    tiers: dict[str, list[Entry]]  # entries without addresses
+    addresses: dict[str, dict[str, str]]  # the address of a balancer: for each server, where it reaches it
+
+
+class Lists:
+    """One list for each tier, one index for all."""
+
+    def __init__(self, spec: Spec) -> None:
+        self.spec = spec
+        self.history = spec.writer()
+        self.index = 1
+        self.tiers = {tier: {e["name"]: e for e in entries} for tier, entries in spec.tiers.items()}
+        self.changed: dict[str, int] = {e["name"]: 1 for entries in spec.tiers.values() for e in entries}
+        self.news = asyncio.Event()
+        self.old: dict[str, dict[str, Entry]] | None = None  # what a stale service hands out
+        self._first = {tier: dict(entries) for tier, entries in self.tiers.items()}
+
+    def command(self, line: dict[str, Any]) -> None:
+        """Change an entry, or go stale and fresh again."""
+        if "stale" in line:
+            self.old = self._first if line["stale"] else None
+        else:
+            entry = line["entry"]
+            self.index += 1
+            self.tiers[line["tier"]][entry["name"]] = entry
+            self.changed[entry["name"]] = self.index
+        waiting, self.news = self.news, asyncio.Event()
+        waiting.set()
+
+    async def servers(self, request: web.Request) -> web.Response:
+        """The whole list, or a watch."""
+        peer = request.transport.get_extra_info("peername")[0] if request.transport else ""
+        tier = self.spec.askers.get(peer)
+        if tier is None:
+            return web.json_response({"error": f"no balancer has the address {peer}"}, status=404)
+        if self.old is not None:
+            return self._answer(peer, 1, True, list(self.old[tier].values()))
+        after = int(request.query.get("after", "-1"))
+        if not 0 < after <= self.index:
+            live = [e for e in self.tiers[tier].values() if e["status"] != "terminated"]
+            return self._answer(peer, self.index, True, live)
+        wait_ms = min(float(request.query.get("wait_ms", "0")), WAIT_MOST_MS)
+        changes = self._since(tier, after)
+        if not changes:
+            try:
+                async with asyncio.timeout(wait_ms / 1_000):
+                    while not changes and self.old is None:
+                        await self.news.wait()
+                        changes = self._since(tier, after)
+            except TimeoutError:
+                pass
+        if self.old is not None:
+            return self._answer(peer, 1, True, list(self.old[tier].values()))
+        return self._answer(peer, self.index, False, changes)
+
+    def _since(self, tier: str, after: int) -> list[Entry]:
+        return [e for name, e in self.tiers[tier].items() if self.changed[name] > after]
+
+    def _answer(self, peer: str, index: int, snapshot: bool, entries: list[Entry]) -> web.Response:
+        ways = self.spec.addresses[peer]
+        listed = [e | {"address": ways[e["name"]]} for e in entries]
+        states = {e["name"]: e["status"] for e in entries}
+        self.history.write("told", to=peer, index=index, snapshot=snapshot, entries=states)
+        return web.json_response({"index": index, "snapshot": snapshot, "endpoints": listed})
+
+
+async def main() -> None:
+    """Serve until the driver closes our input."""
+    lists = Lists(spec := read_spec(Spec))
+    app = web.Application()
+    app.router.add_get("/v1/servers", lists.servers)
+    runner = web.AppRunner(app, access_log=None, handler_cancellation=True, shutdown_timeout=0.1)
+    await runner.setup()
+    await web.TCPSite(runner, spec.listen, spec.port).start()
+    say(ready=list(runner.addresses[0][:2]))
+    await follow(lists.command)
+    await runner.cleanup()
+    lists.history.close()
+
+
+if __name__ == "__main__":
+    asyncio.run(main())
