Judge drills by their history, plant known defects, and add irondrum drill with twelve drills

Thirteen checks read the history alone: one whole answer made by a server, one run of what is unsafe for each wish, drains and cordons kept, only named servers called, cold servers not pushed over, shares served, time until back, attempts. A server that the list removed leaves a tripwire on its link, so that a call to it is seen though nobody listens.

--- a/basaltspindle/cli/main.py
+++ b/basaltspindle/cli/main.py
@@ -8,12 +8,15 @@
 
 import typer
 
-from basaltspindle.cli import lab
+from basaltspindle.cli import drill, lab
+from basaltspindle.drill.drive import DriveError
+from basaltspindle.drill.script import ScriptError
 from basaltspindle.lab.policies import PolicyError
 from basaltspindle.world.scenario import ScenarioError
 
 app = typer.Typer(no_args_is_help=True, add_completion=False, pretty_exceptions_enable=False)
 app.add_typer(lab.app, name="lab")
+app.add_typer(drill.app, name="drill")
 
 
 def _show_version(wanted: bool) -> None:
@@ -35,7 +38,7 @@
     """Run a command; what is used wrongly is told in one line on standard error."""
     try:
         app()
-    except (ScenarioError, PolicyError, lab.Misuse) as error:
+    except (ScenarioError, PolicyError, ScriptError, DriveError, lab.Misuse, drill.Misuse) as error:
         print(f"irondrum: {error}", file=sys.stderr)
         sys.exit(2)
     except KeyboardInterrupt:
--- a/basaltspindle/drill/drive.py
+++ b/basaltspindle/drill/drive.py
@@ -21,6 +21,7 @@
 READY_S = 60.0  # for a process to be ready, on a machine that is busy
 PATIENCE_S = 120.0  # past the load's own length, after which a drill is given up
 DOWN = "list down"
+NEW = " (new)"
 READ_ONLY = "/proc/1"  # a folder in which nobody can make a file, whatever rights they have
 
 
@@ -63,10 +64,15 @@
         finally:
             for task in self._later:
                 task.cancel()
-            await asyncio.gather(*(p.finish() for p in self.processes.values()))
+            for kinds in (("balancer", "clients"), ("server", "list")):  # servers outlive those who call them
+                await asyncio.gather(*(p.finish() for p in self._of_kinds(kinds)))
             self._fleet.close()
             self._history.close()
 
+    def _of_kinds(self, kinds: tuple[str, ...]) -> list[Process]:
+        spots = self._fleet.spots
+        return [p for name, p in self.processes.items() if spots[name.removesuffix(NEW)].kind in kinds]
+
     def _knocked(self, link: str) -> None:
         self._history.write("knock", link=link)
 
@@ -331,10 +337,10 @@
         self._fault("replace", True, [step.who])
         console = f"{spot.host}:{free_port(spot.host)}"
         new = self._launch_balancer(spot, console, Path(step.folder).resolve() if step.folder else None)
-        self.processes[f"{step.who} (new)"] = new
+        self.processes[step.who + NEW] = new
         await self._wait_healthy(new, console)
         self.processes[step.who], spot.console = new, console
-        del self.processes[f"{step.who} (new)"]
+        del self.processes[step.who + NEW]
         try:
             await old.finish(READY_S)
         finally:
--- a/basaltspindle/drill/lists.py
+++ b/basaltspindle/drill/lists.py
@@ -14,6 +14,7 @@
 
 Entry = dict[str, Any]
 WAIT_MOST_MS = 60_000.0
+STALE_PAUSE_S = 0.2  # a stale service answers each watch at once: that must not become a storm of its own
 
 
 class Spec(Place, kw_only=True, frozen=True):
@@ -56,7 +57,8 @@
         if tier is None:
             return web.json_response({"error": f"no balancer has the address {peer}"}, status=404)
         if self.old is not None:
-            return self._answer(peer, 1, True, list(self.old[tier].values()))
+            await asyncio.sleep(STALE_PAUSE_S)
+            return self._stale(peer, tier)
         after = int(request.query.get("after", "-1"))
         if not 0 < after <= self.index:
             live = [e for e in self.tiers[tier].values() if e["status"] != "terminated"]
@@ -72,9 +74,13 @@
             except TimeoutError:
                 pass
         if self.old is not None:
-            return self._answer(peer, 1, True, list(self.old[tier].values()))
+            return self._stale(peer, tier)
         return self._answer(peer, self.index, False, changes)
 
+    def _stale(self, peer: str, tier: str) -> web.Response:
+        assert self.old is not None
+        return self._answer(peer, 1, True, list(self.old[tier].values()))
+
     def _since(self, tier: str, after: int) -> list[Entry]:
         return [e for name, e in self.tiers[tier].items() if self.changed[name] > after]
 
--- /dev/null
+++ b/basaltspindle/drill/plants.py
@@ -0,0 +1,131 @@
+"""Balancers with a known defect, for drills that must find it: the real program, made worse in one place.
+
+LB_CONFIG=config.json python -m basaltspindle.drill.plants sends-twice
+"""
+
+from __future__ import annotations
+
+import sys
+from collections.abc import Callable
+from dataclasses import replace
+from typing import Any
+
+from basaltspindle import interface as face
+from basaltspindle.interface import Outcome, Readiness
+from basaltspindle.net import discovery, driver
+from basaltspindle.net.callers import Taken
+from basaltspindle.net.config import ServerList
+from basaltspindle.net.driver import Driver
+from basaltspindle.net.upstreams import Answer, Attempt
+from basaltspindle.policy import Balancer
+
+NOWHERE_EVERY = 25  # requests, one of which is answered from nowhere
+
+
+class _Second(driver._Call):
+    """A second attempt that nobody asked for, and whose answer nobody hears."""
+
+    def written(self) -> None:
+        """Count it not."""
+
+    def started(self, attempt: Attempt, answer: Answer) -> Taken | None:
+        """Pass nothing on."""
+        return None
+
+    def ended(self, outcome: Outcome, answer: Answer | None) -> None:
+        """Tell nobody."""
+
+
+def sends_twice() -> None:
+    """What is unsafe to repeat goes to two servers."""
+    real = Driver._send
+
+    def send(self: Driver, action: face.Send) -> None:
+        real(self, action)
+        request = self._requests.get(action.request)
+        others = [name for name in self._list if name != action.server]
+        if request is not None and request.taken.method == b"POST" and others:
+            call = _Second(self, request, action, 0)
+            self.upstreams.attempt(others[0], call.timeout_ms / 1_000, call)
+
+    Driver._send = send  # type: ignore[method-assign]
+
+
+def forgets_drain() -> None:
+    """A server that drains passes for one that is ready."""
+    real = Balancer.handle
+
+    def handle(self: Balancer, event: face.Event, now: float) -> list[face.Action]:
+        if isinstance(event, face.ListUpdate):
+            members = tuple(
+                replace(m, readiness=Readiness.READY) if m.readiness is Readiness.DRAINING else m
+                for m in event.members
+            )
+            event = replace(event, members=members)
+        return real(self, event, now)
+
+    Balancer.handle = handle  # type: ignore[method-assign]
+
+
+def keeps_dead_server() -> None:
+    """A server that the list has removed stays in use."""
+    real = Driver._listed
+
+    def listed(self: Driver, kind: face.ListKind, news: ServerList) -> None:
+        kept = tuple(
+            replace(e, member=replace(e.member, readiness=Readiness.READY))
+            if e.member.readiness is Readiness.GONE
+            else e
+            for e in news.endpoints
+        )
+        real(self, kind, replace(news, endpoints=kept))
+
+    Driver._listed = listed  # type: ignore[method-assign]
+
+
+def answers_from_nowhere() -> None:
+    """Some requests are answered with 200 though no server ever saw them."""
+    real, seen = Driver.arrived, [0]
+
+    def arrived(self: Driver, taken: Taken) -> None:
+        seen[0] += 1
+        if seen[0] % NOWHERE_EVERY == 0 and taken.body.whole:
+            taken.answer(200, [], b'{"served": true}')
+        else:
+            real(self, taken)
+
+    Driver.arrived = arrived  # type: ignore[method-assign]
+
+
+def trusts_any_list() -> None:
+    """A list that is older than the one at hand is taken for news."""
+    names, newest = vars(discovery), [0]
+    real = names["read_list"]
+
+    def read_list(answer: Any) -> ServerList:
+        news: ServerList = real(answer)
+        newest[0] = max(newest[0], news.index)
+        return replace(news, index=newest[0])
+
+    names["read_list"] = read_list
+
+
+DEFECTS: dict[str, Callable[[], None]] = {
+    "sends-twice": sends_twice,
+    "forgets-drain": forgets_drain,
+    "keeps-dead-server": keeps_dead_server,
+    "answers-from-nowhere": answers_from_nowhere,
+    "trusts-any-list": trusts_any_list,
+}
+
+
+def main() -> int:
+    """Plant the defect that the first argument names, and be a balancer."""
+    from basaltspindle.__main__ import main as run
+
+    DEFECTS[sys.argv[1]]()
+    return run()
+
+
+if __name__ == "__main__":
+    sys.exit(main())
