--- a/basaltspindle/cli/drill.py
+++ b/basaltspindle/cli/drill.py
@@ -89,6 +89,22 @@
         raise typer.Exit(NOT_HELD)
 
 
+@app.command()
+def report(
+    folder: Annotated[Path, typer.Argument(help="What --out named, or one drill's folder in it.")],
+) -> None:
+    """Write one HTML page on the drills in a folder, with plots of what each second was like.
+
+    Example: irondrum drill report found/drills
+    """
+    from basaltspindle.drill import report as pages  # matplotlib takes a second to load
+
+    try:
+        typer.echo(pages.write(folder))
+    except pages.ReportError as error:
+        raise Misuse(str(error)) from None
+
+
 def verdict_line(name: str, found: list[Check]) -> str:
     """The verdict of a drill as a line of JSON."""
     told = [{"name": c.name, "held": c.held, "measured": c.measured, "bound": c.bound} for c in found]
--- a/basaltspindle/drill/checks.py
+++ b/basaltspindle/drill/checks.py
@@ -299,15 +299,15 @@
     """Attempts that reached servers of the first tier, for each request that a balancer answered."""
     first = [e for e, b in story.arrivals() if story.by_name[e["who"]].tier == "first"]
     taken = len(story.by_kind["answered"])
-    rate = len(first) / taken if taken else float("inf")
-    return Check("attempts", rate <= script.bounds.attempts, round(rate, 3), script.bounds.attempts)
+    rate, bound = len(first) / max(taken, 1), script.bounds.attempts
+    return Check("attempts", 0 < rate <= bound, round(rate, 3), bound)
 
 
 def crossed(story: Story, script: Script) -> Check:
     """The share of calls that went to a server of another zone than the balancer's."""
     calls = [(story.by_name[b].zone, story.by_name[e["who"]].zone) for e, b in story.arrivals()]
-    share = sum(one != other for one, other in calls) / len(calls) if calls else 1.0
-    return Check("crossed", share <= script.bounds.crossed, round(share, 3), script.bounds.crossed)
+    share, bound = sum(one != other for one, other in calls) / max(len(calls), 1), script.bounds.crossed
+    return Check("crossed", bool(calls) and share <= bound, round(share, 3), bound)
 
 
 def standing(story: Story, script: Script) -> Check:
--- a/basaltspindle/drill/plants.py
+++ b/basaltspindle/drill/plants.py
@@ -17,7 +17,6 @@
 from basaltspindle.net.config import ServerList
 from basaltspindle.net.driver import Driver
 from basaltspindle.net.upstreams import Answer, Attempt
-from basaltspindle.policy import Balancer
 
 NOWHERE_EVERY = 25  # requests, one of which is answered from nowhere
 
@@ -51,30 +50,14 @@
     Driver._send = send  # type: ignore[method-assign]
 
 
-def forgets_drain() -> None:
-    """A server that drains passes for one that is ready."""
-    real = Balancer.handle
-
-    def handle(self: Balancer, event: face.Event, now: float) -> list[face.Action]:
-        if isinstance(event, face.ListUpdate):
-            members = tuple(
-                replace(m, readiness=Readiness.READY) if m.readiness is Readiness.DRAINING else m
-                for m in event.members
-            )
-            event = replace(event, members=members)
-        return real(self, event, now)
-
-    Balancer.handle = handle  # type: ignore[method-assign]
-
-
-def keeps_dead_server() -> None:
-    """A server that the list has removed stays in use."""
+def _takes_for_ready(state: Readiness) -> None:
+    """Whatever the list says is in that state passes for ready, in the module and at the sockets."""
     real = Driver._listed
 
     def listed(self: Driver, kind: face.ListKind, news: ServerList) -> None:
         kept = tuple(
             replace(e, member=replace(e.member, readiness=Readiness.READY))
-            if e.member.readiness is Readiness.GONE
+            if e.member.readiness is state
             else e
             for e in news.endpoints
         )
@@ -83,6 +66,16 @@
     Driver._listed = listed  # type: ignore[method-assign]
 
 
+def forgets_drain() -> None:
+    """A server that drains stays in use."""
+    _takes_for_ready(Readiness.DRAINING)
+
+
+def keeps_dead_server() -> None:
+    """A server that the list has removed stays in use."""
+    _takes_for_ready(Readiness.GONE)
+
+
 def answers_from_nowhere() -> None:
     """Some requests are answered with 200 though no server ever saw them."""
     real, seen = Driver.arrived, [0]
--- /dev/null
+++ b/basaltspindle/drill/report.py
@@ -0,0 +1,152 @@
+"""One HTML page on the drills of a folder: verdicts, and each second's requests, with the faults marked."""
+
+from __future__ import annotations
+
+import html
+import io
+import json
+from collections import Counter, defaultdict
+from pathlib import Path
+from typing import Any
+
+from matplotlib.axes import Axes
+from matplotlib.figure import Figure
+
+from basaltspindle.drill import history
+from basaltspindle.drill.checks import SECOND, Story
+
+ENDINGS = {
+    "served": "#2a7f62",
+    "late": "#e3b23c",
+    "refused": "#c97b3d",
+    "failed": "#b23a48",
+    "lost": "#5b2333",
+    "left": "#777777",
+    "gave up": "#777777",
+}
+WIDTH, HEIGHT = 10.0, 7.5  # inches
+STYLE = (
+    "body{font:15px/1.5 system-ui,sans-serif;max-width:70rem;margin:2rem auto;padding:0 1rem;color:#222}"
+    "table{border-collapse:collapse}td,th{padding:.15rem .8rem;text-align:left;border-bottom:1px solid #ddd}"
+    "td.n{text-align:right;font-variant-numeric:tabular-nums}.no{color:#b23a48;font-weight:600}"
+    "svg{width:100%;height:auto}"
+)
+Verdict = dict[str, Any]
+
+
+class ReportError(ValueError):
+    """A folder that holds no drill: one line."""
+
+
+def draw(story: Story) -> Figure:
+    """What each second was like: endings, attempts by server and by zone, and the faults."""
+    figure = Figure(figsize=(WIDTH, HEIGHT), layout="constrained")
+    ends, servers, zones = figure.subplots(3, 1, sharex=True)
+    _draw_endings(ends, story)
+    by_server: dict[str, Counter[int]] = defaultdict(Counter)
+    by_zone: dict[str, Counter[int]] = defaultdict(Counter)
+    for event, balancer in story.arrivals():
+        second = _second(story, event["t"])
+        by_server[event["who"]][second] += 1
+        one, other = story.by_name[balancer].zone, story.by_name[event["who"]].zone
+        by_zone[one if one == other else f"{one} to {other}"][second] += 1
+    _draw_counts(servers, by_server, "calls by server")
+    _draw_counts(zones, by_zone, "calls by zone")
+    zones.set_xlabel("s since the first request")
+    for axes in (ends, servers, zones):
+        _mark_faults(axes, story, with_names=axes is ends)
+        axes.spines[["top", "right"]].set_visible(False)
+        axes.set_ylim(bottom=0)
+        axes.legend(loc="center left", bbox_to_anchor=(1.0, 0.5), frameon=False, fontsize=8)
+    return figure
+
+
+def _second(story: Story, when: float) -> int:
+    return int((when - story.start) // SECOND)
+
+
+def _draw_endings(axes: Axes, story: Story) -> None:
+    counts: dict[str, Counter[int]] = defaultdict(Counter)
+    for event in story.by_kind["done"]:
+        counts[event["ending"]][_second(story, event["first"])] += 1
+    length = max((max(c) for c in counts.values()), default=0) + 1
+    floor = [0] * length
+    for ending, colour in ENDINGS.items():
+        if ending in counts:
+            heights = [counts[ending][second] for second in range(length)]
+            axes.bar(range(length), heights, 0.9, floor, align="edge", color=colour, label=ending)
+            floor = [a + b for a, b in zip(floor, heights, strict=True)]
+    axes.set_ylabel("requests by ending")
+
+
+def _draw_counts(axes: Axes, counts: dict[str, Counter[int]], label: str) -> None:
+    length = max((max(c) for c in counts.values()), default=0) + 1
+    for name in sorted(counts):
+        axes.plot([s + 0.5 for s in range(length)], [counts[name][s] for s in range(length)], label=name)
+    axes.set_ylabel(label)
+
+
+def _mark_faults(axes: Axes, story: Story, with_names: bool) -> None:
+    marks: dict[tuple[float, str, bool], list[str]] = defaultdict(list)
+    for event in story.by_kind["fault"]:
+        at = round((event["t"] - story.start) / SECOND, 1)  # what is done at once is one mark
+        marks[at, event["kind"], event["on"]] += event["targets"]
+    for (at, kind, on), targets in marks.items():
+        axes.axvline(at, color="#444444", linewidth=0.8, linestyle="-" if on else ":")
+        if with_names:
+            named = ", ".join(targets[:2]) + (" ..." if len(targets) > 2 else "")
+            text = f"{kind} {named}".strip() if on else f"{kind} over"
+            axes.annotate(
+                text, (at, 1.0), xycoords=("data", "axes fraction"), rotation=35, fontsize=7, va="bottom"
+            )
+
+
+def write(folder: Path) -> Path:
+    """Write `report.html` on the drills in a folder; ReportError if it holds none."""
+    drills = sorted(path.parent for path in folder.glob("**/verdict.json"))
+    if not drills:
+        raise ReportError(f"{folder} holds no drill that was played to its end")
+    verdicts = [json.loads((drill / "verdict.json").read_text(encoding="utf-8")) for drill in drills]
+    parts = [_overview(verdicts)]
+    for drill, verdict in zip(drills, verdicts, strict=True):
+        parts.append(_section(verdict, Story(history.read(drill))))
+    page = folder / "report.html"
+    page.write_text(
+        "<!doctype html><html lang=en><meta charset=utf-8><title>Drills</title>"
+        f"<style>{STYLE}</style><h1>Drills</h1>{''.join(parts)}</html>\n",
+        encoding="utf-8",
+    )
+    return page
+
+
+def _word(held: bool) -> str:
+    return "held" if held else "<span class=no>not held</span>"
+
+
+def _overview(verdicts: list[Verdict]) -> str:
+    rows = "".join(
+        f"<tr><td><a href='#{_anchor(v)}'>{html.escape(v['drill'])}</a><td class=n>{v['seed']}"
+        f"<td>{html.escape(v['plant'])}<td>{_word(v['held'])}"
+        for v in verdicts
+    )
+    return f"<table><tr><th>drill<th>seed<th>planted<th>verdict{rows}</table>"
+
+
+def _anchor(verdict: Verdict) -> str:
+    return html.escape(f"{verdict['drill']}-{verdict['seed']}-{verdict['plant']}", quote=True)
+
+
+def _section(verdict: Verdict, story: Story) -> str:
+    rows = "".join(
+        f"<tr><td>{c['name']}<td>{_word(c['held'])}<td class=n>{c['measured']:g}<td class=n>{c['bound']:g}"
+        f"<td>{'' if c['held'] else html.escape(c['first'])}"
+        for c in verdict["checks"]
+    )
+    picture = io.StringIO()
+    draw(story).savefig(picture, format="svg")
+    svg = picture.getvalue()
+    return (
+        f"<h2 id='{_anchor(verdict)}'>{html.escape(verdict['drill'])}, seed {verdict['seed']}</h2>"
+        f"{svg[svg.index('<svg') :]}"
+        f"<table><tr><th>check<th>verdict<th>measured<th>bound<th>first that broke it{rows}</table>"
+    )
