Give the log events with fields, and the console Prometheus' figures

Every line has an event name and fields, as text or JSON (LB_LOG=json), bounded as before, and what was left out is told. /metrics writes the counts of /admin/stats; ops/ has a dashboard and alert rules whose names a test checks. SIGHUP says by name what it took and what needs a restart.

A test reads /metrics with prometheus_client's parser.

--- a/basaltspindle/__main__.py
+++ b/basaltspindle/__main__.py
@@ -15,6 +15,7 @@
 from basaltspindle.net.config import Config, ConfigError, read_config
 from basaltspindle.net.driver import Driver
 from basaltspindle.net.handover import Legacy, ask_predecessor
+from basaltspindle.net.log import SINKS, Sink, write_text
 
 
 def load(path: str, note: Callable[[str], None]) -> Config:
@@ -26,23 +27,33 @@
 def reload(path: str, driver: Driver) -> None:
     """Follow the file after SIGHUP; one that can't be used changes nothing."""
     try:
-        config = load(path, driver.log.write)
+        config = load(path, lambda note: driver.log.event("setting_unknown", note))
     except (OSError, ValueError) as error:
-        driver.log.write(f"the configuration stays as it was: {' '.join(str(error).split())}")
+        why = " ".join(str(error).split())
+        driver.log.event("config_kept", f"the configuration stays as it was: {why}")
         return
-    driver.replace(config)
-    driver.log.write("the configuration was replaced")
+    taken, later = driver.replace(config)
+    text = "the configuration was replaced"
+    driver.log.event("config_replaced", text, took=_names(taken), needs_restart=_names(later))
 
 
-async def serve(config: Config, path: str, folder: Path | None, legacy: Legacy | None) -> None:
+def _names(names: list[str]) -> str:
+    return ",".join(names) or "nothing"
+
+
+async def serve(
+    config: Config, path: str, folder: Path | None, legacy: Legacy | None, sink: Sink = write_text
+) -> None:
     """Balance until SIGTERM, then until all that was taken is answered."""
     loop = asyncio.get_running_loop()
     stop = asyncio.Event()
     for number in (signal.SIGTERM, signal.SIGINT):
         loop.add_signal_handler(number, stop.set)
-    driver = Driver(config, loop, folder, legacy)
+    driver = Driver(config, loop, folder, legacy, sink)
     loop.add_signal_handler(signal.SIGHUP, reload, path, driver)
-    loop.set_exception_handler(lambda _, context: driver.log.write(f"in the event loop: {context!r}"[:2000]))
+    loop.set_exception_handler(
+        lambda _, context: driver.log.event("loop_error", f"in the event loop: {context!r}"[:2000])
+    )
     driver.start()
     gc.collect()
     gc.freeze()  # what start-up made stays: it need not be looked at again
@@ -66,9 +77,10 @@
     folder = Path(os.environ["TMPDIR"]) if os.environ.get("TMPDIR") else None
     # Processes are replaced by operators: where none can call, nothing of it is tried.
     legacy = ask_predecessor(folder) if config.console else None
+    sink = SINKS.get(os.environ.get("LB_LOG", ""), write_text)
     try:
         with asyncio.Runner(loop_factory=uvloop.new_event_loop) as runner:
-            runner.run(serve(config, path, folder, legacy))
+            runner.run(serve(config, path, folder, legacy, sink))
     except OSError as error:
         print(f"basaltspindle: can't serve on {config.listen}: {error}", file=sys.stderr)
         return 1
--- a/basaltspindle/net/console.py
+++ b/basaltspindle/net/console.py
@@ -15,6 +15,7 @@
 
 from basaltspindle.net.config import Address
 from basaltspindle.net.framing import Headers, response, set_no_delay
+from basaltspindle.net.metrics import CONTENT_TYPE
 
 CALLERS_MAX = 16  # held at once; the spare sockets have room for them, and the longest there makes way
 CALL_S = 3.0  # a call that is not whole by then is turned away
@@ -24,6 +25,7 @@
 _METHODS = {
     "/admin/health": "GET",
     "/admin/stats": "GET",
+    "/metrics": "GET",
     "/admin/cordon": "POST",
     "/admin/uncordon": "POST",
 }
@@ -40,6 +42,9 @@
     def figures(self) -> dict[str, object]:
         """The figures as they stand."""
 
+    def metrics(self) -> str:
+        """The same figures in Prometheus' form."""
+
     def cordon(self, server: str, out: bool) -> bool:
         """Leave a server out from now on, or let it serve again; False if nobody has that ID."""
 
@@ -173,6 +178,8 @@
             return 405, f"only {wanted}", [(b"Allow", wanted.encode()), *_TEXT]
         if path == "/admin/stats":
             return 200, json.dumps(self._office.figures()), _JSON
+        if path == "/metrics":
+            return 200, self._office.metrics(), [(b"Content-Type", CONTENT_TYPE)]
         if path == "/admin/health":
             return (200, "ok", _TEXT) if self._office.is_serving() else (503, "not serving", _TEXT)
         server = _read_id(body)
--- a/basaltspindle/net/driver.py
+++ b/basaltspindle/net/driver.py
@@ -5,15 +5,15 @@
 import asyncio
 import contextlib
 import socket
-import sys
 import time
-import traceback
 from collections import deque
+from dataclasses import fields
 from pathlib import Path
 from typing import assert_never
 
 from basaltspindle import interface as face
 from basaltspindle.interface import NEVER_RAN, ListKind, Outcome, Readiness
+from basaltspindle.net import metrics
 from basaltspindle.net.callers import Callers, Taken
 from basaltspindle.net.config import Config, Endpoint, ServerList, read_list, write_list
 from basaltspindle.net.console import Console
@@ -21,6 +21,7 @@
 from basaltspindle.net.figures import Figures
 from basaltspindle.net.framing import Buffers, end_to_end
 from basaltspindle.net.handover import CordonFile, Handover, Legacy
+from basaltspindle.net.log import Log, Sink, write_text
 from basaltspindle.net.upstreams import Answer, Attempt, Errand, Upstreams
 from basaltspindle.policy import Balancer
 
@@ -31,8 +32,9 @@
 SWEEP_S = 1.0
 CORDONS_S = 0.1  # between looks at what the other process was told, while there may be one
 LIST_S = 1.5  # a process that takes over waits so long for discovery; the list it was handed stands then
+FOLLOWED = {"discovery"}  # of a configuration, while we run
+UNHEEDED = {"known", "seed"}  # these are for the start alone
 IDS_MAX = 20_000  # ever listed and remembered: what was listed once is an ID that somebody has
-LOG_LINES, LOG_SPAN_S = 50, 10.0  # at most so many lines in each span: a log is no leak
 
 
 class Clock:
@@ -118,28 +120,6 @@
         self._driver.probe_ended(self._server, outcome)
 
 
-class Log:
-    """Lines on standard error, bounded in each span of time."""
-
-    def __init__(self, name: str) -> None:
-        self._name = name
-        self._span = self._lines = 0
-
-    def write(self, text: str) -> None:
-        """Write a text unless the span is full."""
-        span = int(time.monotonic() / LOG_SPAN_S)
-        if span != self._span:
-            self._span, self._lines = span, 0
-        self._lines += 1
-        if self._lines <= LOG_LINES:
-            with contextlib.suppress(OSError):  # a log that nobody reads must not end the balancer
-                print(f"{self._name}: {text}", file=sys.stderr, flush=True)
-
-    def exception(self, what: str) -> None:
-        """Write the exception being handled with its traceback."""
-        self.write(f"{what}\n{traceback.format_exc()}")
-
-
 class Driver:
     """One balancer: the module and all that it is connected to."""
 
@@ -149,10 +129,11 @@
         loop: asyncio.AbstractEventLoop,
         folder: Path | None = None,
         legacy: Legacy | None = None,
+        sink: Sink = write_text,
     ) -> None:
         """`folder` is shared with the process before this one, whose `legacy` it is, and the one after it."""
-        self._loop, self._legacy = loop, legacy
-        self.log = Log(config.name or "balancer")
+        self._loop, self._legacy, self._config = loop, legacy, config
+        self.log = Log(config.name or "balancer", sink)
         self.clock = Clock()
         self.balancer = Balancer(config.settings, config.seed)
         self.buffers = Buffers(int(config.memory_mb * BUFFERS_PART * 1_000_000))
@@ -197,7 +178,7 @@
     def _serve(self) -> None:
         self.callers.start()
         if self._handover is not None and (trouble := self._handover.start()):
-            self.log.write(trouble)
+            self.log.event("no_handover", trouble)
 
     def is_serving(self) -> bool:
         """Whether clients are taken."""
@@ -213,7 +194,7 @@
                 self._listed(ListKind.CACHED, known)
             self.balancer.inherit(legacy.state["learned"], self.clock.now())
         except (KeyError, ValueError) as error:
-            self.log.write(f"we start without what was learned: {error}")
+            self.log.event("nothing_learned", f"we start without what was learned: {error}")
 
     async def _take_over(self, legacy: Legacy) -> None:
         """Read the list, have the older process accept no more, then accept in its place."""
@@ -241,13 +222,13 @@
 
     def retire(self) -> None:
         """The next process is ready to accept in our place."""
-        self.log.write("another process takes over")
+        self.log.event("taken_over", "another process takes over")
         self.callers.retire()
         self._tell(face.Succession(True))
 
     def return_to_work(self) -> None:
         """The next process has died."""
-        self.log.write("the process that took over is gone")
+        self.log.event("returned", "the process that took over is gone")
         self.callers.return_to_work()
         self.upstreams.cap = self._caps[1]
         self._tell(face.Succession(False))
@@ -262,12 +243,17 @@
         """What operators read."""
         return self._figures.report(len(self._list), len(self.balancer.avoided()))
 
+    def metrics(self) -> str:
+        """The same figures in Prometheus' form."""
+        avoided = len(self.balancer.avoided())
+        return metrics.write(self._figures, len(self._list), avoided, self.log.left_out)
+
     def cordon(self, server: str, out: bool) -> bool:
         """Take a server out, or put it back; False if nobody has that ID."""
         if server not in self._ids and server not in self._cordons.cordons.out:
             return False
         if trouble := self._cordons.change(server, out):
-            self.log.write(trouble)
+            self.log.event("cordons_not_kept", trouble)
         self._apply_cordons()
         return True
 
@@ -291,9 +277,12 @@
                 self._tell(face.Cordoned(server, out=False, back_at_ms=at))
         self._back = cordons.back
 
-    def replace(self, config: Config) -> None:
-        """Follow a configuration that the platform has replaced: only discovery's address may differ."""
+    def replace(self, config: Config) -> tuple[list[str], list[str]]:
+        """Follow a configuration that the platform has replaced: what was taken, and what needs a restart."""
+        old, self._config = self._config, config
+        changed = [f.name for f in fields(Config) if getattr(old, f.name) != getattr(config, f.name)]
         self._discovery.move(config.discovery)
+        return [n for n in changed if n in FOLLOWED], [n for n in changed if n not in FOLLOWED | UNHEEDED]
 
     def _sweep(self) -> None:
         self._loop.call_later(SWEEP_S, self._sweep)
@@ -511,7 +500,7 @@
             case face.Subscribe():
                 self._discovery.subscribe()
             case face.Log(text):
-                self.log.write(text)
+                self.log.event("decision", text)
             case _:
                 assert_never(action)
 
--- a/basaltspindle/net/figures.py
+++ b/basaltspindle/net/figures.py
@@ -37,12 +37,14 @@
         """An attempt has been written whole to an upstream."""
         self.forwards += 1
 
+    def endings(self) -> dict[str, dict[str, int]]:
+        """The requests that have ended: by ending, then by class."""
+        return {"succeeded": self._succeeded, "declined": self._declined, "aborted": self._aborted}
+
     def report(self, discovered: int, ejected: int) -> dict[str, object]:
         """All of it under the names that operators know."""
         return {
-            "succeeded": self._succeeded,
-            "declined": self._declined,
-            "aborted": self._aborted,
+            **self.endings(),
             "forwards": self.forwards,
             "outstanding": self.outstanding,
             "discovered": discovered,
--- /dev/null
+++ b/tests/test_observed.py
@@ -0,0 +1,97 @@
+"""What people and machines can see of a balancer: its log, its metrics, and what is drawn from them."""
+
+from __future__ import annotations
+
+import json
+import re
+from dataclasses import replace
+from pathlib import Path
+
+import pytest
+from prometheus_client.parser import text_string_to_metric_families
+
+from basaltspindle.net import log, metrics
+from basaltspindle.net.config import read_config
+from basaltspindle.net.figures import Figures
+from tests.loopback import Rig, Upstream, config_text, run, status
+from tests.test_console import call, figures
+
+ROOT = Path(__file__).parent.parent
+
+
+def samples(text: str) -> dict[tuple[str, str, str], float]:
+    """Each sample by its name, class and ending, as Prometheus reads it."""
+    return {
+        (s.name, s.labels.get("class", ""), s.labels.get("ending", "")): s.value
+        for family in text_string_to_metric_families(text)
+        for s in family.samples
+    }
+
+
+def test_metrics_are_what_stats_tells() -> None:
+    async def scenario() -> None:
+        async with Rig(Upstream(), Upstream()) as rig:
+            for _ in range(3):
+                assert status(await rig.ask()) == 200
+            stats = await figures(rig)
+            answer = await call(rig, "GET", "/metrics")
+            assert answer.headers["content-type"].startswith("text/plain; version=0.0.4")
+            read = samples(answer.body.decode())
+            for ending in ("succeeded", "declined", "aborted"):
+                for name, count in stats[ending].items():
+                    assert read["irondrum_requests_total", name, ending] == count
+            assert read["irondrum_requests_total", "read", "succeeded"] == 3
+            assert read["irondrum_forwards_total", "", ""] == stats["forwards"] == 3
+            assert read["irondrum_upstreams_discovered", "", ""] == stats["discovered"] == 2
+            assert status(await call(rig, "POST", "/metrics")) == 405
+
+    run(scenario())
+
+
+def test_a_class_may_have_any_name() -> None:
+    name = 'a"b\\c\nd'
+    read = samples(metrics.write(Figures([name]), 0, 0, 7))
+    assert read["irondrum_requests_total", name, "aborted"] == 0
+    assert read["irondrum_log_lines_left_out_total", "", ""] == 7
+
+
+def test_dashboard_and_alerts_name_only_metrics_that_there_are() -> None:
+    for path in ((ROOT / "ops" / "dashboard.json"), (ROOT / "ops" / "alerts.yml")):
+        named = set(re.findall(r"irondrum_\w+", path.read_text(encoding="utf-8")))
+        assert named and named <= metrics.HELP.keys(), path.name
+    json.loads((ROOT / "ops" / "dashboard.json").read_text(encoding="utf-8"))
+
+
+def test_a_log_is_bounded_and_tells_what_it_left_out(monkeypatch: pytest.MonkeyPatch) -> None:
+    now = 1_000.0
+    monkeypatch.setattr("basaltspindle.net.log.time.monotonic", lambda: now)
+    seen: list[str] = []
+    told = log.Log("n1", lambda name, event, text, fields: seen.append(event))
+    for _ in range(log.LINES + 7):
+        told.event("noise", "once more")
+    assert seen == ["noise"] * log.LINES and told.left_out == 7
+    now += log.SPAN_S
+    told.event("later", "again")
+    assert seen[log.LINES :] == ["left_out", "later"] and told.left_out == 7
+
+
+def test_a_log_line_is_text_or_json_with_its_fields(capsys: pytest.CaptureFixture[str]) -> None:
+    for kind in ("text", "json"):
+        log.Log("n1", log.SINKS[kind]).event("config_replaced", "replaced", took="discovery")
+    text, line = capsys.readouterr().err.splitlines()
+    assert text == "n1: replaced took=discovery"
+    read = json.loads(line)
+    assert read.pop("time") > 1_000_000_000
+    assert read == {"balancer": "n1", "event": "config_replaced", "text": "replaced", "took": "discovery"}
+
+
+def test_a_new_configuration_tells_what_was_taken_and_what_needs_a_restart() -> None:
+    async def scenario() -> None:
+        async with Rig(Upstream()) as rig:
+            old = read_config(config_text("127.0.0.1:9", []), print)
+            rig.driver.replace(old)
+            moved = replace(old, discovery=("127.0.0.1", 8), sockets=7, seed=old.seed + 1)
+            assert rig.driver.replace(moved) == (["discovery"], ["sockets"])
+            assert rig.driver.replace(moved) == ([], [])
+
+    run(scenario())
