--- a/basaltspindle/__main__.py
+++ b/basaltspindle/__main__.py
@@ -17,6 +17,9 @@
 from basaltspindle.net.handover import Legacy, ask_predecessor
 from basaltspindle.net.log import SINKS, Sink, write_text
 
+Reading = Callable[[Callable[[str], None]], Config]
+"""Reads the configuration again, telling what it passes over."""
+
 
 def load(path: str, note: Callable[[str], None]) -> Config:
     """The configuration as the file holds it now; OSError or ValueError if it can't be used."""
@@ -24,10 +27,10 @@
         return read_config(file.read(), note, os.environ.get("LB_CONSOLE", ""))
 
 
-def reload(path: str, driver: Driver) -> None:
+def reload(read: Reading, driver: Driver) -> None:
     """Follow the file after SIGHUP; one that can't be used changes nothing."""
     try:
-        config = load(path, lambda note: driver.log.event("setting_unknown", note))
+        config = read(lambda note: driver.log.event("setting_unknown", note))
     except (OSError, ValueError) as error:
         why = " ".join(str(error).split())
         driver.log.event("config_kept", f"the configuration stays as it was: {why}")
@@ -42,15 +45,15 @@
 
 
 async def serve(
-    config: Config, path: str, folder: Path | None, legacy: Legacy | None, sink: Sink = write_text
+    config: Config, read: Reading, folder: Path | None, legacy: Legacy | None, sink: Sink = write_text
 ) -> None:
-    """Balance until SIGTERM, then until all that was taken is answered."""
+    """Balance until SIGTERM, then until all that was taken is answered; `read` is for SIGHUP."""
     loop = asyncio.get_running_loop()
     stop = asyncio.Event()
     for number in (signal.SIGTERM, signal.SIGINT):
         loop.add_signal_handler(number, stop.set)
     driver = Driver(config, loop, folder, legacy, sink)
-    loop.add_signal_handler(signal.SIGHUP, reload, path, driver)
+    loop.add_signal_handler(signal.SIGHUP, reload, read, driver)
     loop.set_exception_handler(
         lambda _, context: driver.log.event("loop_error", f"in the event loop: {context!r}"[:2000])
     )
@@ -74,13 +77,18 @@
         return 2
     for note in notes:
         print(f"basaltspindle: {note}", file=sys.stderr)
+    sink = SINKS.get(os.environ.get("LB_LOG", ""), write_text)
+    return run(config, lambda note: load(path, note), sink)
+
+
+def run(config: Config, read: Reading, sink: Sink) -> int:
+    """Serve a configuration to the end; the result is the exit status."""
     folder = Path(os.environ["TMPDIR"]) if os.environ.get("TMPDIR") else None
     # Processes are replaced by operators: where none can call, nothing of it is tried.
     legacy = ask_predecessor(folder) if config.console else None
-    sink = SINKS.get(os.environ.get("LB_LOG", ""), write_text)
     try:
         with asyncio.Runner(loop_factory=uvloop.new_event_loop) as runner:
-            runner.run(serve(config, path, folder, legacy, sink))
+            runner.run(serve(config, read, folder, legacy, sink))
     except OSError as error:
         print(f"basaltspindle: can't serve on {config.listen}: {error}", file=sys.stderr)
         return 1
--- a/basaltspindle/cli/main.py
+++ b/basaltspindle/cli/main.py
@@ -8,7 +8,8 @@
 
 import typer
 
-from basaltspindle.cli import drill, lab
+from basaltspindle.cli import drill, lab, operate, serve
+from basaltspindle.conf import Unusable
 from basaltspindle.drill.drive import DriveError
 from basaltspindle.drill.script import ScriptError
 from basaltspindle.lab.policies import PolicyError
@@ -17,6 +18,14 @@
 app = typer.Typer(no_args_is_help=True, add_completion=False, pretty_exceptions_enable=False)
 app.add_typer(lab.app, name="lab")
 app.add_typer(drill.app, name="drill")
+for command in (
+    serve.serve, serve.check, operate.health, operate.stats, operate.cordon, operate.uncordon, operate.top,
+):  # fmt: skip
+    app.command()(command)
+MISUSES = (
+    ScenarioError, PolicyError, ScriptError, DriveError, lab.Misuse, drill.Misuse, serve.Misuse,
+    operate.Misuse,
+)  # fmt: skip
 
 
 def _show_version(wanted: bool) -> None:
@@ -38,7 +47,11 @@
     """Run a command; what is used wrongly is told in one line on standard error."""
     try:
         app()
-    except (ScenarioError, PolicyError, ScriptError, DriveError, lab.Misuse, drill.Misuse) as error:
+    except Unusable as error:
+        for line in error.lines:
+            print(f"irondrum: {line}", file=sys.stderr)
+        sys.exit(2)
+    except MISUSES as error:
         print(f"irondrum: {error}", file=sys.stderr)
         sys.exit(2)
     except KeyboardInterrupt:
--- /dev/null
+++ b/basaltspindle/cli/operate.py
@@ -0,0 +1,159 @@
+"""What operators ask of balancers that run: `irondrum health|stats|cordon|uncordon|top`."""
+
+from __future__ import annotations
+
+import http.client
+import json
+import time
+from collections.abc import Iterator
+from concurrent.futures import ThreadPoolExecutor
+from dataclasses import dataclass
+from typing import Annotated, Any
+
+import typer
+from rich.console import Console
+from rich.live import Live
+from rich.table import Table
+
+PATIENCE_S = 2.0
+NOT_TAKEN = 1
+Consoles = Annotated[
+    list[str], typer.Option("--console", help="HOST:PORT of a balancer's console; once for each.")
+]
+
+
+class Misuse(ValueError):
+    """An argument that can't be used: one line that tells which and why."""
+
+
+@dataclass(frozen=True)
+class Answer:
+    """What a console said; status 0 where nobody answered."""
+
+    console: str
+    status: int
+    text: str
+
+    @property
+    def is_yes(self) -> bool:
+        """Whether it was a yes."""
+        return 200 <= self.status < 300
+
+
+def ask(console: str, method: str, path: str, body: str = "") -> Answer:
+    """One call to one console; Misuse if that is no address."""
+    host, _, port = console.rpartition(":")
+    if not host or not port.isdigit():
+        raise Misuse(f"--console {console!r}: give HOST:PORT, such as 127.0.0.1:9901")
+    connection = http.client.HTTPConnection(host, int(port), timeout=PATIENCE_S)
+    try:
+        connection.request(method, path, body=body or None)
+        answer = connection.getresponse()
+        return Answer(console, answer.status, answer.read().decode(errors="replace").strip())
+    except (OSError, http.client.HTTPException) as error:
+        return Answer(console, 0, f"no answer: {error}")
+    finally:
+        connection.close()
+
+
+def ask_all(consoles: list[str], method: str, path: str, body: str = "") -> list[Answer]:
+    """The same call to several consoles at once, answers in their order."""
+    with ThreadPoolExecutor(min(len(consoles), 32)) as pool:
+        return list(pool.map(lambda console: ask(console, method, path, body), consoles))
+
+
+def _tell(answers: list[Answer]) -> None:
+    """Print who said what; exit 1 if one did not say yes."""
+    for answer in answers:
+        typer.echo(f"{answer.console}  {answer.text}", err=not answer.is_yes)
+    no = [answer.console for answer in answers if not answer.is_yes]
+    if no:
+        typer.echo(f"irondrum: {len(no)} of {len(answers)} did not say yes: {', '.join(no)}", err=True)
+        raise typer.Exit(NOT_TAKEN)
+
+
+def health(console: Consoles) -> None:
+    """Whether balancers take clients; exit 1 if one does not.
+
+    Example: irondrum health --console 127.0.0.1:9901 --console 127.0.0.1:9902
+    """
+    _tell(ask_all(console, "GET", "/admin/health"))
+
+
+def stats(console: Consoles) -> None:
+    """The figures of balancers as one JSON object, by console.
+
+    Example: irondrum stats --console 127.0.0.1:9901
+    """
+    answers = ask_all(console, "GET", "/admin/stats")
+    typer.echo(json.dumps({a.console: json.loads(a.text) for a in answers if a.is_yes}, indent=1))
+    if missing := [answer for answer in answers if not answer.is_yes]:
+        _tell(missing)
+
+
+def cordon(server: Annotated[str, typer.Argument(help="The server's ID.")], console: Consoles) -> None:
+    """Take a server out at every balancer named; exit 1, and who it was, if one did not take it.
+
+    Example: irondrum cordon s-5be2a07c --console 127.0.0.1:9901 --console 127.0.0.1:9902
+    """
+    _tell(ask_all(console, "POST", "/admin/cordon", server))
+
+
+def uncordon(server: Annotated[str, typer.Argument(help="The server's ID.")], console: Consoles) -> None:
+    """Put a server back at every balancer named; exit 1, and who it was, if one did not take it.
+
+    Example: irondrum uncordon s-5be2a07c --console 127.0.0.1:9901
+    """
+    _tell(ask_all(console, "POST", "/admin/uncordon", server))
+
+
+def top(
+    console: Consoles,
+    every: Annotated[float, typer.Option(help="Seconds between looks.", min=0.1)] = 1.0,
+    looks: Annotated[int, typer.Option(help="End after so many; 0 for never.", min=0)] = 0,
+) -> None:
+    """Watch several balancers: what they serve, refuse and fail a second.
+
+    Example: irondrum top --console 127.0.0.1:9901 --console 127.0.0.1:9902
+    """
+    with Live(console=Console(), auto_refresh=False) as live:
+        for number, table in enumerate(tables(console, every), 1):
+            live.update(table, refresh=True)
+            if number == looks:
+                return
+
+
+def tables(consoles: list[str], every: float) -> Iterator[Table]:
+    """A table of all balancers, again and again; rates are against the look before."""
+    before: dict[str, dict[str, Any]] = {}
+    then = time.monotonic()
+    while True:
+        answers = ask_all(consoles, "GET", "/admin/stats")
+        now = time.monotonic()
+        found = {a.console: json.loads(a.text) for a in answers if a.is_yes}
+        yield table_of(consoles, found, before, max(now - then, 1e-9))
+        before, then = found, now
+        time.sleep(every)
+
+
+def table_of(
+    consoles: list[str], found: dict[str, dict[str, Any]], before: dict[str, dict[str, Any]], span_s: float
+) -> Table:
+    """One look: rates a second where there was a look before, and how things stand."""
+    heads = ("served/s", "refused/s", "failed/s", "attempts/s", "open", "servers", "avoided")
+    table = Table("balancer", *heads)
+    for name in consoles:
+        figures, last = found.get(name), before.get(name)
+        if figures is None:
+            table.add_row(name, "[red]no answer[/red]", *[""] * (len(heads) - 1))
+            continue
+        counts = [sum(figures[k].values()) for k in ("succeeded", "declined", "aborted")]
+        counts.append(figures["forwards"])
+        rates = ["-"] * len(counts)
+        if last is not None:
+            old = [sum(last[k].values()) for k in ("succeeded", "declined", "aborted")]
+            old.append(last["forwards"])
+            rates = [f"{max(a - b, 0) / span_s:.1f}" for a, b in zip(counts, old, strict=True)]
+        standing = [str(figures[k]) for k in ("outstanding", "discovered", "ejected")]
+        table.add_row(name, *rates, *standing)
+    return table
--- a/tests/test_house.py
+++ b/tests/test_house.py
@@ -17,6 +17,7 @@
     "world": {"interface", "policy"},
     "lab": {"interface", "policy", "world"},
     "net": {"interface", "policy", "wire"},
+    "conf": {"net"},
     "drill": {"interface", "world", "net", "__main__"},  # its plants are the program itself, made worse
 }
 
