--- /dev/null
+++ b/Makefile
@@ -0,0 +1,15 @@
+# On an empty machine with Python 3.11 or newer:  make demo  and  make test
+VENV := .venv-make
+READY := $(VENV)/ready
+
+.PHONY: demo test
+demo: $(READY)
+	$(VENV)/bin/irondrum demo
+
+test: $(READY)
+	$(VENV)/bin/python -m pytest
+
+$(READY): pyproject.toml
+	test -x $(VENV)/bin/python || python3 -m venv $(VENV)
+	$(VENV)/bin/pip install --quiet --disable-pip-version-check -e '.[dev]'
+	touch $@
--- /dev/null
+++ b/basaltspindle/cli/demo.py
@@ -0,0 +1,182 @@
+"""`irondrum demo` and `irondrum load`: see it work, and put work on it."""
+
+from __future__ import annotations
+
+import asyncio
+import json
+import tempfile
+import time
+from pathlib import Path
+from typing import Annotated, Any
+
+import typer
+import uvloop
+from rich.console import Console, Group
+from rich.live import Live
+from rich.table import Table
+from rich.text import Text
+
+from basaltspindle.cli.operate import ask_all, table_of
+from basaltspindle.drill import checks, history, load, script
+from basaltspindle.drill.drive import Drive
+from basaltspindle.drill.fleet import FIRST, Fleet
+
+LOOK_S = 0.5
+NOT_HELD = 1
+PARTS = (50.0, 90.0, 99.0, 99.9)
+STORY = """
+title = "Two balancers, four servers; one is slowed, one is killed, removed, and comes back cold"
+
+[load]
+rate = 120
+requests = 1_800
+
+[[step]]
+after = 360
+do = "behave"
+who = "s0"
+slower = 6.0
+
+[[step]]
+after = 360
+do = "behave"
+who = "s0"
+
+[[step]]
+after = 120
+do = "kill"
+who = "s1"
+
+[[step]]
+after = 180
+do = "remove"
+who = "s1"
+
+[[step]]
+after = 300
+do = "start"
+who = "s1"
+
+[bounds]
+served = 0.97
+"""
+
+
+class Demo:
+    """The demo's screen: what balancers say, and what has been done to the fleet."""
+
+    def __init__(self, keep: bool, console: Console) -> None:
+        self._keep, self._console = keep, console
+        self._before: dict[str, dict[str, Any]] = {}
+        self._asked = 0
+
+    async def play(self, drill: script.Script, seed: int, out: Path) -> None:
+        """Play the story with a live table; with `keep`, stay up until Ctrl-C."""
+        drive = Drive(drill, seed, out, on_progress=self._progress, on_over=self._stay)
+        playing = asyncio.create_task(drive.run())
+        try:
+            with Live(console=self._console, auto_refresh=False) as live:
+                while not playing.done() and self._asked < drill.load.requests:
+                    await asyncio.wait([playing], timeout=LOOK_S)
+                    if not playing.done() and self._asked:
+                        live.update(await self._look(drive, drill), refresh=True)
+            await playing
+        except asyncio.CancelledError:
+            playing.cancel()
+            await asyncio.gather(playing, return_exceptions=True)
+            if not self._keep:
+                raise
+
+    def _progress(self, line: dict[str, Any]) -> None:
+        self._asked = line["asked"]
+
+    async def _look(self, drive: Drive, drill: script.Script) -> Group:
+        names = {spot.console: spot.name for spot in drive.fleet.balancers(FIRST)}
+        answers = await asyncio.to_thread(ask_all, list(names), "GET", "/admin/stats")
+        found = {names[a.console]: json.loads(a.text) for a in answers if a.is_yes}
+        table = table_of(list(names.values()), found, self._before, LOOK_S)
+        self._before = found
+        return Group(
+            table, Text(f"{self._asked} of {drill.load.requests} requests asked"), *self._faults(drive)
+        )
+
+    def _faults(self, drive: Drive) -> list[Text]:
+        told = [e for e in history.read(drive.out) if e["what"] == "fault"]
+        return [
+            Text(f"  {e['kind']} {' '.join(e['targets'])} {'' if e['on'] else '(over)'}", style="yellow")
+            for e in told[-5:]
+        ]
+
+    async def _stay(self, fleet: Fleet) -> None:
+        if not self._keep:
+            return
+        front = fleet.balancers(FIRST)[0]
+        host, port = fleet.links[f"clients>{front.name}"].address
+        self._console.print(
+            "It stays up until Ctrl-C. In another shell:\n"
+            f"  curl -s -H 'X-Request-Id: 1' -H 'X-Class: map' -H 'X-Deadline: 2000m' http://{host}:{port}/map\n"
+            f"  curl -s http://{front.console}/admin/stats\n"
+            f"  curl -s http://{front.console}/metrics\n"
+            f"  curl -s http://{front.console}/admin/cordon -d s2\n"
+            f"  irondrum load http://{host}:{port} --class map --rate 50 --seconds 5",
+            soft_wrap=True,
+            highlight=False,
+        )
+        await asyncio.Event().wait()
+
+
+def demo(
+    keep: Annotated[bool, typer.Option(help="Stay up afterwards, with curl lines that work.")] = False,
+    seed: Annotated[int, typer.Option(help="Chance of the load.")] = 1,
+) -> None:
+    """Bring up a fleet, slow one server, kill another, and sum up; exit 0 only if nothing broke.
+
+    Example: irondrum demo --keep
+    """
+    console, began = Console(), time.monotonic()
+    drill = script.parse(STORY, "demo")
+    with tempfile.TemporaryDirectory() as folder:
+        out = Path(folder) / "demo"
+        with asyncio.Runner(loop_factory=uvloop.new_event_loop) as runner:
+            runner.run(Demo(keep, console).play(drill, seed, out))
+        found = checks.judge(drill, history.read(out))
+    for check in found:
+        mark = "[green]held[/green]" if check.held else f"[red]broken: {check.first}[/red]"
+        console.print(
+            f"  {check.name:<14}{check.measured:>8g}  bound {check.bound:<6g} {mark}", highlight=False
+        )
+    held = all(check.held for check in found)
+    console.print(f"{'Nothing broke' if held else 'Something broke'}, {time.monotonic() - began:.0f} s")
+    if not held:
+        raise typer.Exit(NOT_HELD)
+
+
+def load_(
+    url: Annotated[str, typer.Argument(help="Such as http://127.0.0.1:8080.")],
+    kind: Annotated[list[str], typer.Option("--class", help="NAME[:SHARE[:DEADLINE_MS[:unsafe]]]")],
+    rate: Annotated[float, typer.Option(help="Requests a second.")] = 50.0,
+    seconds: Annotated[float, typer.Option(help="How long.")] = 10.0,
+    seed: Annotated[int, typer.Option(help="Chance of the arrivals.")] = 1,
+    anywhere: Annotated[bool, typer.Option(help="Load an address that is not loopback.")] = False,
+    as_json: Annotated[bool, typer.Option("--json", help="One line of JSON.")] = False,
+) -> None:
+    """Ask at a steady rate, whatever the answers, and tell what came of it; times count from when due.
+
+    Example: irondrum load http://127.0.0.1:8080 --class map:3:500 --class unlock:1:4000:unsafe --rate 100
+    """
+    load.check(url, rate, seconds, anywhere)
+    kinds = [load.read_kind(text) for text in kind]
+    tallies = asyncio.run(load.run(url, kinds, rate, seconds, seed))
+    if as_json:
+        told = {
+            name: {"endings": dict(t.endings), "ms": {f"p{p:g}": t.percentile_ms(p) for p in PARTS}}
+            for name, t in tallies.items()
+        }
+        typer.echo(json.dumps(told))
+        return
+    table = Table("class", "requests", "endings", *[f"p{part:g} ms" for part in PARTS])
+    for name, tally in tallies.items():
+        endings = ", ".join(f"{count} {ending}" for ending, count in sorted(tally.endings.items()))
+        times = [f"{tally.percentile_ms(part):.1f}" for part in PARTS]
+        table.add_row(name, str(sum(tally.endings.values())), endings, *times)
+    Console().print(table)
--- a/basaltspindle/cli/main.py
+++ b/basaltspindle/cli/main.py
@@ -8,9 +8,10 @@
 
 import typer
 
-from basaltspindle.cli import drill, lab, operate, serve
+from basaltspindle.cli import demo, drill, lab, operate, serve
 from basaltspindle.conf import Unusable
 from basaltspindle.drill.drive import DriveError
+from basaltspindle.drill.load import LoadError
 from basaltspindle.drill.script import ScriptError
 from basaltspindle.lab.policies import PolicyError
 from basaltspindle.world.scenario import ScenarioError
@@ -20,11 +21,13 @@
 app.add_typer(drill.app, name="drill")
 for command in (
     serve.serve, serve.check, operate.health, operate.stats, operate.cordon, operate.uncordon, operate.top,
+    demo.demo,
 ):  # fmt: skip
     app.command()(command)
+app.command("load")(demo.load_)
 MISUSES = (
     ScenarioError, PolicyError, ScriptError, DriveError, lab.Misuse, drill.Misuse, serve.Misuse,
-    operate.Misuse,
+    operate.Misuse, LoadError,
 )  # fmt: skip
 
 
--- a/basaltspindle/conf/model.py
+++ b/basaltspindle/conf/model.py
@@ -12,20 +12,19 @@
 
 DURATION = r"^[0-9]+(\.[0-9]+)?(ms|s|m)$"
 Duration = Annotated[float, Meta(ge=0)] | Annotated[str, Meta(pattern=DURATION)]
-Address = Annotated[
-    str,
-    Meta(pattern=r"^(\[[0-9a-fA-F:.]+\]|[0-9]{1,3}(\.[0-9]{1,3}){3}):[0-9]{1,5}$", description="host:port"),
-]
+ADDRESS = r"(\[[0-9a-fA-F:.]+\]|[0-9]{1,3}(\.[0-9]{1,3}){3}):[0-9]{1,5}"
+Address = Annotated[str, Meta(pattern=f"^{ADDRESS}$", description="host:port")]
+AddressOrNone = Annotated[str, Meta(pattern=f"^({ADDRESS})?$", description="host:port, or empty")]
 Share = Annotated[float, Meta(ge=0, le=1)]
 Count = Annotated[int, Meta(ge=1)]
 Amount = Annotated[float, Meta(ge=0)]
 
 
-class Table(msgspec.Struct, frozen=True, forbid_unknown_fields=True, omit_defaults=True):
+class Table(msgspec.Struct, frozen=True, forbid_unknown_fields=True):
     """A table in which no unknown key may stand."""
 
 
-class Class(Table, frozen=True, forbid_unknown_fields=True, omit_defaults=True):
+class Class(Table, frozen=True, forbid_unknown_fields=True):
     """One class of requests, and what its callers want."""
 
     name: str
@@ -44,7 +43,7 @@
     keyed: Any = None
 
 
-class Org(Table, frozen=True, forbid_unknown_fields=True, omit_defaults=True):
+class Org(Table, frozen=True, forbid_unknown_fields=True):
     """A tenant, and the requests a second that it may expect of all balancers."""
 
     name: str
@@ -52,7 +51,7 @@
     portion: Any = None
 
 
-class Limits(Table, frozen=True, forbid_unknown_fields=True, omit_defaults=True):
+class Limits(Table, frozen=True, forbid_unknown_fields=True):
     """What a balancer may do."""
 
     attemptsCap: Count = 1
@@ -70,7 +69,7 @@
     cpuUsPerS: Any = None
 
 
-class Contract(Table, frozen=True, forbid_unknown_fields=True, omit_defaults=True):
+class Contract(Table, frozen=True, forbid_unknown_fields=True):
     """What a balancer owes its servers."""
 
     drainGrace: Duration = 0.0
@@ -82,7 +81,7 @@
     tipAfter: Duration = 1_000.0
 
 
-class Settings(Table, frozen=True, forbid_unknown_fields=True, omit_defaults=True):
+class Settings(Table, frozen=True, forbid_unknown_fields=True):
     """What all balancers of a tier are told alike, and what this one is among them."""
 
     classes: Annotated[tuple[Class, ...], Meta(min_length=1)]
@@ -109,7 +108,7 @@
     worthBy: Any = None
 
 
-class Endpoint(Table, frozen=True, forbid_unknown_fields=True, omit_defaults=True):
+class Endpoint(Table, frozen=True, forbid_unknown_fields=True):
     """A server, as discovery lists it."""
 
     name: str
@@ -122,7 +121,7 @@
     since_ms: Amount = 0.0
 
 
-class Known(Table, frozen=True, forbid_unknown_fields=True, omit_defaults=True):
+class Known(Table, frozen=True, forbid_unknown_fields=True):
     """The list that a balancer starts with."""
 
     index: Annotated[int, Meta(ge=0)] = 0
@@ -130,7 +129,7 @@
     endpoints: tuple[Endpoint, ...] = ()
 
 
-class Machine(Table, frozen=True, forbid_unknown_fields=True, omit_defaults=True):
+class Machine(Table, frozen=True, forbid_unknown_fields=True):
     """What the balancer's machine gives it."""
 
     cores: Annotated[float, Meta(gt=0)] = 1.0
@@ -138,7 +137,7 @@
     sockets: Annotated[int, Meta(ge=16)] = 1024
 
 
-class Configuration(Table, frozen=True, forbid_unknown_fields=True, omit_defaults=True):
+class Configuration(Table, frozen=True, forbid_unknown_fields=True):
     """All that a balancer is told at its start."""
 
     listen: Address
@@ -147,7 +146,7 @@
     """Where the list of servers is asked for."""
     settings: Settings
     name: str = ""
-    console: Address | Literal[""] = ""
+    console: AddressOrNone = ""
     """Where operators call; empty for nowhere."""
     seed: Annotated[str, Meta(pattern=r"^[0-9a-fA-F]+$")] = "0"
     limits: Machine = Machine()
--- a/basaltspindle/conf/reading.py
+++ b/basaltspindle/conf/reading.py
@@ -78,9 +78,8 @@
     else:
         try:
             msgspec.convert(value, type=kind)
-        except msgspec.ValidationError as error:
-            told = str(error).partition(" - at ")[0]
-            yield f"{path}: {told}, not {json.dumps(value, default=str)}; allowed: {_allowed(kind)}"
+        except msgspec.ValidationError:
+            yield f"{path}: {json.dumps(value, default=str)}; allowed: {_allowed(kind)}"
 
 
 def _table_faults(value: Any, kind: type[msgspec.Struct], path: str) -> Iterator[str]:
@@ -114,6 +113,8 @@
         return 'milliseconds, or a text such as "250ms", "1.5s" or "2m"'
     if kind == model.Address:
         return "an address such as 127.0.0.1:8080"
+    if kind == model.AddressOrNone:
+        return 'an address such as 127.0.0.1:9901, or ""'
     bare = _bare(kind)
     if get_origin(bare) is Literal:
         return ", ".join(json.dumps(word) for word in get_args(bare))
--- a/basaltspindle/drill/drive.py
+++ b/basaltspindle/drill/drive.py
@@ -5,7 +5,7 @@
 import asyncio
 import signal
 import sys
-from collections.abc import Callable
+from collections.abc import Awaitable, Callable
 from pathlib import Path
 from typing import Any
 
@@ -35,10 +35,14 @@
     def __init__(
         self, script: steps.Script, seed: int, out: Path, plant: str = "",
         on_progress: Callable[[dict[str, Any]], None] = lambda line: None,
+        on_over: Callable[[Fleet], Awaitable[None]] | None = None,
     ) -> None:  # fmt: skip
-        """`out` is an empty folder for all that is written; `plant` starts balancers with that defect."""
-        self._script, self._seed, self._out, self._plant = script, seed, out, plant
-        self._on_progress = on_progress
+        """`out` is an empty folder for all that is written; `plant` starts balancers with that defect.
+
+        `on_over` is awaited when all requests are answered and all processes still run.
+        """
+        self._script, self._seed, self.out, self._plant = script, seed, out, plant
+        self._on_progress, self._on_over = on_progress, on_over
         self._offset = offset_ms()
         self.processes: dict[str, Process] = {}
         self._ready: dict[str, asyncio.Event] = {}
@@ -49,16 +53,18 @@
 
     async def run(self) -> None:
         """Play it; DriveError says why it could not be."""
-        self._out.mkdir(parents=True, exist_ok=True)
-        if any(self._out.iterdir()):
-            raise DriveError(f"{self._out} is not empty")
-        self._history = Writer(self._out, "driver", RealClock(self._offset))
-        self._fleet = Fleet(self._script, self._seed, self._out, self._offset, self._knocked)
+        self.out.mkdir(parents=True, exist_ok=True)
+        if any(self.out.iterdir()):
+            raise DriveError(f"{self.out} is not empty")
+        self._history = Writer(self.out, "driver", RealClock(self._offset))
+        self.fleet = Fleet(self._script, self._seed, self.out, self._offset, self._knocked)
         load = self._script.load
         try:
             async with aiohttp.ClientSession() as self._http:
                 async with asyncio.timeout(PATIENCE_S + 2 * load.requests / load.rate):
                     await self._play()
+                if self._on_over is not None:
+                    await self._on_over(self.fleet)
         except TimeoutError:
             raise DriveError("the drill did not come to its end in time") from None
         finally:
@@ -66,18 +72,18 @@
                 task.cancel()
             for kinds in (("balancer", "clients"), ("server", "list")):  # servers outlive those who call them
                 await asyncio.gather(*(p.finish() for p in self._of_kinds(kinds)))
-            self._fleet.close()
+            self.fleet.close()
             self._history.close()
 
     def _of_kinds(self, kinds: tuple[str, ...]) -> list[Process]:
-        spots = self._fleet.spots
+        spots = self.fleet.spots
         return [p for name, p in self.processes.items() if spots[name.removesuffix(NEW)].kind in kinds]
 
     def _knocked(self, link: str) -> None:
         self._history.write("knock", link=link)
 
     async def _play(self) -> None:
-        fleet = self._fleet
+        fleet = self.fleet
         for spot in fleet.spots.values():
             self._history.write("place", name=spot.name, host=spot.host, zone=spot.zone, tier=spot.tier)
         await self._start_all([s.name for s in fleet.servers()] + ["list"])
@@ -103,7 +109,7 @@
         async with self._progress:
             await self._progress.wait_for(lambda: self._asked >= asked or clients.ended.is_set())
         if self._asked < asked:
-            raise DriveError(f"the clients ended with status {clients.code}; see {self._out}/clients.log")
+            raise DriveError(f"the clients ended with status {clients.code}; see {self.out}/clients.log")
 
     async def _heard(self, line: dict[str, Any]) -> None:
         async with self._progress:
@@ -114,7 +120,7 @@
     # ---- processes ------------------------------------------------------------------------------
 
     async def _start_all(self, names: list[str]) -> None:
-        await asyncio.gather(*(self._start(self._fleet.spots[name]) for name in names))
+        await asyncio.gather(*(self._start(self.fleet.spots[name]) for name in names))
 
     async def _start(self, spot: Spot, folder: Path | None = None) -> None:
         """Start a process and wait until it is ready."""
@@ -122,40 +128,40 @@
             process = self._launch_balancer(spot, spot.console, folder)
             self.processes[spot.name] = process
             await self._wait_healthy(process, spot.console)
-            self._fleet.reached(spot.name, (spot.host, spot.port))
+            self.fleet.reached(spot.name, (spot.host, spot.port))
         else:
             await self._start_stand_in(spot)
         self._history.write("process", name=spot.name, state="ready")
 
     async def _start_stand_in(self, spot: Spot) -> None:
         module = {"server": "server", "list": "lists", "clients": "clients"}[spot.kind]
-        argv = [sys.executable, "-m", f"basaltspindle.drill.{module}", str(self._fleet.spec(spot))]
+        argv = [sys.executable, "-m", f"basaltspindle.drill.{module}", str(self.fleet.spec(spot))]
         ready = asyncio.Event()
 
         def heard(line: dict[str, Any]) -> None:
             if "ready" in line:
                 host, port = line["ready"]
-                self._fleet.reached(spot.name, (host, port))
+                self.fleet.reached(spot.name, (host, port))
                 ready.set()
             else:
                 self._keep(asyncio.get_running_loop().create_task(self._heard(line)))
 
         process = Process(
-            spot.name, argv, self._out / f"{spot.name}.log", env=environment(None), on_line=heard,
+            spot.name, argv, self.out / f"{spot.name}.log", env=environment(None), on_line=heard,
             on_end=self._ended,
         )  # fmt: skip
         self._begin(process)
         await self._first_of(ready, process)
 
     def _launch_balancer(self, spot: Spot, console: str, folder: Path | None = None) -> Process:
-        config = self._fleet.config(spot, console)
-        own = self._out / f"{spot.name}.folder"
+        config = self.fleet.config(spot, console)
+        own = self.out / f"{spot.name}.folder"
         own.mkdir(exist_ok=True)
         kind = self._script.fleet.folders
         tmp = READ_ONLY if kind == "read-only" else str(own)
         argv = run_argv(folder, self._plant if spot.tier == FIRST else "")
         process = Process(
-            spot.name, argv, self._out / f"{spot.name}.log", folder=folder or None,
+            spot.name, argv, self.out / f"{spot.name}.log", folder=folder or None,
             env=environment(folder, LB_CONFIG=str(config), TMPDIR=tmp),
             on_end=self._ended, file_limit=0 if kind == "full" else None,
         )  # fmt: skip
@@ -176,7 +182,7 @@
             "process", name=process.name, state="ended", code=process.code, wanted=process.wanted
         )
         if self.processes.get(process.name) is process:
-            for link in self._fleet.links_to(process.name):
+            for link in self.fleet.links_to(process.name):
                 link.put(up=False)
         if process.name == "clients":
             self._keep(asyncio.get_running_loop().create_task(self._wake()))
@@ -196,7 +202,7 @@
         for wait in waits:
             wait.cancel()
         if not ready.is_set():
-            raise DriveError(f"{process.name} did not get ready; see {self._out}/{process.name}.log")
+            raise DriveError(f"{process.name} did not get ready; see {self.out}/{process.name}.log")
 
     async def _wait_healthy(self, process: Process, console: str) -> None:
         """Wait until a balancer's console says that it takes clients."""
@@ -205,7 +211,7 @@
                 if await self._call(console, "GET", "health", quiet=True) == 200:
                     return
                 await asyncio.sleep(0.02)
-        log = f"{self._out}/{process.name}.log"
+        log = f"{self.out}/{process.name}.log"
         raise DriveError(f"{process.name} ended with status {process.code}; see {log}")
 
     async def _call(self, console: str, method: str, what: str, body: str = "", quiet: bool = False) -> int:
@@ -233,7 +239,7 @@
         match step:
             case steps.Kill(who=who):
                 self._signal("kill", who, signal.SIGKILL)
-                await asyncio.gather(*(self.processes[n].ended.wait() for n in self._fleet.beside(who)))
+                await asyncio.gather(*(self.processes[n].ended.wait() for n in self.fleet.beside(who)))
             case steps.Term(who=who):
                 self._signal("term", who, signal.SIGTERM)
             case steps.Stop(who=who, for_s=length):
@@ -245,9 +251,9 @@
                 self._list(who, "terminating")
             case steps.Remove(who=who):
                 self._list(who, "terminated")
-                for link in self._fleet.links_to(who):
+                for link in self.fleet.links_to(who):
                     link.put(barred=True)
-                for name in self._fleet.beside(who):
+                for name in self.fleet.beside(who):
                     self.processes[name].signal(signal.SIGTERM)
             case steps.Behave(who=who, slower=slower, fails=fails, paused=paused):
                 well = slower == 1.0 and not fails and not paused
@@ -268,56 +274,56 @@
                 self.processes["clients"].tell({"rate": rate, "retries": retries, "backoff_ms": backoff})
 
     def _signal(self, kind: str, who: str, number: int) -> None:
-        names = self._fleet.beside(who)
+        names = self.fleet.beside(who)
         self._fault(kind, True, names)
         for name in names:
             self.processes[name].signal(number)
 
     async def _continue(self, who: str, length: float) -> None:
         await asyncio.sleep(length)
-        names = self._fleet.beside(who)
+        names = self.fleet.beside(who)
         for name in names:
             self.processes[name].signal(signal.SIGCONT)
         self._fault("stop", False, names)
 
     async def _start_again(self, step: steps.Start) -> None:
-        spot = self._fleet.spots[step.who]
-        await asyncio.gather(*(self.processes[n].ended.wait() for n in self._fleet.beside(step.who)))
+        spot = self.fleet.spots[step.who]
+        await asyncio.gather(*(self.processes[n].ended.wait() for n in self.fleet.beside(step.who)))
         folder = Path(step.folder).resolve() if step.folder else None
         if spot.kind == "server":
             spot.since_ms, spot.version = RealClock(self._offset).now, step.version
         await self._start(spot, folder)
-        for name in self._fleet.beside(step.who)[1:]:
-            await self._start(self._fleet.spots[name], folder)
+        for name in self.fleet.beside(step.who)[1:]:
+            await self._start(self.fleet.spots[name], folder)
         if spot.kind == "server":
             self._list(step.who, "in_service")
-        self._fault("kill", False, self._fleet.beside(step.who))
+        self._fault("kill", False, self.fleet.beside(step.who))
 
     def _list(self, who: str, status: str) -> None:
         """Have the list show a server otherwise."""
-        spot = self._fleet.spots[who]
+        spot = self.fleet.spots[who]
         spot.status = status
         self._fault("list", status != "in_service", [who], status=status)
-        self.processes["list"].tell({"tier": spot.tier, "entry": self._fleet.entry(spot)})
+        self.processes["list"].tell({"tier": spot.tier, "entry": self.fleet.entry(spot)})
 
     def _break(self, name: str, pattern: str, fault: Fault, direction: str = "both") -> None:
-        links = self._fleet.matching(pattern)
+        links = self.fleet.matching(pattern)
         if not links:
-            raise DriveError(f"no link is called {pattern!r}; there are {', '.join(self._fleet.links)}")
+            raise DriveError(f"no link is called {pattern!r}; there are {', '.join(self.fleet.links)}")
         self._fault(name, True, [link.name for link in links])
         for link in links:
             link.set(name, fault, direction)
 
     def _lift(self, name: str) -> None:
         self._fault(name, False, [])
-        for link in self._fleet.links.values():
+        for link in self.fleet.links.values():
             link.lift(name)
 
     def _change_list(self, state: str) -> None:
         match state:
             case "down":
                 self._break(DOWN, "*>list", Fault(refuse=True))
-                for link in self._fleet.links_to("list"):
+                for link in self.fleet.links_to("list"):
                     link.reset_all()
             case "up":
                 self._lift(DOWN)
@@ -328,12 +334,12 @@
     async def _cordon(self, who: str, out: bool) -> None:
         self._fault("cordon", out, [who])
         call = "cordon" if out else "uncordon"
-        for spot in self._fleet.balancers(self._fleet.spots[who].tier):
+        for spot in self.fleet.balancers(self.fleet.spots[who].tier):
             await self._call(spot.console, "POST", call, who)
 
     async def _replace(self, step: steps.Replace) -> None:
         """The console's way: start the new process beside the old one, see it healthy, end the old one."""
-        spot, old = self._fleet.spots[step.who], self.processes[step.who]
+        spot, old = self.fleet.spots[step.who], self.processes[step.who]
         self._fault("replace", True, [step.who])
         console = f"{spot.host}:{free_port(spot.host)}"
         new = self._launch_balancer(spot, console, Path(step.folder).resolve() if step.folder else None)
--- /dev/null
+++ b/tests/test_conf.py
@@ -0,0 +1,97 @@
+"""The configuration for people: every fault at once, units, a schema, and the annotated example."""
+
+from __future__ import annotations
+
+import json
+from dataclasses import replace
+from pathlib import Path
+
+import pytest
+from hypothesis import given
+from hypothesis import strategies as st
+
+from basaltspindle import conf
+from basaltspindle.conf.reading import duration_ms
+from basaltspindle.net.config import read_config
+from tests.loopback import config_text, entry
+
+ROOT = Path(__file__).parent.parent
+
+
+def test_the_annotated_example_can_be_used_and_means_what_it_says() -> None:
+    config = conf.read(ROOT / "docs" / "irondrum.toml", pytest.fail)
+    unlock = config.settings.classes[1]
+    assert (unlock.aim_ms, unlock.deadline_ms, unlock.worth) == (1_200.0, 4_000.0, 10.0)
+    assert config.console == ("127.0.0.1", 9901)
+    assert (config.drain_grace_ms, config.settings.cold_ms) == (3_000.0, 5_000.0)
+    assert [e.member.server for e in config.known.endpoints] == ["s-1"]
+
+
+def test_the_schema_in_the_documents_is_the_one_that_is_generated() -> None:
+    written = json.loads((ROOT / "docs" / "irondrum.schema.json").read_text(encoding="utf-8"))
+    assert written == json.loads(json.dumps(conf.schema()))
+
+
+def test_the_platforms_json_means_the_same_here_as_to_run() -> None:
+    text = config_text("127.0.0.1:9", [entry("s0", "127.0.0.1:5000")])
+    assert conf.faults(json.loads(text)) == []
+    ours = conf.parse(json.loads(text), pytest.fail)
+    assert ours == replace(read_config(text, pytest.fail))
+
+
+def test_every_fault_is_told_at_once_with_its_path_and_what_is_allowed() -> None:
+    tables = {
+        "listen": "localhost",
+        "nme": "a",
+        "settings": {
+            "classes": [{"name": "map", "target": "5 s", "deadline": 10, "effect": "safe"}, 3],
+            "limits": {"attemptsCap": 0},
+        },
+        "known": {"endpoints": [{"name": "s", "address": "127.0.0.1:1", "weight": 0}]},
+    }
+    found = conf.faults(tables)
+    for told in (
+        'listen: "localhost"; allowed: an address such as',
+        "nme: no such key; allowed: listen, discovery, settings",
+        "discovery: is missing",
+        'settings.classes[0].target: "5 s"; allowed: milliseconds, or a text such as "250ms"',
+        'settings.classes[0].effect: "safe"; allowed: "retryable", "dedup", "fragile"',
+        "settings.classes[1]: must be a table",
+        "settings.limits.attemptsCap: 0; allowed: a whole number at least 1",
+        "known.endpoints[0].weight: 0; allowed: a number above 0",
+    ):
+        assert [f for f in found if f.startswith(told)], (told, found)
+    assert len(found) == 8 and not [f for f in found if "\n" in f]
+
+
+def test_what_only_the_whole_can_tell_is_told_too() -> None:
+    tables = json.loads(config_text("127.0.0.1:9", []))
+    tables["settings"]["classes"] *= 2
+    assert conf.faults(tables) == [
+        "classes is ['read', 'pay', 'read', 'pay']: it must not name a class twice"
+    ]
+
+
+@pytest.mark.parametrize("content", ["[", '{"a"', ""])
+def test_a_file_that_cannot_be_read_is_one_line(tmp_path: Path, content: str) -> None:
+    path = tmp_path / "x.json"
+    path.write_text(content)
+    with pytest.raises(conf.Unusable) as caught:
+        conf.read(path, pytest.fail)
+    assert len(caught.value.lines) == 1 and str(path) in caught.value.lines[0]
+
+
+@given(st.floats(0, 1e6), st.sampled_from([("ms", 1), ("s", 1_000), ("m", 60_000)]))
+def test_a_duration_is_its_number_times_its_unit(number: float, unit: tuple[str, int]) -> None:
+    text = f"{number:.3f}{unit[0]}"
+    assert duration_ms(text) == pytest.approx(float(f"{number:.3f}") * unit[1])
+
+
+@given(st.recursive(st.none() | st.booleans() | st.integers() | st.floats() | st.text(), lambda inner: (
+    st.lists(inner, max_size=3) | st.dictionaries(st.sampled_from(
+        "listen discovery settings classes limits known name target".split()) | st.text(max_size=3), inner)
+), max_leaves=12))  # fmt: skip
+def test_whatever_a_file_holds_its_faults_are_lines(value: object) -> None:
+    tables = value if isinstance(value, dict) else {"settings": value}
+    found = conf.faults(tables)
+    assert found and not [line for line in found if "\n" in line]
--- a/tests/test_drill.py
+++ b/tests/test_drill.py
@@ -44,6 +44,12 @@
     return [c["name"] for c in verdict["checks"] if not c["held"]]
 
 
+def test_the_demo_ends_well() -> None:
+    asked = [*command()[:-1], "demo"]
+    done = subprocess.run(asked, cwd=ROOT, capture_output=True, text=True, timeout=PATIENCE_S, check=False)
+    assert (done.returncode, "Nothing broke" in done.stdout) == (0, True), done.stdout + done.stderr
+
+
 def test_drills_hold(tmp_path: Path) -> None:
     names = ["server-killed", "server-drained", "balancer-killed", "replace"]
     with ThreadPoolExecutor(2) as pool:
--- /dev/null
+++ b/tests/test_operate.py
@@ -0,0 +1,135 @@
+"""The commands for people, on a balancer that runs as its own process."""
+
+from __future__ import annotations
+
+import json
+import os
+import signal
+import subprocess
+import sys
+from collections.abc import Iterator
+from dataclasses import dataclass
+from pathlib import Path
+
+import pytest
+
+from basaltspindle.cli import operate
+from basaltspindle.drill.fleet import free_port
+from basaltspindle.drill.load import LoadError, check, read_kind
+
+ROOT = Path(__file__).parent.parent
+HOST = "127.0.0.1"
+
+
+def irondrum(*args: str) -> subprocess.CompletedProcess[str]:
+    command = [sys.executable, "-c", "from basaltspindle.cli import main; main()", *args]
+    return subprocess.run(command, cwd=ROOT, capture_output=True, text=True, timeout=60, check=False)
+
+
+@dataclass
+class Served:
+    """A balancer that `irondrum serve` started."""
+
+    process: subprocess.Popen[str]
+    path: Path
+    address: str
+    console: str
+
+
+def file_text(address: str, console: str, discovery: str) -> str:
+    return (
+        f'name = "b"\nlisten = "{address}"\nconsole = "{console}"\ndiscovery = "{discovery}"\n'
+        '[[settings.classes]]\nname = "map"\ntarget = "400ms"\ndeadline = "2s"\neffect = "retryable"\n'
+    )
+
+
+@pytest.fixture
+def served(tmp_path: Path) -> Iterator[Served]:
+    address, console = (f"{HOST}:{free_port(HOST)}" for _ in range(2))
+    path = tmp_path / "b.toml"
+    path.write_text(file_text(address, console, f"{HOST}:{free_port(HOST)}"))
+    command = [sys.executable, "-c", "from basaltspindle.cli import main; main()", "serve", str(path)]
+    with subprocess.Popen(
+        [*command, "--log", "json"], cwd=ROOT, stderr=subprocess.PIPE, text=True,
+        env=os.environ | {"TMPDIR": str(tmp_path)},
+    ) as process:  # fmt: skip
+        try:
+            while not operate.ask(console, "GET", "/admin/health").is_yes:
+                assert process.poll() is None
+            yield Served(process, path, address, console)
+        finally:
+            process.kill()
+
+
+def test_a_balancer_of_ones_own_is_served_watched_and_ended(served: Served) -> None:
+    assert irondrum("health", "--console", served.console).stdout == f"{served.console}  ok\n"
+    loaded = irondrum(
+        "load", f"http://{served.address}", "--class", "map", "--rate", "100", "--seconds", "0.3", "--json"
+    )
+    endings = json.loads(loaded.stdout)["map"]["endings"]
+    assert set(endings) == {"refused"}  # it knows no server
+    stats = json.loads(irondrum("stats", "--console", served.console).stdout)[served.console]
+    assert stats["declined"]["map"] == endings["refused"]
+    shown = irondrum("top", "--console", served.console, "--looks", "2", "--every", "0.1").stdout
+    assert "served/s" in shown and "0.0" in shown
+    served.process.send_signal(signal.SIGTERM)
+    assert served.process.wait(30) == 0
+
+
+def test_a_changed_file_is_followed_by_name_and_a_bad_one_changes_nothing(served: Served) -> None:
+    assert served.process.stderr is not None
+
+    def next_event(wanted: str) -> dict[str, str]:
+        assert served.process.stderr is not None
+        while (line := json.loads(served.process.stderr.readline()))["event"] != wanted:
+            pass
+        found: dict[str, str] = line
+        return found
+
+    served.path.write_text("listen = ")
+    served.process.send_signal(signal.SIGHUP)
+    assert "can't be read" in next_event("config_kept")["text"]
+    served.path.write_text(file_text(f"{HOST}:1", served.console, f"{HOST}:2"))
+    served.process.send_signal(signal.SIGHUP)
+    line = next_event("config_replaced")
+    assert (line["took"], line["needs_restart"]) == ("discovery", "listen")
+
+
+def test_a_call_to_several_balancers_tells_who_did_not_take_it(served: Served) -> None:
+    nobody = f"{HOST}:{free_port(HOST)}"
+    done = irondrum("health", "--console", served.console, "--console", nobody)
+    assert done.returncode == 1
+    assert done.stderr.splitlines()[-1] == f"irondrum: 1 of 2 did not say yes: {nobody}"
+    unknown = irondrum("cordon", "no-such", "--console", served.console)
+    assert unknown.returncode == 1 and "nobody has that ID" in unknown.stderr
+
+
+@pytest.mark.parametrize(
+    "args",
+    [
+        ("health", "--console", "nowhere"),
+        ("load", "http://192.0.2.1:80", "--class", "map"),
+        ("load", "http://127.0.0.1:80", "--class", "map:x"),
+        ("check",),
+        ("serve", "no-such.toml"),
+        ("serve", "docs/irondrum.toml", "--log", "xml"),
+    ],
+)
+def test_wrong_use_is_one_line_and_status_2(args: tuple[str, ...]) -> None:
+    done = irondrum(*args)
+    assert (done.returncode, done.stderr.count("\n")) == (2, 1), done.stderr
+    assert done.stderr.startswith("irondrum: ")
+
+
+def test_a_load_stays_on_this_machine_and_within_its_bounds() -> None:
+    check("http://127.0.0.1:1", 1, 1, anywhere=False)
+    check("http://192.0.2.1", 1, 1, anywhere=True)
+    for url, rate, seconds in (("http://192.0.2.1", 1, 1), ("http://[::1]", 0, 1), ("http://[::1]", 1, 601)):
+        with pytest.raises(LoadError):
+            check(url, rate, seconds, anywhere=False)
+    kind = read_kind("pay:2:500:unsafe")
+    assert (kind.name, kind.share, kind.deadline_ms, kind.unsafe) == ("pay", 2.0, 500.0, True)
+    assert read_kind("map:3").deadline_ms == 2_000.0
+    for text in ("", "a:0", "a:1:0", "a:1:1:safe", "a:1:1:unsafe:x"):
+        with pytest.raises(LoadError):
+            read_kind(text)
