Hand cordons from process to process, so that a full disk loses none in a replacement

Seen in the new drill folder-full (nothing can be written): after a replacement the new process sent 68 requests to a server that operators held out. The cordon was kept in memory alone, as the log says, and the new process knew the file only. The state that goes over the socket now holds the cordons; a version before this one sends none, and the file stands then. A draft that could not be written is removed.

Both tests fail without it; folder-full holds with it (0 sends). Not taken: another folder to write to; no process knows of one that is there.

--- a/basaltspindle/net/driver.py
+++ b/basaltspindle/net/driver.py
@@ -187,7 +187,13 @@
     # ---- from one process to the next -----------------------------------------------------------
 
     def _take_legacy(self, legacy: Legacy) -> None:
-        """Go on from the list and the evidence of the older process, as far as they can be read."""
+        """Go on from cordons, list and evidence of the older process, as far as they can be read."""
+        if "cordons" in legacy.state:  # a version before this one does not send them
+            try:
+                self._cordons.inherit(legacy.state["cordons"])
+            except ValueError as error:
+                self.log.event("nothing_learned", f"we start with the cordons on file: {error}")
+            self._apply_cordons()
         try:
             known = read_list(legacy.state["list"])
             if known.endpoints and known.index >= self._known.index:
@@ -218,7 +224,8 @@
     def state(self) -> dict[str, object]:
         """What the next process should know."""
         known = ServerList(self._index, True, tuple(self._list.values()))
-        return {"list": write_list(known), "learned": self.balancer.legacy(self.clock.now())}
+        learned = self.balancer.legacy(self.clock.now())
+        return {"list": write_list(known), "learned": learned, "cordons": self._cordons.state()}
 
     def retire(self) -> None:
         """The next process is ready to accept in our place."""
--- a/basaltspindle/net/handover.py
+++ b/basaltspindle/net/handover.py
@@ -49,9 +49,8 @@
         return Cordons(self.out - {server}, back | {server: now_ms})
 
 
-def _read_cordons(text: bytes) -> Cordons:
-    """The file's content; ValueError if it is anything else."""
-    raw: Any = json.loads(text)
+def _read_cordons(raw: Any) -> Cordons:
+    """Cordons from their form in the file and between processes; ValueError if it is anything else."""
     if not isinstance(raw, dict) or not isinstance(raw.get("out"), list):
         raise ValueError("not a file of cordons")
     back = raw.get("back")
@@ -80,7 +79,7 @@
             if seen == self._seen or stat.st_size > FILE_MAX:
                 return False
             self._seen = seen
-            self.cordons = _read_cordons(self._path.read_bytes())
+            self.cordons = _read_cordons(json.loads(self._path.read_bytes()))
         except (OSError, ValueError):
             return False
         return True
@@ -97,6 +96,17 @@
             return f"cordons are kept in memory alone: {error}"
         return ""
 
+    def inherit(self, raw: object) -> None:
+        """Go on from what the process before us holds: its file may be behind, where a disk is full.
+
+        ValueError if that can't be read; the file then stands. What changes in the file later is followed.
+        """
+        self.cordons = _read_cordons(raw)
+
+    def state(self) -> dict[str, object]:
+        """What stands in the file, and goes to the next process."""
+        return {"out": sorted(self.cordons.out), "back": self.cordons.back}
+
     @contextmanager
     def _locked(self) -> Iterator[None]:
         if self._path is None:
@@ -117,8 +127,12 @@
         if self._path is None:
             return
         draft = self._path.with_suffix(f".{os.getpid()}")
-        draft.write_text(json.dumps({"out": sorted(self.cordons.out), "back": self.cordons.back}))
-        os.replace(draft, self._path)
+        try:
+            draft.write_text(json.dumps(self.state()))
+            os.replace(draft, self._path)
+        except OSError:
+            draft.unlink(missing_ok=True)
+            raise
 
 
 @contextmanager
--- a/tests/test_drill.py
+++ b/tests/test_drill.py
@@ -51,7 +51,7 @@
 
 
 def test_drills_hold(tmp_path: Path) -> None:
-    names = ["server-killed", "server-drained", "balancer-killed", "replace"]
+    names = ["server-killed", "server-drained", "balancer-killed", "replace", "folder-full"]
     with ThreadPoolExecutor(2) as pool:
         for code, verdicts, told in pool.map(
             lambda name: drill("run", name, "--json", "--out", str(tmp_path / name)), names
--- a/tests/test_upgrade.py
+++ b/tests/test_upgrade.py
@@ -223,6 +223,41 @@
     run(scenario())
 
 
+def test_a_hold_outlasts_the_process_that_could_not_write_it_down(tmp_path: Path) -> None:
+    async def scenario() -> None:
+        site = Site(tmp_path, Upstream(), Upstream())
+        await site.start()
+        (site.folder / "shared" / "cordons.lock").mkdir()  # opening it fails, as on a full disk
+        async with site.process() as old:
+            await old.serves()
+            assert status(await old.call("POST /admin/cordon", b"s0")) == 200
+            async with site.process() as new:
+                await new.serves()
+                await old.ends()
+                assert (await new.figures())["ejected"] == 1
+                caller = await site.caller()
+                for _ in range(8):
+                    caller.send()
+                    assert status(await caller.answer()) == 200
+                assert len(site.upstreams[0].asked) == 0
+                assert status(await new.call("POST /admin/uncordon", b"s0")) == 200
+                assert (await new.figures())["ejected"] == 0
+
+    run(scenario())
+
+
+def test_cordons_that_cannot_be_read_leave_those_of_the_file(tmp_path: Path) -> None:
+    file = handover.CordonFile(tmp_path)
+    assert file.change("s0", True) == ""
+    unusable: tuple[object, ...] = (None, [], {"out": "s1", "back": {}}, {"out": ["s1"], "back": {"s": "x"}})
+    for raw in unusable:
+        with pytest.raises(ValueError, match="not "):
+            file.inherit(raw)
+    assert file.cordons.out == {"s0"}
+    file.inherit({"out": ["s1"], "back": {"s0": 1.0}})
+    assert file.cordons == handover.Cordons(frozenset({"s1"}), {"s0": 1.0})
+
+
 @pytest.mark.parametrize("left", ["nothing", "a file", "a dead socket"])
 def test_what_a_killed_process_left_stops_no_start(tmp_path: Path, left: str) -> None:
     path = tmp_path / "handover"
