Add membership's core: SWIM with a look at one's own health, in virtual time

peers/ is a sans-I/O core (notes in, notes and wake-ups out) in MessagePack of at most 256 bytes; world/gossip.py hosts it in virtual time. A silent member is asked three rounds, directly and by way of three fresh others, by whoever missed it; only then it is gone, and it comes back by a higher incarnation. One that was stopped concludes nothing from its own pause.

A Hypothesis state machine kills, stops, cuts and restarts; without further faults all views become one. It, or a test beside it, fails without refutation and without trial pings to the gone.

--- /dev/null
+++ b/basaltspindle/peers/notes.py
@@ -0,0 +1,76 @@
+"""One note: MessagePack (https://msgpack.org) in at most 256 bytes, as PROTOCOL allows between balancers.
+
+An array: the fleet's tag, the kind, a sequence number, the sender's number and incarnation, whom a relayed
+probe is meant for (or -1), and news of members as (number, state, incarnation).
+"""
+
+from __future__ import annotations
+
+import enum
+
+import msgspec
+
+NOTE_MOST = 256
+NEWS_BYTES = 12  # the most that one item of news takes
+HEAD_BYTES = 40  # the most that all the rest takes
+NEWS_MOST = (NOTE_MOST - HEAD_BYTES) // NEWS_BYTES
+TAG_BYTES = 4
+_MOST_NUMBER = 1 << 20
+_MOST_COUNT = 1 << 32
+
+
+class Kind(enum.IntEnum):
+    """What a note asks or answers."""
+
+    PING = 0
+    ACK = 1
+    RELAY = 2  # ask somebody else for me
+
+
+class Note(msgspec.Struct, array_like=True, frozen=True):
+    """A note as it goes out."""
+
+    fleet: bytes
+    kind: int
+    sequence: int
+    sender: int
+    incarnation: int
+    target: int
+    news: tuple[tuple[int, int, int], ...]
+
+
+class Unreadable(ValueError):
+    """A note that is passed over, and the one word under which it is counted."""
+
+
+_encoder = msgspec.msgpack.Encoder()
+_decoder = msgspec.msgpack.Decoder(Note)
+
+
+def write(note: Note) -> bytes:
+    """The bytes of a note; ValueError if they are too many, which no note of ours is."""
+    data = _encoder.encode(note)
+    if len(data) > NOTE_MOST:
+        raise ValueError(f"a note of {len(data)} bytes; {NOTE_MOST} are allowed")
+    return data
+
+
+def read(data: bytes, fleet: bytes, count: int) -> Note:
+    """A note of a fleet of so many members; Unreadable says why it is none."""
+    if len(data) > NOTE_MOST:
+        raise Unreadable("long")
+    try:
+        note = _decoder.decode(data)
+    except (msgspec.DecodeError, RecursionError):
+        raise Unreadable("garbled") from None
+    if note.fleet != fleet:
+        raise Unreadable("foreign")
+    numbers = (note.sender, note.target + 1, *(number for number, _, _ in note.news))
+    figures = (note.sequence, note.incarnation, *(incarnation for _, _, incarnation in note.news))
+    if note.kind not in tuple(Kind) or not 0 <= note.sender < count or note.target >= count:
+        raise Unreadable("garbled")
+    if not all(0 <= n < _MOST_NUMBER for n in numbers) or not all(0 <= f < _MOST_COUNT for f in figures):
+        raise Unreadable("garbled")
+    if any(number >= count or not 0 <= state <= 3 for number, state, _ in note.news):
+        raise Unreadable("garbled")
+    return note
--- /dev/null
+++ b/basaltspindle/peers/table.py
@@ -0,0 +1,107 @@
+"""What one member believes of all: states by incarnation, and the news that it passes on."""
+
+from __future__ import annotations
+
+import enum
+import math
+from dataclasses import dataclass
+
+from basaltspindle.peers.notes import NEWS_MOST
+
+SPREAD = 3.0  # an item of news goes out this many times log2 of the fleet's size
+News = tuple[int, int, int]
+
+
+class State(enum.IntEnum):
+    """What is believed of a member; of one incarnation, the higher one wins."""
+
+    ALIVE = 0
+    SUSPECTED = 1
+    GONE = 2
+    LEFT = 3  # on purpose
+
+
+@dataclass(slots=True)
+class Belief:
+    """One member, as it is seen here."""
+
+    state: State = State.ALIVE
+    incarnation: int = 0
+    since: float = 0.0
+    heard: float = -math.inf  # when a note of its own last came
+
+
+class Table:
+    """The beliefs on all members of a fleet, ourselves included.
+
+    At the start all that the settings name pass for alive at incarnation 0: that is what is known.
+    """
+
+    def __init__(self, number: int, count: int, now: float) -> None:
+        self.number, self.count = number, count
+        self.beliefs = [Belief(since=now) for _ in range(count)]
+        self._sent: dict[int, int] = {}  # how often news of a member has gone out
+        self.gone_by_us, self.last_gone = 0, -1  # how many we gave up ourselves, and whom last
+        self._sends_most = math.ceil(SPREAD * math.log2(count + 1))
+
+    @property
+    def incarnation(self) -> int:
+        """Our own."""
+        return self.beliefs[self.number].incarnation
+
+    @property
+    def present(self) -> int:
+        """Members that are not known to be gone, ourselves included."""
+        return sum(b.state <= State.SUSPECTED for b in self.beliefs)
+
+    def state(self, number: int) -> State:
+        """What is believed of a member."""
+        return self.beliefs[number].state
+
+    def learn(self, number: int, state: State, incarnation: int, now: float) -> bool:
+        """Take news of another member; whether it was any.
+
+        A higher incarnation wins, and at the same one the worse state: only the member itself can overrule
+        what is said of it, by a higher incarnation.
+        """
+        belief = self.beliefs[number]
+        if (incarnation, state) <= (belief.incarnation, belief.state):
+            return False
+        if state is not belief.state:
+            belief.since = now
+        belief.state, belief.incarnation = state, incarnation
+        self._sent[number] = 0
+        return True
+
+    def give_up(self, number: int, now: float) -> None:
+        """We have failed to reach a member, whatever we tried."""
+        if self.learn(number, State.GONE, self.beliefs[number].incarnation, now):
+            self.gone_by_us, self.last_gone = self.gone_by_us + 1, number
+
+    def refute(self, incarnation: int, now: float) -> None:
+        """Say that we are alive, above an incarnation at which another thing is said of us."""
+        own = self.beliefs[self.number]
+        own.incarnation = max(own.incarnation, incarnation) + 1
+        own.state, own.since = State.ALIVE, now
+        self._sent[self.number] = 0
+
+    def leave(self, now: float) -> None:
+        """Say that we go, on purpose."""
+        own = self.beliefs[self.number]
+        own.incarnation += 1
+        own.state, own.since = State.LEFT, now
+        self._sent[self.number] = 0
+
+    def news(self, to: int) -> tuple[News, ...]:
+        """What goes with a note: what we hold against its receiver first, then what has gone out least."""
+        chosen = []
+        if self.beliefs[to].state is not State.ALIVE:
+            chosen.append(to)  # so that it can overrule it
+        for number in sorted(self._sent, key=lambda n: (self._sent[n], n)):
+            if len(chosen) >= NEWS_MOST:
+                break
+            if number != to:
+                chosen.append(number)
+                self._sent[number] += 1
+        self._sent = {number: sent for number, sent in self._sent.items() if sent < self._sends_most}
+        return tuple((n, int(self.beliefs[n].state), self.beliefs[n].incarnation) for n in chosen)
--- a/tests/test_house.py
+++ b/tests/test_house.py
@@ -14,9 +14,10 @@
     "interface": set(),
     "policy": {"interface"},
     "wire": {"interface"},
-    "world": {"interface", "policy"},
+    "peers": set(),
+    "world": {"interface", "peers", "policy"},
     "lab": {"interface", "policy", "world"},
-    "net": {"interface", "policy", "wire"},
+    "net": {"interface", "peers", "policy", "wire"},
     "conf": {"net"},
     "drill": {"interface", "world", "net", "__main__"},  # its plants are the program itself, made worse
 }
--- /dev/null
+++ b/tests/test_peers.py
@@ -0,0 +1,211 @@
+"""Membership: notes that are no use, deaths, returns, cuts, pauses, and views that become one again."""
+
+from __future__ import annotations
+
+import random
+from typing import Any
+
+import pytest
+from hypothesis import HealthCheck, given, settings
+from hypothesis import strategies as st
+from hypothesis.stateful import RuleBasedStateMachine, invariant, rule
+
+from basaltspindle.peers import NOTE_MOST, Membership, State, Tell
+from basaltspindle.peers.notes import Kind, Note, write
+from basaltspindle.world.gossip import FLEET, Tier
+
+HEAL_MS = 20_000.0  # within which all views are one when nothing fails any more
+
+
+def member(count: int = 4, **more: Any) -> Membership:
+    return Membership(0, count, FLEET, seed=1, **more)
+
+
+def note(sender: int = 1, **more: Any) -> bytes:
+    base: dict[str, Any] = {
+        "fleet": FLEET,
+        "kind": Kind.PING,
+        "sequence": 5,
+        "sender": sender,
+        "incarnation": 0,
+    }
+    return write(Note(**(base | {"target": -1, "news": ()} | more)))
+
+
+def test_a_ping_is_answered_and_nothing_else_is_done() -> None:
+    told = [a for a in member().heard(1, note(), now=10.0) if isinstance(a, Tell)]
+    assert [a.to for a in told] == [1] and len(told[0].note) <= NOTE_MOST
+
+
+@pytest.mark.parametrize(
+    ("sender", "data", "reason"),
+    [
+        (1, b"", "garbled"), (1, b"\xc1" * 20, "garbled"), (1, b"x" * 300, "long"), (2, note(1), "forged"),
+        (1, note(1, fleet=b"else"), "foreign"), (1, note(1, kind=9), "garbled"),
+        (1, note(1, news=((9, 0, 0),)), "garbled"), (1, note(1, news=((2, 7, 0),)), "garbled"),
+        (1, note(1, target=99), "garbled"), (1, note(1, incarnation=1 << 40), "garbled"),
+        (0, note(0), "forged"),
+    ],
+)  # fmt: skip
+def test_notes_that_are_no_use_are_counted_and_change_nothing(sender: int, data: bytes, reason: str) -> None:
+    one = member()
+    before = [(b.state, b.incarnation) for b in one.table.beliefs]
+    assert one.heard(sender, data, now=1.0) == []
+    assert one.counts.dropped == {reason: 1}
+    assert [(b.state, b.incarnation) for b in one.table.beliefs] == before
+
+
+@given(st.binary(max_size=300), st.integers(0, 3))
+def test_whatever_comes_throws_nothing(data: bytes, sender: int) -> None:
+    member().heard(sender, data, now=1.0)
+
+
+def test_old_and_doubled_news_change_nothing() -> None:
+    one = member()
+    one.heard(1, note(news=((2, State.GONE, 3),)), now=1.0)
+    assert one.table.state(2) is State.GONE
+    for old in ((2, State.GONE, 3), (2, State.ALIVE, 3), (2, State.ALIVE, 2), (2, State.SUSPECTED, 3)):
+        one.heard(1, note(news=(old,)), now=2.0)
+        assert one.table.state(2) is State.GONE
+    one.heard(1, note(news=((2, State.ALIVE, 4),)), now=3.0)
+    assert one.table.state(2) is State.ALIVE
+
+
+def test_what_is_said_of_us_is_overruled_by_a_higher_incarnation() -> None:
+    one = member()
+    one.heard(1, note(news=((0, State.GONE, 6),)), now=1.0)
+    assert (one.table.state(0), one.table.incarnation) == (State.ALIVE, 7)
+
+
+@pytest.mark.parametrize("count", [2, 3, 10, 200])
+def test_a_death_is_known_to_all_and_a_return_too(count: int) -> None:
+    tier = Tier(count, seed=1, loss=0.05)
+    tier.run(3_000)
+    assert tier.deaths == []
+    tier.kill(1)
+    tier.run(6_000)
+    assert tier.knowing(1) == 1.0
+    tier.start(1)
+    tier.loss = 0.0  # with loss there is always somebody who is suspected for a moment
+    tier.run(HEAL_MS)
+    assert tier.agree()
+
+
+def test_who_leaves_on_purpose_is_known_to_have_left_and_not_to_have_died() -> None:
+    tier = Tier(12, seed=2)
+    tier.run(1_000)
+    tier.leave(3)
+    tier.run(3_000)
+    assert {tier.view(n)[3] for n in tier.living()} == {State.LEFT}
+    assert tier.deaths == []
+
+
+def test_seven_in_ten_killed_at_once_are_known_and_come_back() -> None:
+    tier = Tier(30, seed=3, loss=0.02)
+    tier.run(2_000)
+    dead = list(range(21))
+    for number in dead:
+        tier.kill(number)
+    tier.run(15_000)
+    assert tier.agree()
+    for number in dead:
+        tier.start(number)
+    tier.run(HEAL_MS)
+    assert tier.agree()
+
+
+def test_a_stopped_member_is_missed_and_accuses_nobody_when_it_goes_on() -> None:
+    tier = Tier(12, seed=4)
+    tier.run(2_000)
+    tier.pause(5, 3_000)
+    tier.run(2_900)
+    assert tier.knowing(5) > 0.5
+    tier.run(HEAL_MS)
+    assert tier.agree()
+    assert {dead for _, _, dead in tier.deaths} == {5}
+
+
+def test_a_one_way_cut_is_no_death_while_others_reach_it() -> None:
+    tier = Tier(12, seed=5)
+    tier.cut = lambda one, other: (one, other) == (0, 1)
+    tier.run(60_000)
+    assert tier.deaths == []
+
+
+def test_a_zone_that_is_cut_off_and_healed_is_one_fleet_again() -> None:
+    tier = Tier(12, seed=6, loss=0.02)
+    tier.cut = lambda one, other: (one < 4) != (other < 4)
+    tier.run(15_000)
+    assert tier.view(0)[4:] == (State.GONE,) * 8 and tier.view(11)[:4] == (State.GONE,) * 4
+    tier.cut = lambda one, other: False
+    tier.run(HEAL_MS)
+    assert tier.agree()
+
+
+def test_no_live_member_dies_in_five_minutes_of_loss_and_doubling() -> None:
+    tier = Tier(40, seed=7, loss=0.05, doubled=0.1)
+    tier.run(300_000)
+    assert tier.deaths == [] and tier.agree()
+
+
+def test_notes_a_member_do_not_grow_with_the_fleet() -> None:
+    rates = []
+    for count in (10, 100):
+        tier = Tier(count, seed=8)
+        tier.run(10_000)
+        rates.append(tier.notes / count / 10)
+    assert rates[1] <= 1.1 * rates[0]
+
+
+class Views(RuleBasedStateMachine):
+    """Whatever has happened: without further faults, all views become one."""
+
+    def __init__(self) -> None:
+        super().__init__()
+        self.tier = Tier(5, seed=9, loss=0.1, doubled=0.1)
+
+    @rule(number=st.integers(0, 4), span=st.integers(50, 4_000))
+    def pause(self, number: int, span: int) -> None:
+        self.tier.pause(number, span)
+
+    @rule(number=st.integers(0, 4))
+    def kill(self, number: int) -> None:
+        if len(self.tier.living()) > 1:
+            self.tier.kill(number)
+
+    @rule(number=st.integers(0, 4))
+    def start(self, number: int) -> None:
+        if self.tier.seats[number].member is None:
+            self.tier.start(number)
+
+    @rule(number=st.integers(0, 4))
+    def leave(self, number: int) -> None:
+        if len(self.tier.living()) > 1:
+            self.tier.leave(number)
+
+    @rule(seed=st.integers(0, 1 << 20))
+    def cut_some_ways(self, seed: int) -> None:
+        chance = random.Random(seed)
+        ways = {(a, b) for a in range(5) for b in range(5) if chance.random() < 0.4}
+        self.tier.cut = lambda one, other: (one, other) in ways
+
+    @rule(span=st.integers(1, 8_000))
+    def wait(self, span: int) -> None:
+        self.tier.run(span)
+
+    @invariant()
+    def nobody_holds_itself_for_dead(self) -> None:
+        for number in self.tier.living():
+            assert self.tier.view(number)[number] is State.ALIVE
+
+    def teardown(self) -> None:
+        self.tier.cut, self.tier.loss = lambda one, other: False, 0.0
+        self.tier.run(4_000 + 3 * HEAL_MS)
+        assert self.tier.agree(), [(n, self.tier.view(n)) for n in self.tier.living()]
+
+
+Views.TestCase.settings = settings(
+    max_examples=40, stateful_step_count=12, deadline=None, derandomize=True,
+    suppress_health_check=list(HealthCheck),
+)  # fmt: skip
+test_views = Views.TestCase
