Host membership on UDP, show it to operators, and drill it with real processes

net/peers.py hosts the core where the configuration says membership, the settings allow notes and addresses are there; the platform's JSON does not say so, and then nothing is bound, sent or loaded. /admin/peers, a gauge by state, irondrum peers with disagreements marked. In a replacement the older process falls silent before the next one speaks in its name.

--- a/basaltspindle/__main__.py
+++ b/basaltspindle/__main__.py
@@ -61,6 +61,7 @@
     gc.collect()
     gc.freeze()  # what start-up made stays: it need not be looked at again
     await stop.wait()
+    driver.say_goodbye()
     await driver.callers.end()
 
 
--- a/basaltspindle/cli/main.py
+++ b/basaltspindle/cli/main.py
@@ -21,7 +21,7 @@
 app.add_typer(drill.app, name="drill")
 for command in (
     serve.serve, serve.check, operate.health, operate.stats, operate.cordon, operate.uncordon, operate.top,
-    demo.demo,
+    operate.peers, demo.demo,
 ):  # fmt: skip
     app.command()(command)
 app.command("load")(demo.load_)
--- a/basaltspindle/cli/operate.py
+++ b/basaltspindle/cli/operate.py
@@ -157,3 +157,33 @@
         standing = [str(figures[k]) for k in ("outstanding", "discovered", "ejected")]
         table.add_row(name, *rates, *standing)
     return table
+
+
+def peers(console: Consoles) -> None:
+    """What several balancers of a tier believe of one another; exit 1 if they disagree, or one does not say.
+
+    Example: irondrum peers --console 127.0.0.1:9901 --console 127.0.0.1:9902
+    """
+    answers = ask_all(console, "GET", "/admin/peers")
+    views = {a.console: json.loads(a.text) for a in answers if a.is_yes}
+    table, agreed = views_of(views)
+    Console().print(table)
+    if missing := [answer for answer in answers if not answer.is_yes]:
+        _tell(missing)
+    if not agreed:
+        typer.echo("irondrum: they disagree", err=True)
+        raise typer.Exit(NOT_TAKEN)
+
+
+def views_of(views: dict[str, dict[str, Any]]) -> tuple[Table, bool]:
+    """A row for each member, a column for each view; where views differ, the row is marked."""
+    table = Table("member", *views, "")
+    agreed = True
+    for number in range(max((len(view["members"]) for view in views.values()), default=0)):
+        row = [view["members"][number] for view in views.values() if number < len(view["members"])]
+        states = [m["state"] for m in row]
+        same = len(set(states)) == 1 and len(row) == len(views)
+        agreed = agreed and same
+        cells = [f"{m['state']} {m['incarnation']}" for m in row]
+        table.add_row(str(number), *cells, "" if same else "[red]differs[/red]")
+    return table, agreed
--- a/basaltspindle/conf/model.py
+++ b/basaltspindle/conf/model.py
@@ -63,7 +63,8 @@
     connIdle: Duration = 15_000.0
     connectTimeout: Duration = 250.0
     openCap: Any = None
-    peers: Any = None
+    peers: bool = False
+    """Whether balancers may send one another notes."""
     streamsPerConn: Any = None
     cpuUsPerRequest: Any = None
     cpuUsPerS: Any = None
@@ -151,9 +152,12 @@
     seed: Annotated[str, Meta(pattern=r"^[0-9a-fA-F]+$")] = "0"
     limits: Machine = Machine()
     known: Known = Known()
-    peers: Any = None
-    peers_all: Any = None
-    peer_listen: Any = None
+    membership: bool = False
+    """Whether to tell the tier's other balancers who is there, where the settings allow notes."""
+    peers: tuple[Address, ...] = ()
+    """One for each balancer of the tier, by their numbers."""
+    peers_all: AddressOrNone = ""
+    peer_listen: AddressOrNone = ""
 
 
 def schema() -> dict[str, Any]:
--- a/basaltspindle/drill/checks.py
+++ b/basaltspindle/drill/checks.py
@@ -310,6 +310,16 @@
     return Check("crossed", bool(calls) and share <= bound, round(share, 3), bound)
 
 
+def views(story: Story, script: Script) -> Check:
+    """What balancers were expected to believe of one another, they all did in time."""
+    wrong = [
+        f"{e['of']} {e['wanted']}: {e['said']} after {e['took_s']} s"
+        for e in story.by_kind["view"]
+        if not e["held"]
+    ]
+    return _most("views", wrong)
+
+
 def standing(story: Story, script: Script) -> Check:
     """No balancer or stand-in ended that nobody had told to."""
     over = max((e["t"] for e in story.by_kind["over"]), default=float("inf"))
@@ -329,5 +339,6 @@
 
 
 CHECKS: tuple[Callable[[Story, Script], Check], ...] = (
-    answered, from_servers, once, drains, named, cold, late, served, back, attempts, crossed, standing, whole,
+    answered, from_servers, once, drains, named, cold, late, served, back, attempts, crossed,
+    views, standing, whole,
 )  # fmt: skip
--- a/basaltspindle/drill/drive.py
+++ b/basaltspindle/drill/drive.py
@@ -3,9 +3,12 @@
 from __future__ import annotations
 
 import asyncio
+import random
 import signal
+import socket
 import sys
 from collections.abc import Awaitable, Callable
+from fnmatch import fnmatchcase
 from pathlib import Path
 from typing import Any
 
@@ -86,6 +89,7 @@
         fleet = self.fleet
         for spot in fleet.spots.values():
             self._history.write("place", name=spot.name, host=spot.host, zone=spot.zone, tier=spot.tier)
+        await fleet.join_peers()
         await self._start_all([s.name for s in fleet.servers()] + ["list"])
         await self._start_all([s.name for s in fleet.balancers()])
         await self._start_all(["clients"])
@@ -269,6 +273,11 @@
                 await self._cordon(who, out)
             case steps.Replace():
                 await self._replace(step)
+            case steps.Expect():
+                await self._expect(step)
+            case steps.Stranger(notes=count):
+                self._fault("stranger", True, [s.name for s in self.fleet.balancers(FIRST)])
+                self._make_noise(count)
             case steps.Surge(rate=rate, retries=retries, backoff_ms=backoff):
                 self._fault("surge", True, ["clients"], rate=rate, retries=retries)
                 self.processes["clients"].tell({"rate": rate, "retries": retries, "backoff_ms": backoff})
@@ -316,7 +325,7 @@
 
     def _lift(self, name: str) -> None:
         self._fault(name, False, [])
-        for link in self.fleet.links.values():
+        for link in self.fleet.matching("*"):
             link.lift(name)
 
     def _change_list(self, state: str) -> None:
@@ -331,6 +340,47 @@
                 self._fault("stale list", state == "stale", ["list"])
                 self.processes["list"].tell({"stale": state == "stale"})
 
+    async def _expect(self, step: steps.Expect) -> None:
+        """Ask all consoles until they agree on a balancer; `views` judges how long that took."""
+        tier, clock = self.fleet.balancers(FIRST), RealClock(self._offset)
+        number = [spot.name for spot in tier].index(step.who)
+        began, said = clock.now, dict[str, str]()
+        while clock.now - began < step.within_s * 1_000:
+            said = {}
+            for spot in tier:
+                process = self.processes[spot.name]
+                if spot.name != step.who and fnmatchcase(spot.name, step.by) and process.code is None:
+                    said[spot.name] = await self._belief(spot, number)
+            if set(said.values()) == {step.state}:
+                break
+            await asyncio.sleep(0.02)
+        took = (clock.now - began) / 1_000
+        held = set(said.values()) == {step.state}
+        self._history.write(
+            "view", of=step.who, wanted=step.state, said=said, took_s=round(took, 3), held=held
+        )
+
+    async def _belief(self, spot: Spot, number: int) -> str:
+        """What a balancer believes of another; empty where it does not say."""
+        timeout = aiohttp.ClientTimeout(total=2.0)
+        try:
+            async with self._http.get(f"http://{spot.console}/admin/peers", timeout=timeout) as answer:
+                return str((await answer.json())["members"][number]["state"])
+        except (aiohttp.ClientError, OSError, TimeoutError, ValueError, KeyError):
+            return ""
+
+    def _make_noise(self, count: int) -> None:
+        """Random bytes, and a note that says all are gone, from an address of no balancer."""
+        chance = random.Random(f"{self._seed}/stranger")
+        with socket.socket(socket.AF_INET, socket.SOCK_DGRAM) as stranger:
+            for spot in self.fleet.balancers(FIRST):
+                for _ in range(count):
+                    stranger.sendto(chance.randbytes(chance.randrange(300)), spot.notes)
+        for way in self.fleet.ways.values():  # by way of relays they seem to come from a member
+            with socket.socket(socket.AF_INET, socket.SOCK_DGRAM) as forger:
+                for _ in range(count // 10):
+                    forger.sendto(chance.randbytes(chance.randrange(300)), way.address)
+
     async def _cordon(self, who: str, out: bool) -> None:
         self._fault("cordon", out, [who])
         call = "cordon" if out else "uncordon"
--- a/basaltspindle/drill/fleet.py
+++ b/basaltspindle/drill/fleet.py
@@ -18,7 +18,7 @@
 import msgspec
 
 from basaltspindle.drill import clients, lists, server
-from basaltspindle.drill.links import Address, Link
+from basaltspindle.drill.links import Address, DatagramLink, Link
 from basaltspindle.drill.script import Script, Version
 
 FIRST, INNER = "first", "inner"
@@ -39,6 +39,7 @@
     tier: str = ""
     port: int = 0
     console: str = ""
+    notes: Address = ("", 0)  # where it hears the other balancers of its tier
     since_ms: float = 0.0
     status: str = "in_service"
     version: str = ""
@@ -76,6 +77,7 @@
         self._addresses = Addresses()
         self.spots: dict[str, Spot] = {}
         self.links: dict[str, Link] = {}
+        self.ways: dict[str, DatagramLink] = {}  # of notes between balancers
         self._chance = random.Random(f"{seed}/links")
         plan, zones = script.fleet, script.fleet.zones
         for index in range(plan.balancers):
@@ -98,6 +100,16 @@
             link.start()
             self.links[link.name] = link
 
+    async def join_peers(self) -> None:
+        """Make the ways of notes: each balancer sees each other one at an address of its own."""
+        pairs = [(a, b) for a in self.balancers(FIRST) for b in self.balancers(FIRST) if a is not b]
+        for one, other in pairs if self.script.fleet.peers else []:
+            way = DatagramLink(f"{one.name}>{other.name}", other.notes, self._chance)
+            await way.start(self._addresses.host())
+            self.ways[way.name] = way
+        for one, other in pairs if self.ways else []:
+            self.ways[f"{one.name}>{other.name}"].exit = self.ways[f"{other.name}>{one.name}"]
+
     def _add(self, spot: Spot) -> None:
         self.spots[spot.name] = spot
 
@@ -105,6 +117,7 @@
         host = self._addresses.host()
         spot = Spot(name, "balancer", host, zone, tier, free_port(host))
         spot.console = f"{host}:{free_port(host)}"
+        spot.notes = (host, free_port(host))
         self._add(spot)
 
     def _ways(self) -> list[tuple[str, str]]:
@@ -134,9 +147,10 @@
         """The links that lead to a process."""
         return [link for link in self.links.values() if link.name.endswith(f">{name}")]
 
-    def matching(self, pattern: str) -> list[Link]:
-        """The links of a pattern such as `b*>s1`."""
-        return [link for name, link in self.links.items() if fnmatchcase(name, pattern)]
+    def matching(self, pattern: str) -> list[Link | DatagramLink]:
+        """The links, and ways of notes, of a pattern such as `b*>s1`."""
+        every: dict[str, Link | DatagramLink] = {**self.links, **self.ways}
+        return [link for name, link in every.items() if fnmatchcase(name, pattern)]
 
     def reached(self, name: str, address: Address) -> None:
         """A process listens there now."""
@@ -194,7 +208,7 @@
         model, load, bounds = self.script.server, self.script.load, self.script.bounds
         tier = self.balancers(spot.tier)
         effects = {"safe": "retryable", "unsafe": "fragile"}
-        settings = {
+        settings: dict[str, Any] = {
             "classes": [
                 {
                     "name": c.name, "target": c.aim_ms, "deadline": c.deadline_ms,
@@ -218,7 +232,7 @@
                 "overloadFactor": bounds.cold_multiple, "tipAfter": bounds.cold_window_s * 1_000,
             },
         }  # fmt: skip
-        told = {
+        told: dict[str, Any] = {
             "name": spot.name,
             "listen": f"{spot.host}:{spot.port}",
             "discovery": _text(self.links[f"{spot.name}>list"].address),
@@ -227,13 +241,23 @@
             "limits": {"cores": 1.0, "memory_mb": 192, "sockets": 1024},
             "settings": settings,
         }
+        if self.ways and spot.tier == FIRST:
+            settings["limits"]["peers"] = True
+            told |= {
+                "membership": True,
+                "peer_listen": _text(spot.notes),
+                "peers": [_text(spot.notes if o is spot else self._seen(spot, o)) for o in tier],
+            }
         path = self.out / f"{spot.name}.config.json"
         path.write_text(json.dumps(told), encoding="utf-8")
         return path
 
+    def _seen(self, spot: Spot, other: Spot) -> Address:
+        return self.ways[f"{spot.name}>{other.name}"].address
+
     def close(self) -> None:
         """Take the links down."""
-        for link in self.links.values():
+        for link in self.matching("*"):
             link.close()
 
 
--- a/basaltspindle/drill/links.py
+++ b/basaltspindle/drill/links.py
@@ -432,6 +432,7 @@
     def __init__(self, name: str, target: Address, chance: random.Random) -> None:
         self.name, self._target = name, target
         self.direction = Direction(chance)
+        self.exit: DatagramLink = self  # whose address the target sees as the sender's
         self._transport: asyncio.DatagramTransport | None = None
         self.passed = self.lost = 0
 
@@ -459,9 +460,18 @@
             asyncio.get_running_loop().call_later(delay, self._pass, data)
 
     def _pass(self, data: bytes) -> None:
-        if self._transport is not None and not self._transport.is_closing():
+        transport = self.exit._transport
+        if transport is not None and not transport.is_closing():
             self.passed += 1
-            self._transport.sendto(data, self._target)
+            transport.sendto(data, self._target)
+
+    def set(self, name: str, fault: Fault, direction: str = "both") -> None:
+        """Set a fault; there is one direction only, the other is a link of its own."""
+        self.direction.set(name, fault)
+
+    def lift(self, name: str) -> None:
+        """Lift a fault."""
+        self.direction.lift(name)
 
     def close(self) -> None:
         """Stop."""
--- a/basaltspindle/drill/plants.py
+++ b/basaltspindle/drill/plants.py
@@ -103,12 +103,49 @@
     names["read_list"] = read_list
 
 
+def deaf_to_peers() -> None:
+    """What other balancers say of who is there is not heard, and they hear nothing of us."""
+    from basaltspindle.peers import Membership
+
+    def heard(self: Membership, sender: int, data: bytes, now: float) -> list[Any]:
+        return []
+
+    Membership.heard = heard  # type: ignore[method-assign]
+
+
+def never_gives_up() -> None:
+    """A balancer that is silent is suspected for ever."""
+    from basaltspindle.peers import Table
+
+    def give_up(self: Table, number: int, now: float) -> None:
+        return None
+
+    Table.give_up = give_up  # type: ignore[method-assign]
+
+
+def forgets_returns() -> None:
+    """Who was gone once stays gone: what it says of itself is not taken."""
+    from basaltspindle.peers import State, Table
+
+    real = Table.learn
+
+    def learn(self: Table, number: int, state: State, incarnation: int, now: float) -> bool:
+        if self.state(number) is State.GONE:
+            return False
+        return real(self, number, state, incarnation, now)
+
+    Table.learn = learn  # type: ignore[method-assign]
+
+
 DEFECTS: dict[str, Callable[[], None]] = {
     "sends-twice": sends_twice,
     "forgets-drain": forgets_drain,
     "keeps-dead-server": keeps_dead_server,
     "answers-from-nowhere": answers_from_nowhere,
     "trusts-any-list": trusts_any_list,
+    "deaf-to-peers": deaf_to_peers,
+    "never-gives-up": never_gives_up,
+    "forgets-returns": forgets_returns,
 }
 
 
--- a/basaltspindle/drill/script.py
+++ b/basaltspindle/drill/script.py
@@ -16,6 +16,7 @@
 from basaltspindle.drill.links import Fault
 
 EFFECTS = ("safe", "unsafe")
+STATES = ("alive", "gone", "left")
 FOLDERS = ("own", "full", "read-only")
 DIRECTIONS = ("both", "there", "back")
 
@@ -35,6 +36,7 @@
     servers: int = 4
     inner: int = 0  # servers of the second tier; with some, each first-tier server has a balancer s0.b, ...
     zones: tuple[str, ...] = ("east", "west")
+    peers: bool = False  # whether balancers of the first tier tell one another who is there
     folders: str = "own"  # what balancers find in $TMPDIR: `own`, or one that is `full` or `read-only`
 
 
@@ -178,6 +180,21 @@
     folder: str = ""
 
 
+class Expect(Step, frozen=True, forbid_unknown_fields=True, kw_only=True, tag="expect"):
+    """Wait until all balancers that run believe this of one of them: `alive`, `gone` or `left`."""
+
+    who: str
+    state: str
+    within_s: float = 5.0  # the bound of the check `views`
+    by: str = "b*"  # by whom
+
+
+class Stranger(Step, frozen=True, forbid_unknown_fields=True, kw_only=True, tag="stranger"):
+    """Garbage from somebody who is no balancer, and forged notes, to every balancer."""
+
+    notes: int = 200
+
+
 class Surge(Step, frozen=True, forbid_unknown_fields=True, kw_only=True, tag="surge"):
     """Clients ask at another rate, with other retries, from now on."""
 
@@ -186,7 +203,23 @@
     backoff_ms: float = 20.0
 
 
-Steps = Kill | Term | Stop | Start | Drain | Remove | Behave | Break | Lift | List | Cordon | Replace | Surge
+Steps = (
+    Kill
+    | Term
+    | Stop
+    | Start
+    | Drain
+    | Remove
+    | Behave
+    | Break
+    | Lift
+    | List
+    | Cordon
+    | Replace
+    | Surge
+    | Expect
+    | Stranger
+)
 
 
 class Bounds(Part, frozen=True, forbid_unknown_fields=True):
@@ -279,6 +312,10 @@
             return f"step[{number}].direction: {step.direction!r}; allowed: {', '.join(DIRECTIONS)}"
         if isinstance(step, List) and step.state not in ("down", "up", "stale", "fresh"):
             return f"step[{number}].state: {step.state!r}; allowed: down, up, stale, fresh"
+        if isinstance(step, Expect | Stranger) and not fleet.peers:
+            return f"step[{number}].do: fleet.peers is off, and there is nothing to look at"
+        if isinstance(step, Expect) and step.state not in STATES:
+            return f"step[{number}].state: {step.state!r}; allowed: {', '.join(STATES)}"
         if isinstance(step, Start) and step.version and step.version not in script.versions:
             known = ", ".join(script.versions) or "none"
             return f"step[{number}].version: {step.version!r}; the versions are: {known}"
--- a/basaltspindle/net/config.py
+++ b/basaltspindle/net/config.py
@@ -62,6 +62,9 @@
     connect_timeout_ms: float
     idle_ms: float
     drain_grace_ms: float
+    peers: tuple[Address, ...] = ()
+    """One for each balancer of the tier, by their numbers; none where membership is off."""
+    peer_listen: Address | None = None
 
 
 def read_address(text: object) -> Address:
@@ -141,6 +144,17 @@
     return str(value).lower() if isinstance(value, bool) else str(value)
 
 
+def _read_peers(raw: Mapping[str, Any], settings: Settings, facts: wire.Fields) -> tuple[Address, ...]:
+    """The addresses for notes, if notes are wanted and allowed."""
+    wanted = raw.get("membership") is True and facts.get("limits.peers") == "true"
+    if not wanted or not raw.get("peer_listen"):
+        return ()
+    peers = tuple(read_address(address) for address in raw.get("peers") or ())
+    if not settings.number < len(peers) or len(set(peers)) < len(peers):
+        raise ValueError(f"peers: {len(peers)} addresses for number {settings.number}, each may stand once")
+    return peers
+
+
 def read_config(text: str, note: Callable[[str], None], console: str = "") -> Config:
     """The configuration from its JSON text; ConfigError says in one line what is wrong with it.
 
@@ -151,6 +165,8 @@
         console = raw.get("console") or console
         facts: wire.Fields = {}
         flatten(raw["settings"], "", facts)
+        settings = wire.read_settings(facts, note)
+        peers = _read_peers(raw, settings, facts)
         return Config(
             name=str(raw.get("name", "")),
             listen=read_address(raw["listen"]),
@@ -160,10 +176,12 @@
             memory_mb=float(raw.get("limits", {}).get("memory_mb", 192)),
             console=read_address(console) if console else None,
             known=read_list(raw.get("known") or {"index": 0, "snapshot": True, "endpoints": []}),
-            settings=wire.read_settings(facts, note),
+            settings=settings,
             connect_timeout_ms=wire.number(facts, "limits.connectTimeout", 250.0),
             idle_ms=wire.number(facts, "limits.connIdle", 15_000.0),
             drain_grace_ms=wire.number(facts, "contract.drainGrace", 0.0),
+            peers=peers,
+            peer_listen=read_address(raw["peer_listen"]) if peers else None,
         )
     except KeyError as error:
         raise ConfigError(f"{error} is missing") from None
--- a/basaltspindle/net/console.py
+++ b/basaltspindle/net/console.py
@@ -25,6 +25,7 @@
 _METHODS = {
     "/admin/health": "GET",
     "/admin/stats": "GET",
+    "/admin/peers": "GET",
     "/metrics": "GET",
     "/admin/cordon": "POST",
     "/admin/uncordon": "POST",
@@ -45,6 +46,9 @@
     def metrics(self) -> str:
         """The same figures in Prometheus' form."""
 
+    def membership(self) -> dict[str, object] | None:
+        """What is believed of the other balancers; None where membership is off."""
+
     def cordon(self, server: str, out: bool) -> bool:
         """Leave a server out from now on, or let it serve again; False if nobody has that ID."""
 
@@ -178,6 +182,10 @@
             return 405, f"only {wanted}", [(b"Allow", wanted.encode()), *_TEXT]
         if path == "/admin/stats":
             return 200, json.dumps(self._office.figures()), _JSON
+        if path == "/admin/peers":
+            if (members := self._office.membership()) is None:
+                return 404, "membership is off", _TEXT
+            return 200, json.dumps(members), _JSON
         if path == "/metrics":
             return 200, self._office.metrics(), [(b"Content-Type", CONTENT_TYPE)]
         if path == "/admin/health":
--- a/basaltspindle/net/driver.py
+++ b/basaltspindle/net/driver.py
@@ -9,7 +9,7 @@
 from collections import deque
 from dataclasses import fields
 from pathlib import Path
-from typing import assert_never
+from typing import TYPE_CHECKING, assert_never
 
 from basaltspindle import interface as face
 from basaltspindle.interface import NEVER_RAN, ListKind, Outcome, Readiness
@@ -25,6 +25,9 @@
 from basaltspindle.net.upstreams import Answer, Attempt, Errand, Upstreams
 from basaltspindle.policy import Balancer
 
+if TYPE_CHECKING:
+    from basaltspindle.net.peers import Peers
+
 ANSWER_MS = 10.0  # the module is told so much less than the caller waits: its answer must still travel
 NET_MS = 5.0  # so long before the deadline the safety net answers what is still open
 PROBE_MS = 250.0
@@ -157,6 +160,15 @@
         self._asked = asyncio.Event()  # whether discovery has answered, or failed to
         self._handover = Handover(folder, loop, self) if folder and config.console else None
         self._tasks: set[asyncio.Task[None]] = set()
+        self.peers = self._make_peers(config)
+
+    def _make_peers(self, config: Config) -> Peers | None:
+        """Membership, where it is on; what it needs is loaded there alone."""
+        if config.peer_listen is None:
+            return None
+        from basaltspindle.net.peers import Peers
+
+        return Peers(config, config.peer_listen, self._loop, self.clock.now)
 
     def start(self) -> None:
         """Tell what was known, then begin to listen, or to take over from the process that does."""
@@ -177,9 +189,19 @@
 
     def _serve(self) -> None:
         self.callers.start()
+        self._join_peers()
         if self._handover is not None and (trouble := self._handover.start()):
             self.log.event("no_handover", trouble)
 
+    def _join_peers(self) -> None:
+        if self.peers is not None and (trouble := self.peers.start()):
+            self.log.event("no_peers", trouble)
+
+    def say_goodbye(self) -> None:
+        """We end on purpose: the other balancers need not find out."""
+        if self.peers is not None:
+            self.peers.leave()
+
     def is_serving(self) -> bool:
         """Whether clients are taken."""
         return self.callers.serving and not self.callers.ending
@@ -230,6 +252,8 @@
     def retire(self) -> None:
         """The next process is ready to accept in our place."""
         self.log.event("taken_over", "another process takes over")
+        if self.peers is not None:
+            self.peers.stop()  # the next process speaks in our name
         self.callers.retire()
         self._tell(face.Succession(True))
 
@@ -237,6 +261,7 @@
         """The next process has died."""
         self.log.event("returned", "the process that took over is gone")
         self.callers.return_to_work()
+        self._join_peers()
         self.upstreams.cap = self._caps[1]
         self._tell(face.Succession(False))
 
@@ -253,7 +278,12 @@
     def metrics(self) -> str:
         """The same figures in Prometheus' form."""
         avoided = len(self.balancer.avoided())
-        return metrics.write(self._figures, len(self._list), avoided, self.log.left_out)
+        members = self.peers.by_state() if self.peers else {}
+        return metrics.write(self._figures, len(self._list), avoided, self.log.left_out, members)
+
+    def membership(self) -> dict[str, object] | None:
+        """What we believe of the other balancers; None where membership is off."""
+        return self.peers.report() if self.peers else None
 
     def cordon(self, server: str, out: bool) -> bool:
         """Take a server out, or put it back; False if nobody has that ID."""
--- a/basaltspindle/net/metrics.py
+++ b/basaltspindle/net/metrics.py
@@ -5,6 +5,8 @@
 
 from __future__ import annotations
 
+from collections.abc import Mapping
+
 from basaltspindle.net.figures import Figures
 
 CONTENT_TYPE = b"text/plain; version=0.0.4; charset=utf-8"
@@ -14,6 +16,7 @@
     "irondrum_outstanding": ("gauge", "Requests taken whose answer is not out yet."),
     "irondrum_upstreams_discovered": ("gauge", "Upstreams in the list as this balancer has it."),
     "irondrum_upstreams_ejected": ("gauge", "Listed upstreams that this balancer avoids now."),
+    "irondrum_peers": ("gauge", "Balancers of the tier by what this one believes of them."),
     "irondrum_log_lines_left_out_total": ("counter", "Log lines past the bound of the log."),
 }
 
@@ -22,8 +25,8 @@
     return value.replace("\\", r"\\").replace('"', r"\"").replace("\n", r"\n")
 
 
-def write(figures: Figures, discovered: int, ejected: int, left_out: int) -> str:
-    """All figures, one sample a line."""
+def write(figures: Figures, discovered: int, ejected: int, left_out: int, members: Mapping[str, int]) -> str:
+    """All figures, one sample a line; those of membership where it is on."""
     requests = [
         (f'{{class="{_label(name)}",ending="{ending}"}}', count)
         for ending, counts in figures.endings().items()
@@ -35,10 +38,13 @@
         "irondrum_outstanding": [("", figures.outstanding)],
         "irondrum_upstreams_discovered": [("", discovered)],
         "irondrum_upstreams_ejected": [("", ejected)],
+        "irondrum_peers": [(f'{{state="{state}"}}', count) for state, count in members.items()],
         "irondrum_log_lines_left_out_total": [("", left_out)],
     }
     lines = []
     for name, (kind, text) in HELP.items():
+        if not samples[name]:
+            continue
         lines += [f"# HELP {name} {text}", f"# TYPE {name} {kind}"]
         lines += [f"{name}{labels} {value}" for labels, value in samples[name]]
     return "\n".join(lines)
--- /dev/null
+++ b/basaltspindle/net/peers.py
@@ -0,0 +1,142 @@
+"""Membership on UDP: hosts the core of `basaltspindle.peers`, and decides nothing.
+
+Off unless the configuration says `membership` and the settings allow notes; nothing is then bound or sent.
+"""
+
+from __future__ import annotations
+
+import asyncio
+import contextlib
+import socket
+import zlib
+from collections.abc import Callable, Iterable
+
+from basaltspindle.net.config import Address, Config
+from basaltspindle.peers import NOTE_MOST, Action, Membership, State, Tell, Wake
+
+READ_MOST = 64  # notes that are read before others on the loop have their turn
+
+
+def fleet_tag(config: Config) -> bytes:
+    """Four bytes that all balancers of one tier share."""
+    settings = config.settings
+    text = f"{settings.calling_tier}/{len(config.peers)}/{','.join(c.name for c in settings.classes)}"
+    return zlib.crc32(text.encode()).to_bytes(4, "big")
+
+
+class Peers:
+    """Our socket for notes, and the member behind it."""
+
+    def __init__(
+        self, config: Config, listen: Address, loop: asyncio.AbstractEventLoop, now: Callable[[], float]
+    ) -> None:
+        """`now` tells ms; the member starts from nothing at each `start`."""
+        self._config, self._listen, self._loop, self._now = config, listen, loop, now
+        self._numbers = {address: number for number, address in enumerate(config.peers)}
+        self._socket: socket.socket | None = None
+        self._timer: asyncio.TimerHandle | None = None
+        self._starts = 0
+        self.strangers = 0  # notes from addresses that are no member's
+        self.member = self._new_member()
+
+    def _new_member(self) -> Membership:
+        self._starts += 1
+        number, count = self._config.settings.number, len(self._config.peers)
+        seed = self._config.seed + self._starts
+        return Membership(number, count, fleet_tag(self._config), seed, self._now())
+
+    def start(self) -> str:
+        """Take part from now on; a line on what went wrong, if we can't."""
+        if self._socket is not None:
+            return ""
+        family = socket.AF_INET6 if ":" in self._listen[0] else socket.AF_INET
+        sock = socket.socket(family, socket.SOCK_DGRAM | socket.SOCK_NONBLOCK)
+        try:
+            sock.bind(self._listen)
+        except OSError as error:
+            sock.close()
+            return f"we take no part among the peers: {error}"
+        self._socket = sock
+        self._loop.add_reader(sock, self._read)
+        self.member = self._new_member()
+        self._do(self.member.start(self._now()))
+        return ""
+
+    def leave(self) -> None:
+        """Tell the others that we end on purpose."""
+        if self._socket is not None:
+            self._do(self.member.leave(self._now()))
+        self.stop()
+
+    def stop(self) -> None:
+        """Fall silent: another process speaks in our name, or we end."""
+        if self._timer is not None:
+            self._timer.cancel()
+        if self._socket is not None:
+            self._loop.remove_reader(self._socket)
+            self._socket.close()
+            self._socket = None
+
+    def _read(self) -> None:
+        for _ in range(READ_MOST):
+            if self._socket is None:
+                return
+            try:
+                data, sender = self._socket.recvfrom(NOTE_MOST + 1)
+            except OSError:  # nothing more is there, or a note of ours was refused
+                return
+            number = self._numbers.get((sender[0], sender[1]))
+            if number is None:
+                self.strangers += 1
+            else:
+                self._do(self.member.heard(number, data, self._now()))
+
+    def _due(self) -> None:
+        self._do(self.member.due(self._now()))
+
+    def _do(self, actions: Iterable[Action]) -> None:
+        for action in actions:
+            match action:
+                case Tell(to, note):
+                    if self._socket is not None:
+                        with contextlib.suppress(OSError):  # a note that can't go out is one that is lost
+                            self._socket.sendto(note, self._config.peers[to])
+                case Wake(at):
+                    if self._timer is not None:
+                        self._timer.cancel()
+                    self._timer = self._loop.call_later(max(at - self._now(), 0.0) / 1_000, self._due)
+
+    def report(self) -> dict[str, object]:
+        """What operators read: who is believed to be what since when, and the notes in, out and dropped."""
+        now, member = self._now(), self.member
+        members = [
+            {
+                "number": number,
+                "state": belief.state.name.lower(),
+                "since_s": round((now - belief.since) / 1_000, 3),
+                "incarnation": belief.incarnation,
+                "heard_s": round((now - belief.heard) / 1_000, 3) if belief.heard > 0 else None,
+            }
+            for number, belief in enumerate(member.table.beliefs)
+        ]
+        counts = member.counts
+        return {
+            "me": self._config.settings.number,
+            "present": member.table.present,
+            "takes_part": self._socket is not None,
+            "health": member.health,
+            "members": members,
+            "notes": {
+                "sent": counts.sent,
+                "sent_bytes": counts.sent_bytes,
+                "taken": counts.taken,
+                "dropped": {**counts.dropped, "stranger": self.strangers},
+            },
+        }
+
+    def by_state(self) -> dict[str, int]:
+        """How many members are believed to be in each state."""
+        found = dict.fromkeys((state.name.lower() for state in State), 0)
+        for belief in self.member.table.beliefs:
+            found[belief.state.name.lower()] += 1
+        return found
--- a/tests/test_drill.py
+++ b/tests/test_drill.py
@@ -24,6 +24,9 @@
     "forgets-drain": ("server-drained", "drains"),
     "keeps-dead-server": ("server-killed", "drains"),
     "trusts-any-list": ("list-stale", "drains"),
+    "deaf-to-peers": ("peers-join", "views"),
+    "never-gives-up": ("peers-killed", "views"),
+    "forgets-returns": ("peers-heal", "views"),
 }
 
 
@@ -51,8 +54,8 @@
 
 
 def test_drills_hold(tmp_path: Path) -> None:
-    names = ["server-killed", "server-drained", "balancer-killed", "replace", "folder-full"]
-    with ThreadPoolExecutor(2) as pool:
+    names = ["server-killed", "server-drained", "balancer-killed", "replace", "folder-full", "peers-killed"]
+    with ThreadPoolExecutor(3) as pool:
         for code, verdicts, told in pool.map(
             lambda name: drill("run", name, "--json", "--out", str(tmp_path / name)), names
         ):
--- a/tests/test_house.py
+++ b/tests/test_house.py
@@ -19,7 +19,13 @@
     "lab": {"interface", "policy", "world"},
     "net": {"interface", "peers", "policy", "wire"},
     "conf": {"net"},
-    "drill": {"interface", "world", "net", "__main__"},  # its plants are the program itself, made worse
+    "drill": {
+        "interface",
+        "world",
+        "net",
+        "peers",
+        "__main__",
+    },  # its plants are the program itself, made worse
 }
 
 
--- a/tests/test_observed.py
+++ b/tests/test_observed.py
@@ -50,7 +50,7 @@
 
 def test_a_class_may_have_any_name() -> None:
     name = 'a"b\\c\nd'
-    read = samples(metrics.write(Figures([name]), 0, 0, 7))
+    read = samples(metrics.write(Figures([name]), 0, 0, 7, {"alive": 2}))
     assert read["irondrum_requests_total", name, "aborted"] == 0
     assert read["irondrum_log_lines_left_out_total", "", ""] == 7
 
--- /dev/null
+++ b/tests/test_peers_net.py
@@ -0,0 +1,156 @@
+"""Membership on real UDP sockets, and that nothing of it is there where it is off."""
+
+from __future__ import annotations
+
+import asyncio
+import json
+import socket
+from dataclasses import replace
+from typing import Any
+
+import pytest
+
+from basaltspindle.cli.operate import views_of
+from basaltspindle.net.config import Config, ConfigError, read_config
+from basaltspindle.net.peers import Peers
+from basaltspindle.peers import State
+from tests.loopback import Rig, Upstream, config_text, run, status
+from tests.test_console import call
+
+HOST = "127.0.0.1"
+
+
+def raw_config(**changes: Any) -> dict[str, Any]:
+    raw: dict[str, Any] = json.loads(config_text(f"{HOST}:9", [])) | changes
+    raw["settings"]["limits"]["peers"] = True
+    return raw
+
+
+def some(count: int) -> list[Config]:
+    """The configurations of so many members on free ports."""
+    sockets = [socket.socket(socket.AF_INET, socket.SOCK_DGRAM) for _ in range(count)]
+    for sock in sockets:
+        sock.bind((HOST, 0))
+    addresses = [f"{HOST}:{sock.getsockname()[1]}" for sock in sockets]
+    configs = []
+    for number, address in enumerate(addresses):
+        raw = raw_config(membership=True, peers=addresses, peer_listen=address)
+        raw["settings"]["myNumber"] = number
+        configs.append(read_config(json.dumps(raw), print))
+    for sock in sockets:
+        sock.close()
+    return configs
+
+
+def hosts(configs: list[Config]) -> list[Peers]:
+    loop = asyncio.get_running_loop()
+    found = []
+    for config in configs:
+        assert config.peer_listen is not None
+        found.append(Peers(config, config.peer_listen, loop, lambda: loop.time() * 1_000))
+    return found
+
+
+async def until_all_say(tier: list[Peers], number: int, state: State) -> None:
+    while any(p.member.table.state(number) is not state for p in tier):
+        await asyncio.sleep(0.01)
+
+
+def test_members_find_a_death_a_return_and_a_leave() -> None:
+    async def scenario() -> None:
+        tier = hosts(some(4))
+        assert [p.start() for p in tier] == [""] * 4
+        tier[1].stop()
+        others = [tier[0], *tier[2:]]
+        await until_all_say(others, 1, State.GONE)
+        assert tier[1].start() == ""
+        await until_all_say(others, 1, State.ALIVE)
+        tier[3].leave()
+        await until_all_say(tier[:3], 3, State.LEFT)
+        for peers in tier:
+            peers.stop()
+
+    run(scenario())
+
+
+def test_strangers_and_garbage_are_counted_and_change_nothing() -> None:
+    async def scenario() -> None:
+        one, other = hosts(some(2))
+        assert one.start() == ""
+        before = one.by_state()
+        with socket.socket(socket.AF_INET, socket.SOCK_DGRAM) as stranger:
+            stranger.sendto(b"noise", one._listen)
+        with socket.socket(socket.AF_INET, socket.SOCK_DGRAM) as member:
+            member.bind(other._listen)
+            member.sendto(b"noise", one._listen)
+            while not (one.strangers and one.member.counts.dropped):
+                await asyncio.sleep(0.01)
+        assert one.by_state() == before
+        told = one.report()["notes"]
+        assert isinstance(told, dict) and told["dropped"] == {"garbled": 1, "stranger": 1}
+        one.stop()
+
+    run(scenario())
+
+
+def test_a_socket_that_cannot_be_had_is_a_line_and_no_end() -> None:
+    async def scenario() -> None:
+        (config,) = some(1)
+        first, second = hosts([config, config])
+        assert first.start() == "" and first.start() == ""
+        assert "we take no part" in second.start()
+        first.stop()
+
+    run(scenario())
+
+
+@pytest.mark.parametrize(
+    "changes", [{}, {"membership": True}, {"peers": [f"{HOST}:1"], "peer_listen": f"{HOST}:1"}]
+)
+def test_membership_is_off_unless_it_is_wanted_allowed_and_possible(changes: dict[str, Any]) -> None:
+    config = read_config(json.dumps(raw_config(**changes)), print)
+    assert (config.peers, config.peer_listen) == ((), None)
+
+
+def test_it_is_off_where_the_settings_forbid_notes() -> None:
+    raw = raw_config(membership=True, peers=[f"{HOST}:1"], peer_listen=f"{HOST}:1")
+    raw["settings"]["limits"]["peers"] = False
+    assert read_config(json.dumps(raw), print).peers == ()
+
+
+@pytest.mark.parametrize("peers", [[f"{HOST}:1", f"{HOST}:1"], ["x"]])
+def test_addresses_that_cannot_be_are_told(peers: list[str]) -> None:
+    raw = raw_config(membership=True, peers=peers, peer_listen=f"{HOST}:1")
+    with pytest.raises(ConfigError):
+        read_config(json.dumps(raw), print)
+
+
+def test_operators_see_the_members_and_404_where_it_is_off() -> None:
+    async def scenario() -> None:
+        async with Rig(Upstream()) as rig:
+            assert status(await call(rig, "GET", "/admin/peers")) == 404
+            (config,) = some(1)
+            rig.driver.peers = rig.driver._make_peers(config)
+            rig.driver._join_peers()
+            told = json.loads((await call(rig, "GET", "/admin/peers")).body)
+            assert (told["me"], told["present"], told["takes_part"]) == (0, 1, True)
+            assert b'irondrum_peers{state="alive"} 1' in (await call(rig, "GET", "/metrics")).body
+            rig.driver.say_goodbye()
+            assert json.loads((await call(rig, "GET", "/admin/peers")).body)["takes_part"] is False
+
+    run(scenario())
+
+
+def test_views_that_differ_are_marked() -> None:
+    alive, gone = ({"members": [{"state": s, "incarnation": 0}]} for s in ("alive", "gone"))
+    assert views_of({"a": alive, "b": alive})[1]
+    assert not views_of({"a": alive, "b": gone})[1]
+    assert not views_of({"a": alive, "b": {"members": []}})[1]
+
+
+def test_a_fleet_of_another_kind_is_foreign() -> None:
+    from basaltspindle.net.peers import fleet_tag
+
+    (config,) = some(1)
+    other = replace(config, settings=replace(config.settings, calling_tier=1))
+    assert fleet_tag(config) != fleet_tag(other)
