Keep what was learned in a folder over a crash: two generations, told when unusable

state/ is one serialization for a file (the same state that the handover sends): a line with form, time, size and digest, then JSON; written aside, synced, renamed, the one before it kept. Off unless the configuration names a folder. Evidence fades by its age; cordons keep their own file.

A test kills a process at each of the seven steps of a save; Hypothesis cuts and changes bytes. By the standard library, not msgspec and xxhash: a balancer loads nothing more for it. Asking a peer for its state is not built: between balancers only 256-byte notes are allowed.

--- a/basaltspindle/conf/model.py
+++ b/basaltspindle/conf/model.py
@@ -158,6 +158,9 @@
     """One for each balancer of the tier, by their numbers."""
     peers_all: AddressOrNone = ""
     peer_listen: AddressOrNone = ""
+    snapshots: str = ""
+    """A folder in which what was learned is kept over a restart; empty for none."""
+    snapshotEvery: Duration = 10_000.0
 
 
 def schema() -> dict[str, Any]:
--- a/basaltspindle/drill/fleet.py
+++ b/basaltspindle/drill/fleet.py
@@ -21,6 +21,7 @@
 from basaltspindle.drill.links import Address, DatagramLink, Link
 from basaltspindle.drill.script import Script, Version
 
+SNAPSHOT_MS = 500.0
 FIRST, INNER = "first", "inner"
 ROOT = Path(__file__).parent.parent.parent
 WORK_OF_INNER = 0.5  # of a class's work, for each call
@@ -248,6 +249,8 @@
                 "peer_listen": _text(spot.notes),
                 "peers": [_text(spot.notes if o is spot else self._seen(spot, o)) for o in tier],
             }
+        if self.script.fleet.snapshots:
+            told |= {"snapshots": str(self.out / f"{spot.name}.folder"), "snapshotEvery": SNAPSHOT_MS}
         path = self.out / f"{spot.name}.config.json"
         path.write_text(json.dumps(told), encoding="utf-8")
         return path
--- a/basaltspindle/drill/plants.py
+++ b/basaltspindle/drill/plants.py
@@ -137,6 +137,16 @@
     Table.learn = learn  # type: ignore[method-assign]
 
 
+def forgets_snapshot() -> None:
+    """What was kept over a restart is not read."""
+    from basaltspindle.state import Found, Store
+
+    def load(self: Store) -> Found:
+        return Found(None, ())
+
+    Store.load = load  # type: ignore[method-assign]
+
+
 DEFECTS: dict[str, Callable[[], None]] = {
     "sends-twice": sends_twice,
     "forgets-drain": forgets_drain,
@@ -146,6 +156,7 @@
     "deaf-to-peers": deaf_to_peers,
     "never-gives-up": never_gives_up,
     "forgets-returns": forgets_returns,
+    "forgets-snapshot": forgets_snapshot,
 }
 
 
--- a/basaltspindle/drill/script.py
+++ b/basaltspindle/drill/script.py
@@ -37,6 +37,7 @@
     inner: int = 0  # servers of the second tier; with some, each first-tier server has a balancer s0.b, ...
     zones: tuple[str, ...] = ("east", "west")
     peers: bool = False  # whether balancers of the first tier tell one another who is there
+    snapshots: bool = False  # whether balancers keep what they learned, every half second
     folders: str = "own"  # what balancers find in $TMPDIR: `own`, or one that is `full` or `read-only`
 
 
--- a/basaltspindle/net/config.py
+++ b/basaltspindle/net/config.py
@@ -11,12 +11,14 @@
 import math
 from collections.abc import Callable, Mapping
 from dataclasses import dataclass
+from pathlib import Path
 from typing import Any
 
 from basaltspindle import wire
 from basaltspindle.interface import Member, Readiness, Settings
 
 Address = tuple[str, int]
+SNAPSHOT_MS, SNAPSHOT_LEAST_MS = 10_000.0, 100.0  # evidence fades within 6 s: more often gains nothing
 
 _READINESS = {
     "in_service": Readiness.READY,
@@ -65,6 +67,9 @@
     peers: tuple[Address, ...] = ()
     """One for each balancer of the tier, by their numbers; none where membership is off."""
     peer_listen: Address | None = None
+    snapshots: Path | None = None
+    """The folder in which what was learned is kept; None where it is not."""
+    snapshot_every_ms: float = SNAPSHOT_MS
 
 
 def read_address(text: object) -> Address:
@@ -181,6 +186,8 @@
             idle_ms=wire.number(facts, "limits.connIdle", 15_000.0),
             drain_grace_ms=wire.number(facts, "contract.drainGrace", 0.0),
             peers=peers,
+            snapshots=Path(str(raw["snapshots"])) if raw.get("snapshots") else None,
+            snapshot_every_ms=max(float(raw.get("snapshotEvery", SNAPSHOT_MS)), SNAPSHOT_LEAST_MS),
             peer_listen=read_address(raw["peer_listen"]) if peers else None,
         )
     except KeyError as error:
--- a/basaltspindle/net/driver.py
+++ b/basaltspindle/net/driver.py
@@ -9,7 +9,7 @@
 from collections import deque
 from dataclasses import fields
 from pathlib import Path
-from typing import TYPE_CHECKING, assert_never
+from typing import TYPE_CHECKING, Any, assert_never
 
 from basaltspindle import interface as face
 from basaltspindle.interface import NEVER_RAN, ListKind, Outcome, Readiness
@@ -26,6 +26,7 @@
 from basaltspindle.policy import Balancer
 
 if TYPE_CHECKING:
+    from basaltspindle.net.keeping import Keeper
     from basaltspindle.net.peers import Peers
 
 ANSWER_MS = 10.0  # the module is told so much less than the caller waits: its answer must still travel
@@ -148,7 +149,10 @@
         self._back: dict[str, float] = {}  # the returns that the module has been told
         self._ids: dict[str, None] = {}  # that lists have named, the newest last
         self._figures = Figures(c.name for c in config.settings.classes)
-        self._discovery = Discovery(config, self._news, self._list_failed, fresh=legacy is not None)
+        self._keeper = self._make_keeper(config)
+        self._kept = self._keeper.load() if self._keeper and legacy is None else None
+        fresh = legacy is not None or self._kept is not None
+        self._discovery = Discovery(config, self._news, self._list_failed, fresh=fresh)
         self._requests: dict[int, _Request] = {}
         self._last = 0
         self._events: deque[face.Event] = deque()
@@ -162,6 +166,14 @@
         self._tasks: set[asyncio.Task[None]] = set()
         self.peers = self._make_peers(config)
 
+    def _make_keeper(self, config: Config) -> Keeper | None:
+        """Snapshots, where a folder is named; what they need is loaded there alone."""
+        if config.snapshots is None:
+            return None
+        from basaltspindle.net.keeping import Keeper
+
+        return Keeper(config.snapshots, config.name, config.snapshot_every_ms, self.log)
+
     def _make_peers(self, config: Config) -> Peers | None:
         """Membership, where it is on; what it needs is loaded there alone."""
         if config.peer_listen is None:
@@ -176,6 +188,10 @@
         self._follow_cordons()
         if self._legacy is not None:
             self._take_legacy(self._legacy)
+        elif self._kept is not None:
+            self._take_state(self._kept.state, max(self.clock.now() - self._kept.written_ms, 0.0))
+        if self._keeper is not None:
+            self._keeper.start(self.state)
         self._discovery.start()
         self._sweep()
         if self.console is not None:
@@ -201,6 +217,8 @@
         """We end on purpose: the other balancers need not find out."""
         if self.peers is not None:
             self.peers.leave()
+        if self._keeper is not None:
+            self._keeper.end()
 
     def is_serving(self) -> bool:
         """Whether clients are taken."""
@@ -216,11 +234,15 @@
             except ValueError as error:
                 self.log.event("nothing_learned", f"we start with the cordons on file: {error}")
             self._apply_cordons()
+        self._take_state(legacy.state, 0.0)
+
+    def _take_state(self, state: dict[str, Any], age_ms: float) -> None:
+        """Go on from a list and evidence of some age: servers that have started anew since are unknown."""
         try:
-            known = read_list(legacy.state["list"])
+            known = read_list(state["list"])
             if known.endpoints and known.index >= self._known.index:
                 self._listed(ListKind.CACHED, known)
-            self.balancer.inherit(legacy.state["learned"], self.clock.now())
+            self.balancer.inherit(state["learned"], self.clock.now(), age_ms)
         except (KeyError, ValueError) as error:
             self.log.event("nothing_learned", f"we start without what was learned: {error}")
 
--- a/basaltspindle/policy/balancer.py
+++ b/basaltspindle/policy/balancer.py
@@ -127,8 +127,11 @@
             "median": self._capacities.median,
         }
 
-    def inherit(self, legacy: dict[str, Any], now: float) -> None:
-        """Go on with what another process has learned; ValueError, and nothing is taken, if it is no such."""
+    def inherit(self, legacy: dict[str, Any], now: float, age_ms: float = 0.0) -> None:
+        """Go on with what another process has learned; ValueError, and nothing is taken, if it is no such.
+
+        `age_ms` is how old that is: evidence fades by it.
+        """
         try:
             servers = {str(name): plain(known) for name, known in legacy["servers"].items()}
             work, easy, usual = (
@@ -143,7 +146,8 @@
         for name, (since, served, busy, *sends) in servers.items():
             server = self._roster.servers.get(name)
             if server is not None and server.member.up_since_ms == since:
-                server.served, server.busy, server.seen, server.sends = served, busy, now, deque(sends)
+                server.served, server.busy, server.sends = served, busy, deque(sends)
+                server.seen = now - age_ms
         self._times.work, self._times.easy = work, easy
         self._capacities.usual, self._capacities.median = usual, median
         self._pressure.late, self._pressure.answers = late, answers
--- /dev/null
+++ b/basaltspindle/state/snapshot.py
@@ -0,0 +1,64 @@
+"""The form: a line that says what follows, then the state as JSON.
+
+The first line holds the form's number, when it was written (Unix ms), how many bytes follow and their digest.
+A later form may add fields to it; another number is for one that older programs must not read.
+"""
+
+from __future__ import annotations
+
+import json
+from dataclasses import dataclass
+from hashlib import blake2b
+from typing import Any
+
+FORM = 1
+MOST_BYTES = 32_000_000
+DIGEST_BYTES = 16
+State = dict[str, Any]
+
+
+class Unreadable(ValueError):
+    """No snapshot that we can use: one line that says why."""
+
+
+@dataclass(frozen=True)
+class Snapshot:
+    """What was learned, and when that was written."""
+
+    state: State
+    written_ms: float
+
+
+def _digest(body: bytes) -> str:
+    return blake2b(body, digest_size=DIGEST_BYTES).hexdigest()
+
+
+def encode(state: State, written_ms: float) -> bytes:
+    """The bytes of a state."""
+    body = json.dumps(state, separators=(",", ":")).encode()
+    head = {"form": FORM, "written_ms": written_ms, "bytes": len(body), "digest": _digest(body)}
+    return json.dumps(head).encode() + b"\n" + body
+
+
+def decode(data: bytes) -> Snapshot:
+    """The state in some bytes; Unreadable if they are cut short, garbled, or of a newer form."""
+    first, _, body = data.partition(b"\n")
+    try:
+        head = json.loads(first)
+        form, size = head["form"], head["bytes"]
+        written, digest = float(head["written_ms"]), head["digest"]
+    except (ValueError, KeyError, TypeError, RecursionError):
+        raise Unreadable("its first line is none of ours") from None
+    if form != FORM:
+        raise Unreadable(f"it is of form {form!r}; this program reads form {FORM}")
+    if len(body) != size:
+        raise Unreadable(f"it holds {len(body)} of {size} bytes")
+    if _digest(body) != digest:
+        raise Unreadable("its digest is another")
+    try:
+        state = json.loads(body)
+    except (ValueError, RecursionError):
+        raise Unreadable("it is no JSON") from None
+    if not isinstance(state, dict):
+        raise Unreadable("it is no object")
+    return Snapshot(state, written)
--- /dev/null
+++ b/basaltspindle/state/store.py
@@ -0,0 +1,68 @@
+"""A snapshot's file: written aside, synced, then put in its place, with the one before it kept.
+
+At any moment one of the two generations is whole: a process that dies in the middle of a save leaves a draft,
+which the next save overwrites, or one generation less.
+"""
+
+from __future__ import annotations
+
+import os
+from contextlib import suppress
+from dataclasses import dataclass
+from pathlib import Path
+
+from basaltspindle.state.snapshot import MOST_BYTES, Snapshot, Unreadable, decode
+
+
+@dataclass(frozen=True)
+class Found:
+    """What was there: the newest snapshot that can be read, and a line on each file that can't."""
+
+    snapshot: Snapshot | None
+    troubles: tuple[str, ...]
+
+
+class Store:
+    """The snapshots of one balancer in a folder."""
+
+    def __init__(self, folder: Path, name: str) -> None:
+        """`name` may be any text; what no file name can hold is replaced."""
+        plain = "".join(c if c.isalnum() or c in "-_." else "_" for c in name) or "balancer"
+        self._folder = folder
+        self._now = folder / f"{plain}.snapshot"
+        self._old = folder / f"{plain}.snapshot.old"
+        self._draft = folder / f"{plain}.snapshot.draft"
+
+    def save(self, data: bytes) -> None:
+        """Make this the newest generation; OSError if it can't be, and both older ones stand."""
+        try:
+            with open(self._draft, "wb") as draft:
+                draft.write(data)
+                draft.flush()
+                os.fsync(draft.fileno())
+        except OSError:
+            with suppress(OSError):
+                self._draft.unlink()
+            raise
+        with suppress(FileNotFoundError):
+            os.replace(self._now, self._old)
+        os.replace(self._draft, self._now)
+        folder = os.open(self._folder, os.O_RDONLY | os.O_DIRECTORY)
+        try:
+            os.fsync(folder)
+        finally:
+            os.close(folder)
+
+    def load(self) -> Found:
+        """The newest generation that can be read. Nothing raises: a start must not fail by it."""
+        troubles: list[str] = []
+        for path in (self._now, self._old):
+            try:
+                if path.stat().st_size > MOST_BYTES:
+                    raise Unreadable("it is too large")
+                return Found(decode(path.read_bytes()), tuple(troubles))
+            except FileNotFoundError:
+                continue
+            except (OSError, Unreadable) as error:
+                troubles.append(f"{path.name} is passed over: {error}")
+        return Found(None, tuple(troubles))
--- a/tests/test_drill.py
+++ b/tests/test_drill.py
@@ -27,6 +27,7 @@
     "deaf-to-peers": ("peers-join", "views"),
     "never-gives-up": ("peers-killed", "views"),
     "forgets-returns": ("peers-heal", "views"),
+    "forgets-snapshot": ("warm-start", "served"),
 }
 
 
--- a/tests/test_house.py
+++ b/tests/test_house.py
@@ -15,17 +15,13 @@
     "policy": {"interface"},
     "wire": {"interface"},
     "peers": set(),
+    "state": set(),
     "world": {"interface", "peers", "policy"},
     "lab": {"interface", "policy", "world"},
-    "net": {"interface", "peers", "policy", "wire"},
+    "net": {"interface", "peers", "policy", "state", "wire"},
     "conf": {"net"},
-    "drill": {
-        "interface",
-        "world",
-        "net",
-        "peers",
-        "__main__",
-    },  # its plants are the program itself, made worse
+    # The plants of a drill are the program itself, made worse.
+    "drill": {"interface", "world", "net", "peers", "state", "__main__"},
 }
 
 
--- /dev/null
+++ b/tests/test_state.py
@@ -0,0 +1,146 @@
+"""Snapshots: whatever happens to a save or a file, a start goes on from what can be read, or from nothing."""
+
+from __future__ import annotations
+
+import asyncio
+import json
+import os
+import subprocess
+import sys
+from pathlib import Path
+
+import pytest
+from hypothesis import given
+from hypothesis import strategies as st
+
+from basaltspindle.interface import Member
+from basaltspindle.net.keeping import Keeper
+from basaltspindle.net.log import Log
+from basaltspindle.state import Store, Unreadable, decode, encode
+from basaltspindle.state.snapshot import FORM
+from tests.helpers import Desk
+from tests.loopback import run
+
+STATE = {"list": {"index": 3}, "learned": {"median": 1.5}}
+# In a child: save twice, and die at the nth call that touches the disk in the second save.
+DIES = """
+import os, sys
+from pathlib import Path
+from basaltspindle.state import Store, encode
+store, dies_at, calls = Store(Path(sys.argv[1]), "b"), int(sys.argv[2]), 0
+store.save(encode({"save": 0}, 0.0))
+store.save(encode({"save": 1}, 1.0))
+def dying(real):
+    def call(*args, **more):
+        global calls
+        calls += 1
+        if calls == dies_at:
+            os._exit(9)
+        return real(*args, **more)
+    return call
+for name in ("fsync", "replace", "open", "close"):
+    setattr(os, name, dying(getattr(os, name)))
+store.save(encode({"save": 2}, 2.0))
+"""
+
+
+def test_what_is_kept_is_what_was_saved_and_the_one_before_it(tmp_path: Path) -> None:
+    store = Store(tmp_path, "front/1")
+    assert store.load().snapshot is None
+    for number in (1, 2):
+        store.save(encode({"save": number}, float(number)))
+    found = store.load()
+    assert found.snapshot is not None and found.troubles == ()
+    assert (found.snapshot.state, found.snapshot.written_ms) == ({"save": 2}, 2.0)
+    (tmp_path / "front_1.snapshot").write_bytes(b"garbled")
+    older = store.load()
+    assert older.snapshot is not None and older.snapshot.state == {"save": 1}
+    assert older.troubles == ("front_1.snapshot is passed over: its first line is none of ours",)
+
+
+@pytest.mark.parametrize("step", range(1, 8))
+def test_a_process_that_dies_at_any_step_of_a_save_leaves_a_whole_one(tmp_path: Path, step: int) -> None:
+    done = subprocess.run([sys.executable, "-c", DIES, str(tmp_path), str(step)], check=False)
+    assert done.returncode in (0, 9)
+    found = Store(tmp_path, "b").load()
+    assert found.snapshot is not None and found.troubles == ()
+    assert found.snapshot.state["save"] in (1, 2)
+    if done.returncode == 0:
+        assert found.snapshot.state["save"] == 2 and step > 6  # it had no such step
+    Store(tmp_path, "b").save(encode({"save": 3}, 3.0))
+    after = Store(tmp_path, "b").load().snapshot
+    assert after is not None and after.state == {"save": 3}
+
+
+@given(st.integers(0, 400), st.integers(0, 255))
+def test_no_change_of_a_byte_and_no_cut_passes_unseen(place: int, byte: int) -> None:
+    data = encode(STATE, 7.0)
+    place %= len(data)
+    with pytest.raises(Unreadable):
+        decode(data[:place])
+    changed = data[:place] + bytes([byte]) + data[place + 1 :]
+    try:
+        assert decode(changed).state == STATE
+    except Unreadable:
+        assert changed != data
+
+
+def test_a_newer_form_is_told_and_a_later_field_is_no_fault() -> None:
+    first, _, body = encode(STATE, 7.0).partition(b"\n")
+    head = json.loads(first)
+    assert decode(json.dumps(head | {"more": 1}).encode() + b"\n" + body).state == STATE
+    with pytest.raises(Unreadable, match=f"form {FORM + 1}; this program reads form {FORM}"):
+        decode(json.dumps(head | {"form": FORM + 1}).encode() + b"\n" + body)
+
+
+def test_a_folder_that_cannot_be_written_is_told_once_and_stops_nothing(
+    tmp_path: Path, capsys: pytest.CaptureFixture[str]
+) -> None:
+    async def scenario() -> None:
+        keeper = Keeper(tmp_path / "missing", "b", 1.0, Log("b"))
+        assert keeper.load() is None
+        saves = 0
+
+        def state() -> dict[str, object]:
+            nonlocal saves
+            saves += 1
+            return {}
+
+        keeper.start(state)
+        while saves < 5:
+            await asyncio.sleep(0.001)
+        keeper.end()
+
+    run(scenario())
+    assert capsys.readouterr().err.count("no snapshot is kept") == 1
+
+
+def test_a_full_disk_keeps_both_generations(tmp_path: Path) -> None:
+    store = Store(tmp_path, "b")
+    store.save(encode({"save": 1}, 1.0))
+    (tmp_path / "b.snapshot.draft").mkdir()  # nothing can be written there
+    with pytest.raises(OSError, match="directory"):
+        store.save(encode({"save": 2}, 2.0))
+    found = store.load().snapshot
+    assert found is not None and found.state == {"save": 1}
+    assert sorted(os.listdir(tmp_path)) == ["b.snapshot", "b.snapshot.draft"]
+
+
+def test_evidence_fades_by_its_age_and_a_server_that_started_anew_is_unknown() -> None:
+    old = Desk(2)
+    for _ in range(40):
+        old.serve(takes={"s0": 50.0, "s1": 400.0})
+    learned = old.balancer.legacy(old.now)
+
+    def served(age_ms: float, *entries: Member) -> dict[str, float]:
+        new = Desk(0)
+        new.show(*entries)
+        new.balancer.inherit(learned, new.now, age_ms)
+        found = new.balancer.legacy(new.now)["servers"]
+        return {name: figures[1] for name, figures in found.items()}
+
+    same = (Member("s0", zone="z0", cell=0), Member("s1", zone="z1", cell=0))
+    fresh, stale = served(0.0, *same), served(6_000.0, *same)
+    assert stale["s0"] == pytest.approx(fresh["s0"] / 2.71828, rel=1e-3)
+    anew = served(0.0, same[0], Member("s1", zone="z1", up_since_ms=500.0))
+    assert (anew["s0"], anew["s1"]) == (fresh["s0"], 0.0)
