Add a list service of one's own: leases, doubts, versions, watches, history, an agent

directory/ is a core that is told the time, a store in SQLite (WAL, synchronous full) and an aiohttp service in PROTOCOL's form; irondrum directory serve, register, drain, remove, pin, list, watch, history, export, import, verify, agent. Writes of 5 ms share a transaction; nothing is answered or seen that is not on the disk. The index starts above the clock in ms, so neither a lost nor a restored memory looks older to today's client.

Tests: kill -9 in three lives with all that was answered there and versions that only grow; a full disk, a garbled and a newer file; 200 watches on one serialization; a balancer of today that follows through a restart and a loss of memory. The floor first counted only those still listed and let a zone empty one by one; a test found it, and it counts those that lapsed within ten minutes now. Not built yet: several instances, several tiers on one process's ports.

--- /dev/null
+++ b/basaltspindle/cli/directory.py
@@ -0,0 +1,268 @@
+"""`irondrum directory`: a list service of one's own, and what operators ask of it."""
+
+from __future__ import annotations
+
+import asyncio
+import getpass
+import json
+import signal
+import sys
+import tomllib
+from pathlib import Path
+from typing import Annotated
+
+import msgspec
+import typer
+from aiohttp import web
+from rich.table import Table
+
+from basaltspindle.cli.screen import screen
+from basaltspindle.directory.agent import Agent, check
+from basaltspindle.directory.agent import run as run_agent
+from basaltspindle.directory.caller import Caller
+from basaltspindle.directory.entries import Address, Registration, Rules
+from basaltspindle.directory.service import Service
+from basaltspindle.directory.store import Store, StoreError
+
+app = typer.Typer(no_args_is_help=True, help="A list service of your own: who serves, by leases.")
+At = Annotated[str, typer.Option("--at", help="HOST:PORT of the service.", envvar="IRONDRUM_DIRECTORY")]
+Tier = Annotated[str, typer.Option(help="The tier.")]
+Why = Annotated[str, typer.Option(help="Kept in the history.")]
+Match = Annotated[int | None, typer.Option("--if-match", help="Only if the entry is still at this version.")]
+Server = Annotated[str, typer.Argument(help="The server's name.")]
+
+
+class Misuse(ValueError):
+    """An argument that can't be used: one line that tells which and why."""
+
+
+class File(msgspec.Struct, frozen=True, forbid_unknown_fields=True):
+    """What `serve` is told."""
+
+    listen: Address
+    database: str
+    rules: Rules = Rules()
+
+
+def read_file(path: Path) -> File:
+    """The service's file; Misuse tells in a line what is wrong with it."""
+    try:
+        return msgspec.convert(tomllib.loads(path.read_text(encoding="utf-8")), type=File)
+    except (OSError, ValueError) as error:
+        raise Misuse(f"{path}: {' '.join(str(error).split())}") from None
+
+
+def _caller(at: str) -> Caller:
+    return Caller(at, who=getpass.getuser())
+
+
+@app.command()
+def serve(file: Annotated[Path, typer.Argument(help="TOML: listen, database, [rules].")]) -> None:
+    """Serve the list until SIGTERM; what was answered outlasts any end.
+
+    Example: irondrum directory serve docs/directory.toml
+    """
+    told = read_file(file)
+    host, _, port = told.listen.rpartition(":")
+    service = Service(Store(told.database), told.rules)
+    typer.echo(f"the list is at {told.listen}, version {service.catalog.index}", err=True)
+    try:
+        web.run_app(
+            service.app(), host=host, port=int(port), access_log=None, print=None, handle_signals=True,
+            shutdown_timeout=1.0,
+        )  # fmt: skip
+    except OSError as error:
+        raise Misuse(f"can't listen on {told.listen}: {error}") from None
+
+
+@app.command()
+def register(
+    name: Server,
+    at: At,
+    address: Annotated[str, typer.Option(help="Where it serves, HOST:PORT.")],
+    zone: Annotated[str, typer.Option()] = "",
+    tier: Tier = "first",
+    weight: Annotated[float, typer.Option(help="Its cores, or what it does at once.")] = 1.0,
+    since_ms: Annotated[float, typer.Option(help="When it started, Unix ms; 0 for long ago.")] = 0.0,
+    lease_s: Annotated[float, typer.Option(help="After which it lapses if nobody renews.")] = 86_400.0,
+    why: Why = "",
+    if_match: Match = None,
+) -> None:
+    """Put a server on the list by hand, or change its entry.
+
+    Example: irondrum directory register s-1 --at 127.0.0.1:8500 --address 127.0.0.1:5001 --weight 4
+    """
+    told = {
+        "address": address, "zone": zone, "tier": tier, "weight": weight, "since_ms": since_ms,
+        "lease_ms": lease_s * 1_000,
+    }  # fmt: skip
+    _tell(_caller(at).on("PUT", name, body=told, why=why, if_match=if_match))
+
+
+@app.command()
+def drain(name: Server, at: At, why: Why = "", if_match: Match = None) -> None:
+    """Let a server end what it has, and get nothing new.
+
+    Example: irondrum directory drain s-1 --at 127.0.0.1:8500 --why "new kernel"
+    """
+    _tell(_caller(at).on("POST", name, "/drain", why=why, if_match=if_match))
+
+
+@app.command()
+def remove(name: Server, at: At, why: Why = "", if_match: Match = None) -> None:
+    """Take a server off the list.
+
+    Example: irondrum directory remove s-1 --at 127.0.0.1:8500
+    """
+    _tell(_caller(at).on("DELETE", name, why=why, if_match=if_match))
+
+
+@app.command()
+def pin(
+    name: Server, at: At, off: Annotated[bool, typer.Option("--off", help="Let go of it.")] = False,
+    why: Why = "",
+) -> None:  # fmt: skip
+    """Hold a server on the list, whatever becomes of its lease.
+
+    Example: irondrum directory pin s-1 --at 127.0.0.1:8500
+    """
+    _tell(_caller(at).on("POST", name, "/unpin" if off else "/pin", why=why))
+
+
+def _tell(answer: dict[str, object]) -> None:
+    typer.echo(f"version {answer['index']}" + ("" if answer["changed"] else ", as it was"))
+
+
+@app.command("list")
+def list_(at: At, as_json: Annotated[bool, typer.Option("--json")] = False) -> None:
+    """Show all servers with their leases and marks, and what the service doubts.
+
+    Example: irondrum directory list --at 127.0.0.1:8500
+    """
+    state = _caller(at).call("GET", "/v1/state")
+    if as_json:
+        typer.echo(json.dumps(state, indent=1))
+        return
+    table = Table("server", "tier", "address", "zone", "status", "weight", "lease s", "marks", "version")
+    for entry in sorted(state["entries"], key=lambda e: (e["tier"], e["name"])):
+        marks = ", ".join(mark for mark in ("lapsed", "pinned") if entry[mark])
+        table.add_row(
+            entry["name"], entry["tier"], entry["address"], entry["zone"], entry["status"],
+            f"{entry['weight']:g}", f"{entry['lease_left_ms'] / 1_000:.1f}", marks, str(entry["index"]),
+        )  # fmt: skip
+    screen().print(table)
+    for tier, left in state["doubts"].items():
+        typer.echo(f"tier {tier}: many leases ran out at once; nothing lapses for {left / 1_000:.0f} s more")
+
+
+@app.command()
+def watch(at: At, tier: Tier = "first", looks: Annotated[int, typer.Option(min=0)] = 0) -> None:
+    """Print the list of a tier and then each change, as balancers get them.
+
+    Example: irondrum directory watch --at 127.0.0.1:8500
+    """
+    caller, after, number = Caller(at, patience_s=70.0), -1, 0
+    while not looks or number < looks:
+        news = caller.list(tier, after, 30_000.0)
+        typer.echo(json.dumps(news))
+        after, number = news["index"], number + 1
+
+
+@app.command()
+def history(
+    at: At, name: Annotated[str, typer.Argument()] = "", most: Annotated[int, typer.Option()] = 50
+) -> None:
+    """Show who changed what, when and why, the newest first.
+
+    Example: irondrum directory history s-1 --at 127.0.0.1:8500
+    """
+    query = f"/v1/history?most={most}" + (f"&name={name}" if name else "")
+    table = Table("version", "at", "server", "what", "who", "why")
+    for change in _caller(at).call("GET", query):
+        at_s = f"{change['at_ms'] / 1_000:.3f}"
+        table.add_row(
+            str(change["index"]), at_s, change["name"], change["what"], change["who"], change["why"]
+        )
+    screen().print(table)
+
+
+@app.command()
+def export(at: At) -> None:
+    """Print all entries as JSON lines, for `import`.
+
+    Example: irondrum directory export --at 127.0.0.1:8500 > servers.jsonl
+    """
+    for entry in _caller(at).call("GET", "/v1/state")["entries"]:
+        known = {f.name for f in msgspec.structs.fields(Registration)}
+        typer.echo(json.dumps({"name": entry["name"]} | {k: v for k, v in entry.items() if k in known}))
+
+
+@app.command("import")
+def import_(at: At, file: Annotated[Path, typer.Argument()], why: Why = "import") -> None:
+    """Register all entries of an export; all are read before the first is told.
+
+    Example: irondrum directory import servers.jsonl --at 127.0.0.1:8500
+    """
+    told = []
+    for number, line in enumerate(file.read_text(encoding="utf-8").splitlines(), 1):
+        try:
+            entry = json.loads(line)
+            told.append((entry.pop("name"), msgspec.convert(entry, type=Registration)))
+        except (ValueError, KeyError, TypeError, AttributeError) as error:
+            raise Misuse(f"{file}: line {number}: {' '.join(str(error).split())}") from None
+    caller = _caller(at)
+    for name, registration in told:
+        caller.on("PUT", name, body=msgspec.to_builtins(registration), why=why)
+    typer.echo(f"{len(told)} servers")
+
+
+@app.command()
+def verify(database: Annotated[Path, typer.Argument(help="The service's file.")]) -> None:
+    """Tell whether a file is sound; exit 1, and what is wrong, if it is not.
+
+    Example: irondrum directory verify /var/lib/irondrum/list.sqlite
+    """
+    if not database.exists():
+        raise Misuse(f"{database}: there is no such file")
+    try:
+        faults = list(Store(database).verify())
+    except StoreError as error:
+        faults = [str(error)]
+    for fault in faults:
+        typer.echo(fault, err=True)
+    if faults:
+        raise typer.Exit(1)
+    typer.echo(f"{database}: sound")
+
+
+@app.command()
+def agent(
+    name: Server,
+    at: At,
+    address: Annotated[str, typer.Option(help="Where the server serves, HOST:PORT.")],
+    zone: Annotated[str, typer.Option()] = "",
+    tier: Tier = "first",
+    weight: Annotated[float, typer.Option()] = 1.0,
+    lease_s: Annotated[float, typer.Option(help="How long the list trusts us unheard.")] = 10.0,
+    health: Annotated[str, typer.Option(help="Path that answers 200 while it is well.")] = "/healthz",
+    grace_s: Annotated[float, typer.Option(help="Between drain and removal at the end.")] = 5.0,
+) -> None:
+    """Speak for a server that can't: register it while its health checks pass, drain it on SIGTERM.
+
+    Example: irondrum directory agent s-1 --at 127.0.0.1:8500 --address 127.0.0.1:5001
+    """
+    told = Registration(
+        address=address, zone=zone, tier=tier, weight=weight, lease_ms=lease_s * 1_000, owner=f"agent {name}"
+    )
+    speaker = Agent(
+        name, told, Caller(at, who="agent", patience_s=2.0), lambda: check(address, health),
+        lambda text: print(text, file=sys.stderr, flush=True),
+    )  # fmt: skip
+
+    async def speak() -> None:
+        stop = asyncio.Event()
+        for number in (signal.SIGTERM, signal.SIGINT):
+            asyncio.get_running_loop().add_signal_handler(number, stop.set)
+        await run_agent(speaker, stop, grace_s)
+
+    asyncio.run(speak())
--- a/basaltspindle/cli/drill.py
+++ b/basaltspindle/cli/drill.py
@@ -10,9 +10,9 @@
 
 import typer
 import uvloop
-from rich.console import Console
 from rich.table import Table
 
+from basaltspindle.cli.screen import screen
 from basaltspindle.drill import checks, history, plants, script
 from basaltspindle.drill.checks import Check
 from basaltspindle.drill.drive import Drive
@@ -54,8 +54,8 @@
     table = Table("drill", "what happens")
     for path in sorted(FOLDER.glob("*.toml")):
         table.add_row(path.stem, script.load(path).title)
-    Console().print(table)
-    Console().print(f"--plant: {', '.join(plants.DEFECTS)}", highlight=False)
+    screen().print(table)
+    screen().print(f"--plant: {', '.join(plants.DEFECTS)}", highlight=False)
 
 
 @app.command()
@@ -118,4 +118,4 @@
         table.add_row(
             check.name, word, f"{check.measured:g}", f"{check.bound:g}", "" if check.held else check.first
         )
-    Console().print(table)
+    screen().print(table)
--- a/basaltspindle/cli/main.py
+++ b/basaltspindle/cli/main.py
@@ -8,8 +8,10 @@
 
 import typer
 
-from basaltspindle.cli import demo, drill, lab, operate, serve
+from basaltspindle.cli import demo, directory, drill, lab, operate, serve
 from basaltspindle.conf import Unusable
+from basaltspindle.directory.caller import CallError
+from basaltspindle.directory.store import StoreError
 from basaltspindle.drill.drive import DriveError
 from basaltspindle.drill.load import LoadError
 from basaltspindle.drill.script import ScriptError
@@ -19,6 +21,7 @@
 app = typer.Typer(no_args_is_help=True, add_completion=False, pretty_exceptions_enable=False)
 app.add_typer(lab.app, name="lab")
 app.add_typer(drill.app, name="drill")
+app.add_typer(directory.app, name="directory")
 for command in (
     serve.serve, serve.check, operate.health, operate.stats, operate.cordon, operate.uncordon, operate.top,
     operate.peers, demo.demo,
@@ -27,7 +30,7 @@
 app.command("load")(demo.load_)
 MISUSES = (
     ScenarioError, PolicyError, ScriptError, DriveError, lab.Misuse, drill.Misuse, serve.Misuse,
-    operate.Misuse, LoadError,
+    operate.Misuse, LoadError, directory.Misuse, CallError, StoreError,
 )  # fmt: skip
 
 
--- a/basaltspindle/cli/operate.py
+++ b/basaltspindle/cli/operate.py
@@ -11,10 +11,11 @@
 from typing import Annotated, Any
 
 import typer
-from rich.console import Console
 from rich.live import Live
 from rich.table import Table
 
+from basaltspindle.cli.screen import screen
+
 PATIENCE_S = 2.0
 NOT_TAKEN = 1
 Consoles = Annotated[
@@ -116,7 +117,7 @@
 
     Example: irondrum top --console 127.0.0.1:9901 --console 127.0.0.1:9902
     """
-    with Live(console=Console(), auto_refresh=False) as live:
+    with Live(console=screen(), auto_refresh=False) as live:
         for number, table in enumerate(tables(console, every), 1):
             live.update(table, refresh=True)
             if number == looks:
@@ -167,7 +168,7 @@
     answers = ask_all(console, "GET", "/admin/peers")
     views = {a.console: json.loads(a.text) for a in answers if a.is_yes}
     table, agreed = views_of(views)
-    Console().print(table)
+    screen().print(table)
     if missing := [answer for answer in answers if not answer.is_yes]:
         _tell(missing)
     if not agreed:
--- /dev/null
+++ b/basaltspindle/cli/screen.py
@@ -0,0 +1,14 @@
+"""Where the commands print: the terminal, or a pipe, in which nothing is cut off."""
+
+from __future__ import annotations
+
+import sys
+
+from rich.console import Console
+
+PIPE_WIDTH = 240
+
+
+def screen() -> Console:
+    """Standard output, as wide as it is, or wide enough where no terminal says."""
+    return Console(width=None if sys.stdout.isatty() else PIPE_WIDTH)
--- /dev/null
+++ b/basaltspindle/directory/__init__.py
@@ -0,0 +1,14 @@
+"""A list service of one's own: who serves, by leases, versions and watches, in PROTOCOL's form.
+
+    catalog = Catalog(Rules(), start_index=first_index(0, now_ms), now=now_ms)
+    change = catalog.register("s-1", Registration(address="127.0.0.1:5001", zone="east"), now=now_ms)
+    print(catalog.changes(tier="first", after=change.index - 1))
+
+`catalog` is a sans-I/O core that is told the time; `store` keeps it in SQLite, durable before it is answered;
+`service` hosts both on HTTP by aiohttp. docs/directory.md is for users.
+"""
+
+from basaltspindle.directory.catalog import Catalog, Change, Refused, first_index
+from basaltspindle.directory.entries import Entry, Registration, Rules, Status
+
+__all__ = ["Catalog", "Change", "Entry", "Refused", "Registration", "Rules", "Status", "first_index"]
--- /dev/null
+++ b/basaltspindle/directory/entries.py
@@ -0,0 +1,88 @@
+"""What the service holds of a server, what it may be told, and the rules by which it doubts."""
+
+from __future__ import annotations
+
+import enum
+from typing import Annotated, Any
+
+import msgspec
+from msgspec import Meta
+
+NAME = r"^[A-Za-z0-9][A-Za-z0-9._:-]{0,127}$"
+Name = Annotated[str, Meta(pattern=NAME)]
+Text = Annotated[str, Meta(max_length=200)]
+Address = Annotated[str, Meta(pattern=r"^(\[[0-9a-fA-F:.]+\]|[0-9]{1,3}(\.[0-9]{1,3}){3}):[0-9]{1,5}$")]
+
+
+class Status(enum.Enum):
+    """A server as PROTOCOL's list has it."""
+
+    IN_SERVICE = "in_service"
+    TERMINATING = "terminating"
+    TERMINATED = "terminated"
+
+
+class Registration(msgspec.Struct, frozen=True, forbid_unknown_fields=True, kw_only=True):
+    """What a server tells of itself; times in ms."""
+
+    address: Address
+    zone: Text = ""
+    type: Text = ""
+    group: Annotated[int, Meta(ge=0, le=1_000_000)] = 0
+    weight: Annotated[float, Meta(gt=0, le=1_000_000)] = 1.0
+    tier: Name = "first"
+    since_ms: Annotated[float, Meta(ge=0, le=1e15)] = 0.0
+    """When it started, Unix ms; 0 for long ago. A later one is a new start, an earlier one is refused."""
+    version: Text = ""
+    lease_ms: Annotated[float, Meta(ge=100, le=86_400_000)] = 10_000.0
+    owner: Text = ""
+    """Who speaks for it; another owner is refused until the lease is over."""
+
+
+class Rules(msgspec.Struct, frozen=True, forbid_unknown_fields=True, kw_only=True):
+    """When the service doubts what it sees."""
+
+    doubt_part: Annotated[float, Meta(gt=0, le=1)] = 0.3
+    """More than this part of a tier's servers lapsing within `doubt_ms` is our own fault until shown."""
+    doubt_ms: Annotated[float, Meta(gt=0)] = 15_000.0
+    floor_part: Annotated[float, Meta(ge=0, le=1)] = 0.5
+    """Lapses take at most the rest of any zone's, or group's, servers, as they were `floor_ms` ago."""
+    floor_ms: Annotated[float, Meta(gt=0)] = 600_000.0
+    flaps: Annotated[int, Meta(ge=1)] = 3
+    """So many lapses within `flap_ms` and a server is kept out for `damp_ms`."""
+    flap_ms: Annotated[float, Meta(gt=0)] = 60_000.0
+    damp_ms: Annotated[float, Meta(gt=0)] = 30_000.0
+    tombstones: Annotated[int, Meta(ge=1)] = 10_000
+    """Removed servers that are remembered for watches; past it, a watch gets the whole list."""
+
+
+class Entry(msgspec.Struct, kw_only=True):
+    """One server; `index` is the list's version at its last change."""
+
+    name: str
+    told: Registration
+    status: Status = Status.IN_SERVICE
+    index: int = 0
+    renewed_ms: float = 0.0
+    lapsed: bool = False
+    """Its lease has run out, and it is listed all the same: we doubt ourselves, or are at a floor."""
+    by_lapse: bool = False
+    """It is off the list since its lease ran out, and not because anybody said so."""
+    pinned: bool = False
+    """Operators hold it: no lapse touches it."""
+    damped_until_ms: float = 0.0
+    lapses_ms: list[float] = []
+
+    @property
+    def is_listed(self) -> bool:
+        """Whether balancers see it."""
+        return self.status is not Status.TERMINATED
+
+    def public(self) -> dict[str, Any]:
+        """As balancers get it."""
+        told = self.told
+        return {
+            "name": self.name, "address": told.address, "zone": told.zone, "type": told.type,
+            "group": told.group, "status": self.status.value, "weight": told.weight,
+            "since_ms": told.since_ms,
+        }  # fmt: skip
--- /dev/null
+++ b/basaltspindle/directory/service.py
@@ -0,0 +1,314 @@
+"""The catalog and its store on HTTP by aiohttp: PROTOCOL's list and watches, and writes as plain JSON.
+
+Writes wait for a few ms in a queue; then all are made, kept on the disk in one transaction, answered and told
+to watches together. Nothing is answered, nor seen by anybody, that is not on the disk.
+"""
+
+from __future__ import annotations
+
+import asyncio
+import json
+import time
+from collections.abc import Callable
+from dataclasses import dataclass
+from typing import Any
+
+import msgspec
+from aiohttp import web
+
+from basaltspindle.directory.catalog import Catalog, Change, Refused, first_index
+from basaltspindle.directory.entries import Entry, Name, Registration, Rules
+from basaltspindle.directory.store import Store, StoreError
+
+BATCH_S = 0.005  # writes that come within it share a transaction, and watches are told of them at once
+LAPSE_S = 0.25
+WAIT_MOST_MS = 60_000.0
+BODY_MOST = 64 * 1024
+HISTORY_MOST = 10_000
+ANSWERS_KEPT = 64  # serializations that watchers share
+WHO, WHY = "X-Who", "X-Why"
+Write = Callable[[], Change | None]
+
+
+class Renewal(msgspec.Struct, frozen=True, forbid_unknown_fields=True):
+    """What a server tells to renew its lease: which start of it speaks."""
+
+    since_ms: float = 0.0
+
+
+@dataclass
+class Waiting:
+    """A write in the queue."""
+
+    write: Write
+    answer: asyncio.Future[Change | None]
+
+
+def now_ms() -> float:
+    """Unix ms."""
+    return time.time() * 1_000
+
+
+class Service:
+    """One instance: the catalog in memory, its file, and those who watch."""
+
+    def __init__(self, store: Store, rules: Rules) -> None:
+        """StoreError if the file can't be read."""
+        self._store, now = store, now_ms()
+        self.catalog = Catalog(rules, first_index(store.index(), now), now)
+        self.catalog.restore(store.entries(), now)
+        store.begin(self.catalog.index)
+        self._queue: list[Waiting] = []
+        self._flushing: asyncio.TimerHandle | None = None
+        self._news = asyncio.Event()
+        self._answers: dict[tuple[str, int, int], bytes] = {}
+        self.serialized = self.told = self.watching = 0
+
+    def app(self) -> web.Application:
+        """The service as aiohttp hosts it."""
+        app = web.Application(client_max_size=BODY_MOST, middlewares=[_plain_errors])
+        app.router.add_get("/v1/servers", self._list)
+        app.router.add_put("/v1/servers/{name}", self._register)
+        app.router.add_delete("/v1/servers/{name}", self._remove)
+        app.router.add_post("/v1/servers/{name}/renew", self._renew)
+        app.router.add_post("/v1/servers/{name}/drain", self._drain)
+        app.router.add_post("/v1/servers/{name}/pin", self._pin)
+        app.router.add_post("/v1/servers/{name}/unpin", self._pin)
+        app.router.add_get("/v1/history", self._history)
+        app.router.add_get("/v1/state", self._state)
+        app.router.add_get("/healthz", self._health)
+        app.cleanup_ctx.append(self._lapses)
+        return app
+
+    # ---- reads ----------------------------------------------------------------------------------
+
+    async def _list(self, request: web.Request) -> web.Response:
+        tier = request.query.get("tier", "first")
+        after = _number(request, "after", -1.0)
+        wait_ms = min(_number(request, "wait_ms", 0.0), WAIT_MOST_MS)
+        self.watching += 1
+        try:
+            return web.Response(
+                body=await self._answer(tier, int(after), wait_ms), content_type="application/json"
+            )
+        finally:
+            self.watching -= 1
+
+    async def _answer(self, tier: str, after: int, wait_ms: float) -> bytes:
+        """The whole list, or what changed since, as soon as something has."""
+        if after < 0:
+            return self._serialize(tier, -1, self.catalog.whole(tier))
+        loop = asyncio.get_running_loop()
+        until = loop.time() + wait_ms / 1_000
+        while True:
+            news = self._news
+            changed = self.catalog.changes(tier, after, now_ms())
+            if changed is None:
+                return self._serialize(tier, -1, self.catalog.whole(tier))
+            left = until - loop.time()
+            if changed or left <= 0:
+                return self._serialize(tier, after, changed)
+            try:
+                async with asyncio.timeout(left):
+                    await news.wait()
+            except TimeoutError:
+                continue
+
+    def _serialize(self, tier: str, after: int, entries: list[Entry]) -> bytes:
+        """The bytes that all who ask the same get: made once."""
+        self.told += 1
+        key = tier, after, self.catalog.index
+        data = self._answers.get(key)
+        if data is None:
+            self.serialized += 1
+            told = {
+                "index": self.catalog.index,
+                "snapshot": after < 0,
+                "endpoints": [entry.public() for entry in entries],
+            }
+            data = msgspec.json.encode(told)
+            while len(self._answers) >= ANSWERS_KEPT:
+                del self._answers[next(iter(self._answers))]
+            self._answers[key] = data
+        return data
+
+    async def _history(self, request: web.Request) -> web.Response:
+        most = min(int(_number(request, "most", 100.0)), HISTORY_MOST)
+        changes = self._store.history(request.query.get("name", ""), most)
+        return _json([msgspec.to_builtins(change) for change in changes])
+
+    async def _state(self, request: web.Request) -> web.Response:
+        """What operators see beside the list: marks, pins, doubts, counts."""
+        now, catalog = now_ms(), self.catalog
+        entries = [
+            entry.public()
+            | {
+                "version": entry.told.version, "owner": entry.told.owner, "tier": entry.told.tier,
+                "index": entry.index, "lapsed": entry.lapsed, "pinned": entry.pinned,
+                "lease_left_ms": round(entry.renewed_ms + entry.told.lease_ms - now),
+            }
+            for entry in catalog.entries.values()
+            if entry.is_listed
+        ]  # fmt: skip
+        return _json(
+            {
+                "index": catalog.index, "floor": catalog.floor, "entries": entries,
+                "doubts": {tier: round(until - now) for tier, until in catalog.doubts.items() if until > now},
+                "refused": dict(catalog.refused), "watching": self.watching, "told": self.told,
+                "serialized": self.serialized,
+            }
+        )  # fmt: skip
+
+    async def _health(self, request: web.Request) -> web.Response:
+        return web.Response(text="ok\n")
+
+    # ---- writes ---------------------------------------------------------------------------------
+
+    async def _register(self, request: web.Request) -> web.Response:
+        name, told = _name(request), await _body(request, Registration)
+        who, why, match = _said(request)
+        return await self._write(
+            lambda: self.catalog.register(name, told, now_ms(), who=who, why=why, if_match=match)
+        )
+
+    async def _renew(self, request: web.Request) -> web.Response:
+        name, told = _name(request), await _body(request, Renewal)
+        return await self._write(lambda: self.catalog.renew(name, told.since_ms, now_ms()))
+
+    async def _drain(self, request: web.Request) -> web.Response:
+        name = _name(request)
+        who, why, match = _said(request)
+        return await self._write(lambda: self.catalog.drain(name, now_ms(), who=who, why=why, if_match=match))
+
+    async def _remove(self, request: web.Request) -> web.Response:
+        name = _name(request)
+        who, why, match = _said(request)
+        return await self._write(
+            lambda: self.catalog.remove(name, now_ms(), who=who, why=why, if_match=match)
+        )
+
+    async def _pin(self, request: web.Request) -> web.Response:
+        name, pinned = _name(request), request.path.endswith("/pin")
+        who, why, _ = _said(request)
+        return await self._write(lambda: self.catalog.pin(name, pinned, now_ms(), who=who, why=why))
+
+    async def _write(self, write: Write) -> web.Response:
+        """Queue a write, and answer when it is on the disk."""
+        loop = asyncio.get_running_loop()
+        waiting = Waiting(write, loop.create_future())
+        self._queue.append(waiting)
+        if self._flushing is None:
+            self._flushing = loop.call_later(BATCH_S, self.flush)
+        change = await waiting.answer
+        index = change.index if change else self.catalog.index
+        return _json({"index": index, "changed": change is not None}, headers={"ETag": f'"{index}"'})
+
+    def flush(self) -> None:
+        """Make all writes that wait, keep them, answer, and wake the watches."""
+        self._flushing = None
+        queue, self._queue = self._queue, []
+        done: list[tuple[Waiting, Change | None]] = []
+        for waiting in queue:
+            try:
+                done.append((waiting, waiting.write()))
+            except Refused as refused:
+                _fail(waiting, refused)
+        changes = [change for _, change in done if change is not None]
+        try:
+            self._store.keep(changes)
+        except StoreError as error:
+            self.catalog.undo(changes)
+            for waiting, _ in done:
+                _fail(waiting, error)
+            return
+        for waiting, change in done:
+            if not waiting.answer.done():
+                waiting.answer.set_result(change)
+        if changes:
+            self._wake()
+
+    def _wake(self) -> None:
+        news, self._news = self._news, asyncio.Event()
+        news.set()
+
+    async def _lapses(self, app: web.Application) -> Any:
+        task = asyncio.get_running_loop().create_task(self._look_for_lapses())
+        yield
+        task.cancel()
+        if self._flushing is not None:
+            self._flushing.cancel()
+        self.flush()
+
+    async def _look_for_lapses(self) -> None:
+        while True:
+            await asyncio.sleep(LAPSE_S)
+            changes = self.catalog.lapse(now_ms())
+            try:
+                self._store.keep(changes)
+            except StoreError:
+                self.catalog.undo(changes)  # they lapse again when the disk takes them
+                continue
+            if changes:
+                self._wake()
+
+
+def _fail(waiting: Waiting, error: Exception) -> None:
+    if not waiting.answer.done():
+        waiting.answer.set_exception(error)
+
+
+@web.middleware
+async def _plain_errors(request: web.Request, handler: Callable[[web.Request], Any]) -> web.StreamResponse:
+    """What can't be done is one clear line in JSON."""
+    try:
+        response: web.StreamResponse = await handler(request)
+        return response
+    except Refused as refused:
+        return _json({"error": str(refused)}, status=refused.status)
+    except StoreError as error:
+        return _json({"error": str(error)}, status=503)
+    except web.HTTPException as error:
+        if error.status >= 400:
+            return _json({"error": error.reason}, status=error.status)
+        raise
+
+
+def _json(value: object, status: int = 200, headers: dict[str, str] | None = None) -> web.Response:
+    body = json.dumps(value, default=str).encode() + b"\n"
+    return web.Response(body=body, status=status, headers=headers, content_type="application/json")
+
+
+def _number(request: web.Request, key: str, default: float) -> float:
+    text = request.query.get(key)
+    try:
+        value = float(text) if text is not None else default
+    except ValueError:
+        value = float("nan")
+    if not -1 <= value < 1e16:
+        raise Refused(400, f"{key}={text!r} is no number that can be")
+    return value
+
+
+def _name(request: web.Request) -> str:
+    name = request.match_info["name"]
+    try:
+        return msgspec.convert(name, type=Name)
+    except msgspec.ValidationError:
+        raise Refused(400, f"{name[:80]!r} is no name of a server: letters, digits, . _ : -") from None
+
+
+def _said(request: web.Request) -> tuple[str, str, int | None]:
+    """Who writes and why, and at which version."""
+    match = request.headers.get("If-Match", "").strip().strip('"')
+    if match and not match.isdigit():
+        raise Refused(400, f"If-Match {match[:40]!r} is no version")
+    who, why = (request.headers.get(key, "")[:200] for key in (WHO, WHY))
+    return who, why, int(match) if match else None
+
+
+async def _body(request: web.Request, kind: type[msgspec.Struct]) -> Any:
+    try:
+        return msgspec.json.decode(await request.read() or b"{}", type=kind)
+    except (msgspec.DecodeError, msgspec.ValidationError) as error:
+        allowed = ", ".join(f.name for f in msgspec.structs.fields(kind))
+        raise Refused(400, f"{' '.join(str(error).split())}; allowed: {allowed}") from None
--- /dev/null
+++ b/basaltspindle/directory/store.py
@@ -0,0 +1,134 @@
+"""The catalog in SQLite: what was answered is on the disk, and what can't be read is told in a line."""
+
+from __future__ import annotations
+
+import sqlite3
+from collections.abc import Iterator, Sequence
+from contextlib import closing
+from pathlib import Path
+
+import msgspec
+
+from basaltspindle.directory.catalog import Change
+from basaltspindle.directory.entries import Entry
+
+FORM = 1
+HISTORY_MOST = 100_000  # changes that are remembered
+TRIM_EVERY = 1_000
+_TABLES = """
+create table if not exists meta (key text primary key, value integer not null);
+create table if not exists entries (name text primary key, entry blob not null);
+create table if not exists history (
+    version integer primary key, at_ms real not null, name text not null, what text not null,
+    who text not null, why text not null, entry blob not null
+);
+create index if not exists by_name on history (name, version);
+"""
+
+
+class StoreError(RuntimeError):
+    """A file that can't be used: one line."""
+
+
+class Store:
+    """One file. All calls come from one thread."""
+
+    def __init__(self, path: Path | str) -> None:
+        """Open or make the file; StoreError if it can't be used."""
+        self._writes = 0
+        try:
+            self._db = sqlite3.connect(path, check_same_thread=False, isolation_level=None)
+            self._db.execute("pragma journal_mode = wal")
+            self._db.execute("pragma synchronous = full")  # durable before it is answered
+            self._db.executescript(_TABLES)
+            form = self._meta("form")
+            if form not in (0, FORM):
+                raise StoreError(f"{path}: it is of form {form}; this program reads form {FORM}")
+            self._db.execute("insert or replace into meta values ('form', ?)", (FORM,))
+        except sqlite3.Error as error:
+            raise StoreError(f"{path}: can't be used: {error}") from None
+
+    def _meta(self, key: str) -> int:
+        row = self._db.execute("select value from meta where key = ?", (key,)).fetchone()
+        return int(row[0]) if row else 0
+
+    def index(self) -> int:
+        """The highest version that was ever given out."""
+        return self._meta("index")
+
+    def entries(self) -> list[Entry]:
+        """All that were kept; StoreError if one can't be read."""
+        try:
+            rows = self._db.execute("select entry from entries").fetchall()
+            return [msgspec.json.decode(row[0], type=Entry) for row in rows]
+        except (sqlite3.Error, msgspec.DecodeError, msgspec.ValidationError) as error:
+            raise StoreError(f"an entry can't be read: {error}") from None
+
+    def begin(self, index: int) -> None:
+        """Take note of the version that a new life starts at, before anybody gets it."""
+        self._run([("insert or replace into meta values ('index', ?)", (index,))])
+
+    def keep(self, changes: Sequence[Change]) -> None:
+        """Keep changes, all or none, on the disk when this returns; StoreError if that can't be done."""
+        if not changes:
+            return
+        steps: list[tuple[str, tuple[object, ...]]] = []
+        for change in changes:
+            data = msgspec.json.encode(change.entry)
+            steps.append(("insert or replace into entries values (?, ?)", (change.name, data)))
+            row = (change.index, change.at_ms, change.name, change.what, change.who, change.why, data)
+            steps.append(("insert into history values (?, ?, ?, ?, ?, ?, ?)", row))
+        last = max(change.index for change in changes)
+        steps.append(("insert or replace into meta values ('index', ?)", (last,)))
+        self._writes += len(changes)
+        if self._writes >= TRIM_EVERY:
+            self._writes = 0
+            steps.append(
+                (
+                    "delete from history where version <= (select version from history"
+                    " order by version desc limit 1 offset ?)",
+                    (HISTORY_MOST,),
+                )
+            )
+        self._run(steps)
+
+    def _run(self, steps: Sequence[tuple[str, tuple[object, ...]]]) -> None:
+        try:
+            self._db.execute("begin immediate")
+            for statement, values in steps:
+                self._db.execute(statement, values)
+            self._db.execute("commit")
+        except sqlite3.Error as error:
+            if self._db.in_transaction:
+                self._db.execute("rollback")
+            raise StoreError(f"nothing was kept: {error}") from None
+
+    def history(self, name: str = "", most: int = 100) -> list[Change]:
+        """The newest changes first, of one server or of all."""
+        where, values = ("where name = ?", (name,)) if name else ("", ())
+        rows = self._db.execute(
+            f"select * from history {where} order by version desc limit ?", (*values, most)
+        ).fetchall()
+        return [
+            Change(version, at_ms, server, what, who, why, msgspec.json.decode(data, type=Entry))
+            for version, at_ms, server, what, who, why, data in rows
+        ]
+
+    def verify(self) -> Iterator[str]:
+        """What is wrong with the file, a line each; nothing if all is well."""
+        for (told,) in self._db.execute("pragma integrity_check").fetchall():
+            if told != "ok":
+                yield str(told)
+        versions = [row[0] for row in self._db.execute("select version from history order by version")]
+        if versions and versions[-1] > self.index():
+            yield f"history reaches version {versions[-1]}, the list {self.index()}"
+        kept = {e.name: e for e in self.entries()}
+        with closing(self._db.execute("select name, max(version), entry from history group by name")) as rows:
+            for name, version, data in rows:
+                entry = kept.get(name)
+                if entry is None or entry.index != version or msgspec.json.encode(entry) != data:
+                    yield f"{name}: its entry is not what history says of version {version}"
+
+    def close(self) -> None:
+        """Close the file."""
+        self._db.close()
--- /dev/null
+++ b/tests/test_directory.py
@@ -0,0 +1,463 @@
+"""The list service: leases, doubts, versions, what outlasts a kill, and watches by today's client."""
+
+from __future__ import annotations
+
+import asyncio
+import json
+import os
+import signal
+import sqlite3
+import subprocess
+import sys
+from collections.abc import AsyncIterator
+from contextlib import asynccontextmanager
+from pathlib import Path
+from typing import Any
+
+import aiohttp
+import pytest
+from aiohttp import web
+
+from basaltspindle.directory import Catalog, Change, Refused, Registration, Rules, Status, first_index
+from basaltspindle.directory.agent import Agent
+from basaltspindle.directory.caller import Caller, CallError
+from basaltspindle.directory.service import Service
+from basaltspindle.directory.store import Store, StoreError
+from basaltspindle.drill.fleet import free_port
+from basaltspindle.net.config import read_list
+from tests.loopback import Rig, Upstream, run, status
+
+ROOT = Path(__file__).parent.parent
+HOST = "127.0.0.1"
+RULES = Rules(doubt_ms=5_000.0, flap_ms=60_000.0, damp_ms=30_000.0)
+
+
+def told(**more: Any) -> Registration:
+    base: dict[str, Any] = {"address": "127.0.0.1:5000", "zone": "a", "lease_ms": 1_000.0}
+    return Registration(**(base | more))
+
+
+def catalog(*names: str, now: float = 0.0, **more: Any) -> Catalog:
+    made = Catalog(RULES, start_index=100, now=now)
+    for name in names:
+        made.register(name, told(**more), now)
+    return made
+
+
+def listed(one: Catalog) -> dict[str, str]:
+    return {e.name: e.status.value for e in one.whole("first")}
+
+
+# ---- the catalog --------------------------------------------------------------------------------
+
+
+def test_every_change_has_a_version_of_its_own_and_a_renewal_has_none() -> None:
+    one = catalog("s0", "s1")
+    assert one.index == 102
+    assert one.register("s0", told(), 10.0) is None and one.renew("s1", 0.0, 10.0) is None
+    assert one.index == 102
+    changed = one.changes("first", 101, 10.0)
+    assert changed is not None and [e.name for e in changed] == ["s1"]
+    assert one.changes("first", 99, 10.0) is None  # from before this life: the whole list
+    assert one.changes("second", 100, 10.0) == []
+
+
+def test_a_restart_is_a_new_start_and_never_an_older_one() -> None:
+    one = catalog("s0", since_ms=50.0)
+    change = one.register("s0", told(since_ms=60.0), 1.0)
+    assert change is not None and change.what == "started anew"
+    with pytest.raises(Refused, match="earlier") as caught:
+        one.register("s0", told(since_ms=50.0), 2.0)
+    assert caught.value.status == 409
+    with pytest.raises(Refused, match="started at 60"):
+        one.renew("s0", 50.0, 2.0)
+    one.remove("s0", 3.0)
+    with pytest.raises(Refused, match="earlier"):
+        one.register("s0", told(since_ms=50.0), 4.0)
+
+
+def test_one_that_drains_serves_again_only_by_a_new_start() -> None:
+    one = catalog("s0")
+    one.drain("s0", 1.0)
+    assert listed(one) == {"s0": "terminating"} and one.drain("s0", 2.0) is None
+    with pytest.raises(Refused, match="drains"):
+        one.register("s0", told(), 3.0)
+    one.register("s0", told(since_ms=5.0), 5.0)
+    assert listed(one) == {"s0": "in_service"}
+
+
+def test_a_foreign_owner_is_refused_until_the_lease_is_over() -> None:
+    one = catalog("s0", owner="a")
+    with pytest.raises(Refused, match="held by 'a'"):
+        one.register("s0", told(owner="b"), 500.0)
+    assert one.register("s0", told(owner="b"), 1_500.0) is not None
+
+
+def test_a_write_at_another_version_is_refused() -> None:
+    one = catalog("s0", "s1")
+    with pytest.raises(Refused, match="at version 101, not 100") as caught:
+        one.drain("s0", 1.0, if_match=100)
+    assert caught.value.status == 412
+    assert one.drain("s0", 1.0, if_match=101) is not None
+    assert one.register("s2", told(), 1.0, if_match=0) is not None
+
+
+def renew(one: Catalog, now: float, *names: str) -> None:
+    for name in names:
+        one.renew(name, 0.0, now)
+
+
+def test_a_single_lease_that_runs_out_takes_its_server_off_the_list() -> None:
+    one = catalog("s0", "s1", "s2", "s3")
+    renew(one, 900.0, "s1", "s2", "s3")
+    assert [c.name for c in one.lapse(1_100.0)] == ["s0"]
+    assert sorted(listed(one)) == ["s1", "s2", "s3"]
+
+
+def test_when_many_lapse_together_the_service_doubts_itself_and_keeps_them() -> None:
+    names = [f"s{i}" for i in range(10)]
+    one = catalog(*names)
+    renew(one, 900.0, *names[6:])
+    assert one.lapse(1_100.0) == [] and len(listed(one)) == 10
+    assert [n for n in names if one.entries[n].lapsed] == names[:6]
+    assert one.doubts["first"] > 1_100.0
+    renew(one, 1_200.0, *names)
+    assert not any(e.lapsed for e in one.entries.values())
+
+
+def test_lapses_leave_a_floor_in_each_zone() -> None:
+    one = catalog("s0", "s1", "s2", "s3")
+    now = 0.0
+    for name in ("s0", "s1", "s2", "s3"):  # one after another: none of them is many at once
+        now += 20_000.0
+        renew(one, now - 500.0, *[n for n in listed(one) if n > name])
+        one.lapse(now)
+    assert sorted(listed(one)) == ["s2", "s3"] and one.entries["s2"].lapsed
+
+
+def test_a_flapping_server_is_kept_out_for_a_while_and_a_pinned_one_stays() -> None:
+    one = catalog("s0", "s1", "s2", "s3", "s4", "s5", lease_ms=100.0)
+    now = 0.0
+    for _ in range(RULES.flaps):
+        now += 10_000.0
+        renew(one, now, "s1", "s2", "s3", "s4", "s5")
+        one.lapse(now)
+        if len(one.entries["s0"].lapses_ms) < RULES.flaps:
+            one.register("s0", told(lease_ms=100.0), now)
+    with pytest.raises(Refused, match="come and gone too often"):
+        one.register("s0", told(), now + 1_000.0)
+    assert one.register("s0", told(), now + RULES.damp_ms) is not None
+    one.pin("s1", True, now)
+    later = now + RULES.damp_ms + 5_000.0
+    renew(one, later, "s2", "s3", "s4", "s5")
+    assert [c.name for c in one.lapse(later)] == ["s0"]
+
+
+def test_a_change_that_could_not_be_kept_has_not_been_made() -> None:
+    one = catalog("s0")
+    index = one.index
+    changes = [one.drain("s0", 1.0), one.register("s1", told(), 1.0)]
+    one.undo([c for c in changes if c is not None])
+    assert listed(one) == {"s0": "in_service"}
+    change = one.drain("s0", 2.0)
+    assert change is not None and change.index == index + 3  # a version is never used twice
+
+
+def test_a_watcher_from_before_a_lost_memory_gets_the_whole_list_at_a_higher_version() -> None:
+    one = Catalog(RULES, first_index(0, 1_000_000.0), 1_000_000.0)
+    one.register("s0", told(), 1_000_000.0)
+    assert one.changes("first", 1_000_500, 1_000_100.0) is None and one.index == 1_000_501
+    assert one.changes("first", 10**15, 1_000_100.0) is None and one.index == 1_000_501  # nobody's version
+
+
+# ---- the store ----------------------------------------------------------------------------------
+
+
+def some(store: Store, count: int) -> list[Change]:
+    one = Catalog(RULES, first_index(store.index(), 0.0), 0.0)
+    changes = [one.register(f"s{i}", told(), 0.0, who="me", why="test") for i in range(count)]
+    return [c for c in changes if c is not None]
+
+
+def test_what_was_kept_is_there_again_and_history_tells_who_and_why(tmp_path: Path) -> None:
+    path = tmp_path / "list.sqlite"
+    store = Store(path)
+    changes = some(store, 3)
+    store.keep(changes)
+    store.close()
+    again = Store(path)
+    assert [e.name for e in again.entries()] == ["s0", "s1", "s2"] and again.index() == changes[-1].index
+    newest = again.history("s1")[0]
+    assert (newest.what, newest.who, newest.why) == ("registered", "me", "test")
+    assert list(again.verify()) == []
+
+
+def test_a_rewound_entry_and_a_lost_version_are_found(tmp_path: Path) -> None:
+    path = tmp_path / "list.sqlite"
+    store = Store(path)
+    store.keep(some(store, 3))
+    store.close()
+    with sqlite3.connect(path) as db:
+        db.execute(
+            "update entries set entry = (select entry from entries where name = 's0') where name = 's1'"
+        )
+        db.execute("update meta set value = 1 where key = 'index'")
+    faults = list(Store(path).verify())
+    assert len(faults) == 2 and "history reaches" in faults[0] and faults[1].startswith("s1: ")
+
+
+def test_a_file_that_is_none_or_newer_is_a_line(tmp_path: Path) -> None:
+    garbled = tmp_path / "garbled"
+    garbled.write_bytes(b"no database" * 100)
+    newer = tmp_path / "newer"
+    Store(newer).close()
+    with sqlite3.connect(newer) as db:
+        db.execute("update meta set value = 99 where key = 'form'")
+    for path, why in ((garbled, "not a database"), (newer, "of form 99"), (tmp_path / "no" / "x", "unable")):
+        with pytest.raises(StoreError, match=why) as caught:
+            Store(path)
+        assert "\n" not in str(caught.value)
+
+
+# ---- the service --------------------------------------------------------------------------------
+
+
+@asynccontextmanager
+async def serving(path: Path | str = ":memory:") -> AsyncIterator[tuple[Service, str]]:
+    service = Service(Store(path), RULES)
+    runner = web.AppRunner(service.app(), shutdown_timeout=0.1)
+    await runner.setup()
+    site = web.TCPSite(runner, HOST, 0)
+    await site.start()
+    host, port = runner.addresses[0][:2]
+    try:
+        yield service, f"{host}:{port}"
+    finally:
+        await runner.cleanup()
+
+
+def entry(address: str, **more: Any) -> dict[str, Any]:
+    return {"address": address, "zone": "a", "weight": 40.0, "lease_ms": 60_000.0} | more
+
+
+def test_bad_input_is_one_line_and_a_4xx_and_changes_nothing() -> None:
+    async def scenario() -> None:
+        async with serving() as (service, at), aiohttp.ClientSession() as http:
+            index = service.catalog.index
+            good = entry("127.0.0.1:1")
+            for method, path, body, wanted in (
+                ("PUT", "/v1/servers/s0", good | {"wieght": 1}, 400),
+                ("PUT", "/v1/servers/s0", good | {"weight": -1}, 400),
+                ("PUT", "/v1/servers/s0", good | {"address": "here"}, 400),
+                ("PUT", "/v1/servers/s%200", good, 400),
+                ("PUT", "/v1/servers/s0", good | {"zone": "x" * 70_000}, 413),
+                ("POST", "/v1/servers/s0/renew", {"since_ms": 0}, 404),
+                ("POST", "/v1/servers/s0/drain", None, 404),
+                ("DELETE", "/v1/servers/s0", None, 404),
+                ("GET", "/v1/servers?after=x", None, 400),
+                ("GET", "/v1/nothing", None, 404),
+            ):
+                async with http.request(method, f"http://{at}{path}", json=body) as answer:
+                    said = await answer.json()
+                    assert (answer.status, list(said)) == (wanted, ["error"]), (path, said)
+                    assert "\n" not in said["error"]
+            assert service.catalog.index == index and not service.catalog.entries
+
+    run(scenario())
+
+
+def test_one_change_wakes_all_watches_with_one_serialization() -> None:
+    async def scenario() -> None:
+        async with (
+            serving() as (service, at),
+            aiohttp.ClientSession(connector=aiohttp.TCPConnector(limit=0)) as http,
+        ):
+            after = service.catalog.index
+
+            async def watch() -> dict[str, Any]:
+                async with http.get(f"http://{at}/v1/servers?after={after}&wait_ms=9000") as answer:
+                    read: dict[str, Any] = await answer.json()
+                    return read
+
+            watches = [asyncio.create_task(watch()) for _ in range(200)]
+            while service.watching < 200:
+                await asyncio.sleep(0.01)
+            await asyncio.gather(
+                *(http.put(f"http://{at}/v1/servers/{n}", json=entry("127.0.0.1:1")) for n in ("s0", "s1"))
+            )
+            news = await asyncio.gather(*watches)
+            assert {len(n["endpoints"]) for n in news} == {2} and not any(n["snapshot"] for n in news)
+            assert service.serialized == 1 and service.told == 200
+            assert read_list(news[0]).index == service.catalog.index
+
+    run(scenario())
+
+
+def test_a_full_disk_refuses_writes_in_a_line_and_reads_go_on(monkeypatch: pytest.MonkeyPatch) -> None:
+    async def scenario() -> None:
+        async with serving() as (service, at), aiohttp.ClientSession() as http:
+            await http.put(f"http://{at}/v1/servers/s0", json=entry("127.0.0.1:1"))
+            service._store._db.execute("pragma max_page_count = 1")  # as many pages as there are
+            answers = []
+            for number in range(200):
+                async with http.put(
+                    f"http://{at}/v1/servers/n{number}", json=entry("127.0.0.1:1", zone="z" * 200)
+                ) as answer:
+                    answers.append((answer.status, (await answer.json()).get("error", "")))
+            kept = sum(status == 200 for status, _ in answers)
+            assert answers[-1] == (503, "nothing was kept: database or disk is full")
+            async with http.get(f"http://{at}/v1/servers") as answer:
+                assert len((await answer.json())["endpoints"]) == 1 + kept
+
+    run(scenario())
+
+
+def test_a_balancer_follows_the_service_through_its_restart_and_its_loss_of_memory(tmp_path: Path) -> None:
+    async def scenario() -> None:
+        first, second = Upstream(), Upstream()
+        addresses = [await first.start(), await second.start()]
+        port = free_port(HOST)
+
+        async def service(name: str) -> web.AppRunner:
+            runner = web.AppRunner(Service(Store(tmp_path / name), RULES).app(), shutdown_timeout=0.05)
+            await runner.setup()
+            await web.TCPSite(runner, HOST, port).start()
+            return runner
+
+        async with aiohttp.ClientSession() as http, Rig(console="") as rig:
+            rig.driver._discovery.move((HOST, port))
+
+            async def put(name: str, address: str) -> None:
+                async with http.put(f"http://{HOST}:{port}/v1/servers/{name}", json=entry(address)) as answer:
+                    assert answer.status == 200
+
+            async def until_listed(*names: str) -> None:
+                while sorted(rig.driver._list) != sorted(names):
+                    await asyncio.sleep(0.01)
+                assert status(await rig.ask()) == 200
+
+            one = await service("a")
+            await put("s0", addresses[0])
+            await until_listed("s0")
+            await one.cleanup()
+            one = await service("a")  # it has its memory
+            await put("s1", addresses[1])
+            await until_listed("s0", "s1")
+            await one.cleanup()
+            one = await service("b")  # it has none
+            await put("s1", addresses[1])
+            await until_listed("s1")
+            await one.cleanup()
+
+    run(scenario())
+
+
+# ---- the process --------------------------------------------------------------------------------
+
+
+def irondrum(*args: str) -> list[str]:
+    return [sys.executable, "-c", "from basaltspindle.cli import main; main()", "directory", *args]
+
+
+def served(path: Path, port: int) -> subprocess.Popen[bytes]:
+    path.write_text(f'listen = "{HOST}:{port}"\ndatabase = "{path.with_suffix(".sqlite")}"\n')
+    process = subprocess.Popen(irondrum("serve", str(path)), cwd=ROOT, stderr=subprocess.DEVNULL)
+    while True:
+        assert process.poll() is None
+        try:
+            Caller(f"{HOST}:{port}").call("GET", "/v1/state")
+            return process
+        except CallError:
+            continue
+
+
+def test_what_was_answered_outlasts_kills_and_versions_only_grow(tmp_path: Path) -> None:
+    path, port = tmp_path / "list.toml", free_port(HOST)
+    caller, versions = Caller(f"{HOST}:{port}", who="test"), [0]
+    answered: list[str] = []
+    for life in range(3):
+        process = served(path, port)
+        try:
+            state = caller.call("GET", "/v1/state")
+            assert state["index"] > versions[-1]
+            assert {e["name"] for e in state["entries"]} >= set(answered)
+            for number in range(20):
+                name = f"s-{life}-{number}"
+                versions.append(caller.on("PUT", name, body=entry("127.0.0.1:1"))["index"])
+                answered.append(name)
+        finally:
+            os.kill(process.pid, signal.SIGKILL)
+            process.wait()
+    assert versions == sorted(set(versions))
+    done = subprocess.run(
+        irondrum("verify", str(path.with_suffix(".sqlite"))), cwd=ROOT, capture_output=True, check=False
+    )
+    assert done.returncode == 0, done.stderr
+
+
+def test_the_commands_for_people(tmp_path: Path) -> None:
+    path, port = tmp_path / "list.toml", free_port(HOST)
+    process, at = served(path, port), f"{HOST}:{port}"
+
+    def say(*args: str, status: int = 0) -> str:
+        done = subprocess.run(
+            [*irondrum(*args), "--at", at], cwd=ROOT, capture_output=True, text=True, check=False
+        )
+        assert done.returncode == status, done.stderr
+        return done.stdout + done.stderr
+
+    try:
+        assert say("register", "s-1", "--address", "127.0.0.1:5001", "--weight", "4").startswith("version ")
+        assert say("drain", "s-1", "--why", "new kernel").startswith("version ")
+        assert "terminating" in say("list") and "new kernel" in say("history", "s-1")
+        assert json.loads(say("watch", "--looks", "1"))["endpoints"][0]["status"] == "terminating"
+        copy = tmp_path / "copy.jsonl"
+        copy.write_text(say("export"))
+        say("remove", "s-1")
+        assert json.loads(copy.read_text())["name"] == "s-1"
+        assert say("drain", "s-1", status=2) == "irondrum: no server 's-1' is listed\n"
+        assert say("drain", "s-1", "--if-match", "7", status=2).count("\n") == 1
+        assert say("import", str(copy)) == "1 servers\n" and "s-1" in say("list")
+        copy.write_text('{"name": "s-2", "address": "x"}')
+        assert "line 1" in say("import", str(copy), status=2)
+    finally:
+        process.terminate()
+        assert process.wait(30) == 0
+
+
+def test_an_agent_registers_renews_and_lets_go_by_its_checks() -> None:
+    calls: list[tuple[str, str]] = []
+    well, now, lapsed = [True], [0.0], [False]
+
+    class Desk(Caller):
+        def on(self, method: str, name: str, what: str = "", body: object = None, **more: Any) -> Any:
+            calls.append((method, what))
+            if what == "/renew" and lapsed[0]:
+                lapsed[0] = False
+                raise CallError(404, "no such server")
+
+    agent = Agent("s0", told(), Desk(f"{HOST}:1"), lambda: well[0], lambda text: None, lambda: now[0])
+
+    def steps(count: int) -> list[tuple[str, str]]:
+        calls.clear()
+        for _ in range(count):
+            now[0] += 1_000.0 * agent.step()
+        return list(calls)
+
+    assert steps(2) == [("PUT", "")]
+    assert steps(3) == [("POST", "/renew")] * 3
+    lapsed[0] = True
+    assert steps(2) == [("POST", "/renew"), ("PUT", "")]
+    well[0] = False
+    assert steps(3) == [("POST", "/renew")] * 2 + [("DELETE", "")]
+    assert steps(2) == []
+    well[0] = True
+    assert steps(2) == [("PUT", "")]
+    calls.clear()
+    agent.drain()
+    agent.remove()
+    assert calls == [("POST", "/drain"), ("DELETE", "")]
+
+
+def test_statuses_are_those_of_the_protocol() -> None:
+    assert {s.value for s in Status} == {"in_service", "terminating", "terminated"}
--- a/tests/test_house.py
+++ b/tests/test_house.py
@@ -16,6 +16,7 @@
     "wire": {"interface"},
     "peers": set(),
     "state": set(),
+    "directory": set(),
     "world": {"interface", "peers", "policy"},
     "lab": {"interface", "policy", "world"},
     "net": {"interface", "peers", "policy", "state", "wire"},
