--- a/basaltspindle/drill/drive.py
+++ b/basaltspindle/drill/drive.py
@@ -105,6 +105,8 @@
         await self._until(self._script.load.requests)
         await self.processes["clients"].ended.wait()
         await asyncio.gather(*self._later)
+        for way in self.fleet.ways.values():
+            self._history.write("notes", link=way.name, passed=way.passed, lost=way.lost)
         self._history.write("over")
 
     async def _until(self, asked: int) -> None:
--- a/basaltspindle/drill/history.py
+++ b/basaltspindle/drill/history.py
@@ -17,6 +17,8 @@
 | `process` | the driver | `name`, `state`: `started`, `ready`, `ended`; `code` and `wanted` |
 | `fault` | the driver | `kind`, `on`, `targets`, and what it was |
 | `call` | the driver | `to`, `call`, `body`, `status` |
+| `view` | the driver | `of`, `wanted`, `said` (by whom), `took_s`, `held` |
+| `notes` | the driver | `link`, `passed`, `lost`: counts of the whole drill |
 | `knock` | links | `link`: a new connection to a process that no list names any more |
 | `left_out` | any | `lines` that found no room |
 """
--- a/tests/test_drill.py
+++ b/tests/test_drill.py
@@ -4,6 +4,7 @@
 
 import json
 import os
+import shutil
 import signal
 import subprocess
 import sys
@@ -72,6 +73,26 @@
             assert code == 1 and check in broken(verdicts[0]), (plant, verdicts)
 
 
+def test_another_version_from_another_folder_takes_over(tmp_path: Path) -> None:
+    other = tmp_path / "other"
+    for part in ("basaltspindle", "deploy"):
+        shutil.copytree(ROOT / part, other / part, ignore=shutil.ignore_patterns("__pycache__"))
+    with (other / "basaltspindle" / "__init__.py").open("a", encoding="utf-8") as file:
+        file.write("\nimport sys\n\nprint('the other version', file=sys.stderr)\n")
+    script = tmp_path / "versions.toml"
+    script.write_text(
+        "[load]\nrate = 100\nrequests = 400\n\n"
+        f'[[step]]\nafter = 100\ndo = "replace"\nwho = "b0"\nfolder = "{other}"\n',
+        encoding="utf-8",
+    )
+    out = tmp_path / "out"
+    code, verdicts, told = drill("run", str(script), "--json", "--out", str(out))
+    assert verdicts, told
+    assert (code, broken(verdicts[0])) == (0, []), verdicts
+    assert "the other version" in (out / "versions" / "b0.log").read_text()
+    assert "the other version" not in (out / "versions" / "b1.log").read_text()
+
+
 def children(out: Path) -> list[int]:
     """The processes whose command line or environment names a drill's folder."""
     found = []
