Drill the list service: restart, lost and old memory, lapses, a storm; two more planted defects

With fleet.directory the list is the real service: stand-in servers hold leases in it, and a mirror passes its answers on with the addresses that each balancer uses, and writes them down.

--- a/basaltspindle/cli/directory.py
+++ b/basaltspindle/cli/directory.py
@@ -7,21 +7,19 @@
 import json
 import signal
 import sys
-import tomllib
 from pathlib import Path
 from typing import Annotated
 
 import msgspec
 import typer
-from aiohttp import web
 from rich.table import Table
 
 from basaltspindle.cli.screen import screen
+from basaltspindle.directory import host
 from basaltspindle.directory.agent import Agent, check
 from basaltspindle.directory.agent import run as run_agent
 from basaltspindle.directory.caller import Caller
-from basaltspindle.directory.entries import Address, Registration, Rules
-from basaltspindle.directory.service import Service
+from basaltspindle.directory.entries import Registration
 from basaltspindle.directory.store import Store, StoreError
 
 app = typer.Typer(no_args_is_help=True, help="A list service of your own: who serves, by leases.")
@@ -36,22 +34,6 @@
     """An argument that can't be used: one line that tells which and why."""
 
 
-class File(msgspec.Struct, frozen=True, forbid_unknown_fields=True):
-    """What `serve` is told."""
-
-    listen: Address
-    database: str
-    rules: Rules = Rules()
-
-
-def read_file(path: Path) -> File:
-    """The service's file; Misuse tells in a line what is wrong with it."""
-    try:
-        return msgspec.convert(tomllib.loads(path.read_text(encoding="utf-8")), type=File)
-    except (OSError, ValueError) as error:
-        raise Misuse(f"{path}: {' '.join(str(error).split())}") from None
-
-
 def _caller(at: str) -> Caller:
     return Caller(at, who=getpass.getuser())
 
@@ -62,17 +44,10 @@
 
     Example: irondrum directory serve docs/directory.toml
     """
-    told = read_file(file)
-    host, _, port = told.listen.rpartition(":")
-    service = Service(Store(told.database), told.rules)
+    told = host.read_file(file)
+    service = host.open_service(told)
     typer.echo(f"the list is at {told.listen}, version {service.catalog.index}", err=True)
-    try:
-        web.run_app(
-            service.app(), host=host, port=int(port), access_log=None, print=None, handle_signals=True,
-            shutdown_timeout=1.0,
-        )  # fmt: skip
-    except OSError as error:
-        raise Misuse(f"can't listen on {told.listen}: {error}") from None
+    host.serve(told, service)
 
 
 @app.command()
--- a/basaltspindle/cli/main.py
+++ b/basaltspindle/cli/main.py
@@ -11,6 +11,7 @@
 from basaltspindle.cli import demo, directory, drill, lab, operate, serve
 from basaltspindle.conf import Unusable
 from basaltspindle.directory.caller import CallError
+from basaltspindle.directory.host import HostError
 from basaltspindle.directory.store import StoreError
 from basaltspindle.drill.drive import DriveError
 from basaltspindle.drill.load import LoadError
@@ -30,7 +31,7 @@
 app.command("load")(demo.load_)
 MISUSES = (
     ScenarioError, PolicyError, ScriptError, DriveError, lab.Misuse, drill.Misuse, serve.Misuse,
-    operate.Misuse, LoadError, directory.Misuse, CallError, StoreError,
+    operate.Misuse, LoadError, directory.Misuse, HostError, CallError, StoreError,
 )  # fmt: skip
 
 
--- /dev/null
+++ b/basaltspindle/directory/host.py
@@ -0,0 +1,53 @@
+"""Serves the list from a file that says where: what `irondrum directory serve` does."""
+
+from __future__ import annotations
+
+import tomllib
+from pathlib import Path
+
+import msgspec
+from aiohttp import web
+
+from basaltspindle.directory.entries import Address, Rules
+from basaltspindle.directory.service import Service
+from basaltspindle.directory.store import Store
+
+SHUTDOWN_S = 1.0
+
+
+class HostError(ValueError):
+    """What can't be served: one line."""
+
+
+class File(msgspec.Struct, frozen=True, forbid_unknown_fields=True):
+    """What the service is told."""
+
+    listen: Address
+    """Loopback, or a named address: there is no sign-in."""
+    database: str
+    rules: Rules = Rules()
+
+
+def read_file(path: Path) -> File:
+    """The service's file; HostError tells in a line what is wrong with it."""
+    try:
+        return msgspec.convert(tomllib.loads(path.read_text(encoding="utf-8")), type=File)
+    except (OSError, ValueError) as error:
+        raise HostError(f"{path}: {' '.join(str(error).split())}") from None
+
+
+def open_service(told: File) -> Service:
+    """The service with all that its database holds; StoreError if that can't be used."""
+    return Service(Store(told.database), told.rules)
+
+
+def serve(told: File, service: Service) -> None:
+    """Serve until SIGTERM; HostError if the address can't be had."""
+    host, _, port = told.listen.rpartition(":")
+    try:
+        web.run_app(
+            service.app(), host=host, port=int(port), access_log=None, print=None,
+            shutdown_timeout=SHUTDOWN_S,
+        )  # fmt: skip
+    except OSError as error:
+        raise HostError(f"can't listen on {told.listen}: {error}") from None
--- a/basaltspindle/drill/checks.py
+++ b/basaltspindle/drill/checks.py
@@ -10,6 +10,7 @@
 from collections import defaultdict
 from collections.abc import Callable, Iterable, Iterator
 from dataclasses import dataclass
+from itertools import pairwise
 
 import msgspec
 
@@ -320,6 +321,17 @@
     return _most("views", wrong)
 
 
+def versions(story: Story, script: Script) -> Check:
+    """The version of the list that a balancer is told never goes back, unless a drill makes it."""
+    back = []
+    if not any(e["kind"] == "stale list" for e in story.by_kind["fault"]):
+        for balancer, lists in _told(story).items():
+            for (_, one, _, _), (when, other, _, _) in pairwise(lists):
+                if other < one:
+                    back.append(f"{balancer} was told {other} after {one}, at {when - story.start:.0f} ms")
+    return _most("versions", back)
+
+
 def standing(story: Story, script: Script) -> Check:
     """No balancer or stand-in ended that nobody had told to."""
     over = max((e["t"] for e in story.by_kind["over"]), default=float("inf"))
@@ -340,5 +352,5 @@
 
 CHECKS: tuple[Callable[[Story, Script], Check], ...] = (
     answered, from_servers, once, drains, named, cold, late, served, back, attempts, crossed,
-    views, standing, whole,
+    views, versions, standing, whole,
 )  # fmt: skip
--- a/basaltspindle/drill/drive.py
+++ b/basaltspindle/drill/drive.py
@@ -6,17 +6,20 @@
 import random
 import signal
 import socket
+import sqlite3
 import sys
 from collections.abc import Awaitable, Callable
+from contextlib import closing
 from fnmatch import fnmatchcase
 from pathlib import Path
 from typing import Any
 
 import aiohttp
 
+from basaltspindle.directory.caller import Caller, CallError
 from basaltspindle.drill import script as steps
 from basaltspindle.drill.clock import RealClock, offset_ms
-from basaltspindle.drill.fleet import FIRST, Fleet, Spot, environment, free_port, run_argv
+from basaltspindle.drill.fleet import FIRST, Fleet, Spot, directory_argv, environment, run_argv
 from basaltspindle.drill.history import Writer
 from basaltspindle.drill.links import Fault
 from basaltspindle.drill.processes import Process
@@ -73,7 +76,11 @@
         finally:
             for task in self._later:
                 task.cancel()
-            for kinds in (("balancer", "clients"), ("server", "list")):  # servers outlive those who call them
+            for kinds in (
+                ("balancer", "clients"),
+                ("server", "list"),
+                ("directory",),
+            ):  # servers outlive those who call them
                 await asyncio.gather(*(p.finish() for p in self._of_kinds(kinds)))
             self.fleet.close()
             self._history.close()
@@ -90,7 +97,11 @@
         for spot in fleet.spots.values():
             self._history.write("place", name=spot.name, host=spot.host, zone=spot.zone, tier=spot.tier)
         await fleet.join_peers()
+        if "directory" in fleet.spots:
+            await self._start(fleet.spots["directory"])
         await self._start_all([s.name for s in fleet.servers()] + ["list"])
+        if "directory" in fleet.spots:
+            await self._wait_registered()
         await self._start_all([s.name for s in fleet.balancers()])
         await self._start_all(["clients"])
         async with self._progress:
@@ -135,10 +146,60 @@
             self.processes[spot.name] = process
             await self._wait_healthy(process, spot.console)
             self.fleet.reached(spot.name, (spot.host, spot.port))
+        elif spot.kind == "directory":
+            await self._start_directory(spot)
         else:
             await self._start_stand_in(spot)
         self._history.write("process", name=spot.name, state="ready")
 
+    async def _start_directory(self, spot: Spot) -> None:
+        argv = [*directory_argv(self._plant), "serve", str(self.fleet.directory())]
+        process = Process(
+            spot.name, argv, self.out / f"{spot.name}.log", env=environment(None), on_end=self._ended
+        )
+        self._begin(process)
+        async with asyncio.timeout(READY_S):
+            while await self._registered(spot) is None:
+                if process.ended.is_set():
+                    raise DriveError(f"the list service ended; see {self.out}/{spot.name}.log")
+                await asyncio.sleep(0.02)
+        self.fleet.reached(spot.name, (spot.host, spot.port))
+
+    async def _registered(self, spot: Spot) -> set[str] | None:
+        """The servers on the real list; None while it does not answer."""
+        timeout = aiohttp.ClientTimeout(total=1.0)
+        try:
+            url = f"http://{spot.host}:{spot.port}/v1/state"
+            async with self._http.get(url, timeout=timeout) as answer:
+                return {entry["name"] for entry in (await answer.json())["entries"]}
+        except (aiohttp.ClientError, OSError, TimeoutError):
+            return None
+
+    async def _wait_registered(self) -> None:
+        """Wait until all servers are on the real list, and keep a copy of it."""
+        names = {spot.name for spot in self.fleet.servers()}
+        async with asyncio.timeout(READY_S):
+            while (await self._registered(self.fleet.spots["directory"]) or set()) < names:
+                await asyncio.sleep(0.02)
+        self._copy(self.fleet.database, self._old_database)
+
+    @property
+    def _old_database(self) -> Path:
+        return self.fleet.database.with_suffix(".old")
+
+    @staticmethod
+    def _copy(one: Path, other: Path) -> None:
+        with closing(sqlite3.connect(one)) as source, closing(sqlite3.connect(other)) as target:
+            source.backup(target)
+
+    def _change_memory(self, memory: str) -> None:
+        """The list service starts without its memory, or with an old copy of it."""
+        if memory != "kept":
+            for path in self.out.glob(f"{self.fleet.database.name}*"):
+                path.unlink()
+        if memory == "old":
+            self._copy(self._old_database, self.fleet.database)
+
     async def _start_stand_in(self, spot: Spot) -> None:
         module = {"server": "server", "list": "lists", "clients": "clients"}[spot.kind]
         argv = [sys.executable, "-m", f"basaltspindle.drill.{module}", str(self.fleet.spec(spot))]
@@ -301,12 +362,14 @@
         spot = self.fleet.spots[step.who]
         await asyncio.gather(*(self.processes[n].ended.wait() for n in self.fleet.beside(step.who)))
         folder = Path(step.folder).resolve() if step.folder else None
+        if spot.kind == "directory":
+            self._change_memory(step.memory)
         if spot.kind == "server":
             spot.since_ms, spot.version = RealClock(self._offset).now, step.version
         await self._start(spot, folder)
         for name in self.fleet.beside(step.who)[1:]:
             await self._start(self.fleet.spots[name], folder)
-        if spot.kind == "server":
+        if spot.kind == "server" and not self._script.fleet.directory:
             self._list(step.who, "in_service")
         self._fault("kill", False, self.fleet.beside(step.who))
 
@@ -315,8 +378,21 @@
         spot = self.fleet.spots[who]
         spot.status = status
         self._fault("list", status != "in_service", [who], status=status)
+        if self._script.fleet.directory:
+            what = "/drain" if status == "terminating" else ""
+            directory = self.fleet.spots["directory"]
+            caller = Caller(f"{directory.host}:{directory.port}", who="driver")
+            self._keep(asyncio.create_task(self._tell_directory(caller, who, what)))
+            return
         self.processes["list"].tell({"tier": spot.tier, "entry": self.fleet.entry(spot)})
 
+    async def _tell_directory(self, caller: Caller, who: str, what: str) -> None:
+        try:
+            await asyncio.to_thread(caller.on, "POST" if what else "DELETE", who, what, why="the drill")
+        except CallError as error:
+            if error.status != 404:  # it may have lapsed before
+                raise DriveError(f"the list service: {error}") from None
+
     def _break(self, name: str, pattern: str, fault: Fault, direction: str = "both") -> None:
         links = self.fleet.matching(pattern)
         if not links:
@@ -393,7 +469,7 @@
         """The console's way: start the new process beside the old one, see it healthy, end the old one."""
         spot, old = self.fleet.spots[step.who], self.processes[step.who]
         self._fault("replace", True, [step.who])
-        console = f"{spot.host}:{free_port(spot.host)}"
+        console = f"{spot.host}:{self.fleet.port(spot.host)}"
         new = self._launch_balancer(spot, console, Path(step.folder).resolve() if step.folder else None)
         self.processes[step.who + NEW] = new
         await self._wait_healthy(new, console)
--- a/basaltspindle/drill/fleet.py
+++ b/basaltspindle/drill/fleet.py
@@ -22,6 +22,7 @@
 from basaltspindle.drill.script import Script, Version
 
 SNAPSHOT_MS = 500.0
+SERVICE_DEFECTS = ("believes-lapses", "reuses-versions")  # those of the list service: see `plants`
 FIRST, INNER = "first", "inner"
 ROOT = Path(__file__).parent.parent.parent
 WORK_OF_INNER = 0.5  # of a class's work, for each call
@@ -52,6 +53,7 @@
     def __init__(self) -> None:
         self._block = random.SystemRandom().choice(_BLOCKS)
         self._next = 0
+        self._held: list[socket.socket] = []
 
     def host(self) -> str:
         """The next one."""
@@ -60,6 +62,20 @@
             raise OSError("a drill has no more addresses")
         return f"127.{self._block}.{self._next // 250}.{self._next % 250 + 1}"
 
+    def port(self, host: str) -> int:
+        """A port of one of them that nobody else gets: held, but not listened on, until `close`."""
+        holder = socket.socket(socket.AF_INET, socket.SOCK_STREAM)
+        for option in (socket.SO_REUSEADDR, socket.SO_REUSEPORT):  # who is to listen there sets one of them
+            holder.setsockopt(socket.SOL_SOCKET, option, 1)
+        holder.bind((host, 0))
+        self._held.append(holder)
+        return int(holder.getsockname()[1])
+
+    def close(self) -> None:
+        """Hold no port any more."""
+        for holder in self._held:
+            holder.close()
+
 
 def free_port(host: str) -> int:
     """A port of an address of our own that nobody listens on."""
@@ -92,6 +108,9 @@
             self._add(Spot(f"t{index}", "server", self._addresses.host(), zones[index % len(zones)], INNER))
         self._add(Spot("list", "list", self._addresses.host()))
         self._add(Spot("clients", "clients", self._addresses.host()))
+        if plan.directory:
+            host = self._addresses.host()
+            self._add(Spot("directory", "directory", host, port=self.port(host)))
         for one, other in self._ways():
             source, target = self.spots[one], self.spots[other]
             link = Link(
@@ -114,10 +133,14 @@
     def _add(self, spot: Spot) -> None:
         self.spots[spot.name] = spot
 
+    def port(self, host: str) -> int:
+        """A port of a process's address that is held for it."""
+        return self._addresses.port(host)
+
     def _add_balancer(self, name: str, zone: str, tier: str) -> None:
         host = self._addresses.host()
-        spot = Spot(name, "balancer", host, zone, tier, free_port(host))
-        spot.console = f"{host}:{free_port(host)}"
+        spot = Spot(name, "balancer", host, zone, tier, self.port(host))
+        spot.console = f"{host}:{self.port(host)}"
         spot.notes = (host, free_port(host))
         self._add(spot)
 
@@ -128,6 +151,8 @@
             ways.append((spot.name, "list"))
             ways += [(spot.name, other.name) for other in self.servers(spot.tier)]
             ways.append((spot.name.removesuffix(".b") if spot.tier == INNER else "clients", spot.name))
+        if self.script.fleet.directory:
+            ways += [(spot.name, "directory") for spot in self.servers()] + [("list", "directory")]
         return ways
 
     # ---- who ------------------------------------------------------------------------------------
@@ -185,7 +210,8 @@
                 **place, zone=spot.zone, model=self.script.server, since_ms=spot.since_ms,
                 version=self.script.versions.get(spot.version, Version()),
                 work_ms={c.name: c.work_ms * part for c in self.script.load.classes},
-                calls=_text(beside.address) if beside else "",
+                calls=_text(beside.address) if beside else "", tier=spot.tier,
+                directory=self._service(spot.name), lease_ms=self.script.fleet.lease_s * 1_000,
             )  # fmt: skip
         elif spot.kind == "list":
             tiers = {t: [self.entry(s) for s in self.servers(t)] for t in (FIRST, INNER)}
@@ -196,7 +222,9 @@
                 }
                 for b in self.balancers()
             }
-            told = lists.Spec(**place, askers=askers, tiers=tiers, addresses=ways)
+            told = lists.Spec(
+                **place, askers=askers, tiers=tiers, addresses=ways, service=self._service(spot.name)
+            )
         else:
             fronts = {b.name: _text(self.links[f"clients>{b.name}"].address) for b in self.balancers(FIRST)}
             told = clients.Spec(**place, balancers=fronts, load=self.script.load)
@@ -204,6 +232,24 @@
         path.write_bytes(msgspec.json.encode(told))
         return path
 
+    def _service(self, name: str) -> str:
+        """Where a process reaches the real list service; empty where there is none."""
+        link = self.links.get(f"{name}>directory")
+        return _text(link.address) if link else ""
+
+    def directory(self) -> Path:
+        """The file that tells the real list service what it is."""
+        spot, path = self.spots["directory"], self.out / "directory.toml"
+        path.write_text(
+            f'listen = "{spot.host}:{spot.port}"\ndatabase = "{self.database}"\n', encoding="utf-8"
+        )
+        return path
+
+    @property
+    def database(self) -> Path:
+        """The real list service's file."""
+        return self.out / "directory.sqlite"
+
     def config(self, spot: Spot, console: str = "") -> Path:
         """The configuration of a balancer, in the platform's form."""
         model, load, bounds = self.script.server, self.script.load, self.script.bounds
@@ -262,6 +308,7 @@
         """Take the links down."""
         for link in self.matching("*"):
             link.close()
+        self._addresses.close()
 
 
 def _text(address: Address) -> str:
@@ -273,7 +320,7 @@
 
     Where it was not, the same module is run by this interpreter, as in a checkout without `.venv`.
     """
-    if plant:
+    if plant and plant not in SERVICE_DEFECTS:
         return [sys.executable, "-m", "basaltspindle.drill.plants", plant]
     root = folder or ROOT
     deploy = root / "deploy" / "balancer.toml"
@@ -284,6 +331,13 @@
     return [sys.executable, "-m", "basaltspindle"]
 
 
+def directory_argv(plant: str) -> list[str]:
+    """How the real list service's command is started."""
+    if plant in SERVICE_DEFECTS:
+        return [sys.executable, "-m", "basaltspindle.drill.plants", plant]
+    return [sys.executable, "-c", "from basaltspindle.cli import main; main()", "directory"]
+
+
 def environment(folder: Path | None, **more: str) -> dict[str, str]:
     """What a process finds in its environment; the package is taken from `folder`."""
     return os.environ | {"PYTHONPATH": str(folder or ROOT)} | more
--- a/basaltspindle/drill/lists.py
+++ b/basaltspindle/drill/lists.py
@@ -8,6 +8,7 @@
 import asyncio
 from typing import Any
 
+import aiohttp
 from aiohttp import web
 
 from basaltspindle.drill.standin import Place, follow, read_spec, say
@@ -23,6 +24,7 @@
     askers: dict[str, str]  # the address of a balancer: the name of its tier
     tiers: dict[str, list[Entry]]  # entries without addresses
     addresses: dict[str, dict[str, str]]  # the address of a balancer: for each server, where it reaches it
+    service: str = ""  # host:port of a real list service, whose answers are passed on
 
 
 class Lists:
@@ -36,6 +38,7 @@
         self.changed: dict[str, int] = {e["name"]: 1 for entries in spec.tiers.values() for e in entries}
         self.news = asyncio.Event()
         self.old: dict[str, dict[str, Entry]] | None = None  # what a stale service hands out
+        self.session: aiohttp.ClientSession | None = None
         self._first = {tier: dict(entries) for tier, entries in self.tiers.items()}
 
     def command(self, line: dict[str, Any]) -> None:
@@ -56,6 +59,8 @@
         tier = self.spec.askers.get(peer)
         if tier is None:
             return web.json_response({"error": f"no balancer has the address {peer}"}, status=404)
+        if self.spec.service:
+            return await self._pass_on(request, peer, tier)
         if self.old is not None:
             await asyncio.sleep(STALE_PAUSE_S)
             return self._stale(peer, tier)
@@ -77,6 +82,21 @@
             return self._stale(peer, tier)
         return self._answer(peer, self.index, False, changes)
 
+    async def _pass_on(self, request: web.Request, peer: str, tier: str) -> web.Response:
+        """Ask the real service, and give its answer with the addresses that this balancer uses."""
+        assert self.session is not None
+        query = {**request.query, "tier": tier}
+        try:
+            async with self.session.get(f"http://{self.spec.service}/v1/servers", params=query) as answer:
+                if answer.status != 200:
+                    return web.Response(status=answer.status, body=await answer.read())
+                news = await answer.json()
+        except (aiohttp.ClientError, OSError, ValueError):
+            return web.Response(status=503)
+        known = self.spec.addresses[peer]
+        entries = [e for e in news["endpoints"] if e["name"] in known]
+        return self._answer(peer, news["index"], news["snapshot"], entries)
+
     def _stale(self, peer: str, tier: str) -> web.Response:
         assert self.old is not None
         return self._answer(peer, 1, True, list(self.old[tier].values()))
@@ -100,8 +120,9 @@
     runner = web.AppRunner(app, access_log=None, handler_cancellation=True, shutdown_timeout=0.1)
     await runner.setup()
     await web.TCPSite(runner, spec.listen, spec.port).start()
-    say(ready=list(runner.addresses[0][:2]))
-    await follow(lists.command)
+    async with aiohttp.ClientSession(connector=aiohttp.TCPConnector(limit=0)) as lists.session:
+        say(ready=list(runner.addresses[0][:2]))
+        await follow(lists.command)
     await runner.cleanup()
     lists.history.close()
 
--- a/basaltspindle/drill/plants.py
+++ b/basaltspindle/drill/plants.py
@@ -8,9 +8,11 @@
 import sys
 from collections.abc import Callable
 from dataclasses import replace
+from pathlib import Path
 from typing import Any
 
 from basaltspindle import interface as face
+from basaltspindle.drill.fleet import SERVICE_DEFECTS
 from basaltspindle.interface import Outcome, Readiness
 from basaltspindle.net import discovery, driver
 from basaltspindle.net.callers import Taken
@@ -147,6 +149,27 @@
     Store.load = load  # type: ignore[method-assign]
 
 
+def believes_lapses() -> None:
+    """The list service takes every lease that runs out for a server that is gone."""
+    from basaltspindle.directory import Catalog
+
+    Catalog._see_whether_to_doubt = lambda self, tier, now: None  # type: ignore[method-assign]
+    Catalog._is_spared = lambda self, entry, now: False  # type: ignore[method-assign]
+
+
+def reuses_versions() -> None:
+    """A list service without its memory begins at 1, and leaves those who have seen more to themselves."""
+    from basaltspindle.directory import Catalog, service
+
+    real = Catalog.changes
+    vars(service)["first_index"] = lambda stored, now_ms: stored + 1
+
+    def changes(self: Catalog, tier: str, after: int, now: float) -> Any:
+        return real(self, tier, min(after, self.index), now)
+
+    Catalog.changes = changes  # type: ignore[method-assign]
+
+
 DEFECTS: dict[str, Callable[[], None]] = {
     "sends-twice": sends_twice,
     "forgets-drain": forgets_drain,
@@ -157,14 +180,23 @@
     "never-gives-up": never_gives_up,
     "forgets-returns": forgets_returns,
     "forgets-snapshot": forgets_snapshot,
+    "believes-lapses": believes_lapses,
+    "reuses-versions": reuses_versions,
 }
 
 
 def main() -> int:
-    """Plant the defect that the first argument names, and be a balancer."""
+    """Plant the defect that the first argument names, and be a balancer, or a list service."""
+    defect = sys.argv[1]
+    DEFECTS[defect]()
+    if defect in SERVICE_DEFECTS:
+        from basaltspindle.directory import host
+
+        told = host.read_file(Path(sys.argv[-1]))
+        host.serve(told, host.open_service(told))
+        return 0
     from basaltspindle.__main__ import main as run
 
-    DEFECTS[sys.argv[1]]()
     return run()
 
 
--- a/basaltspindle/drill/script.py
+++ b/basaltspindle/drill/script.py
@@ -17,6 +17,7 @@
 
 EFFECTS = ("safe", "unsafe")
 STATES = ("alive", "gone", "left")
+MEMORIES = ("kept", "lost", "old")
 FOLDERS = ("own", "full", "read-only")
 DIRECTIONS = ("both", "there", "back")
 
@@ -37,6 +38,8 @@
     inner: int = 0  # servers of the second tier; with some, each first-tier server has a balancer s0.b, ...
     zones: tuple[str, ...] = ("east", "west")
     peers: bool = False  # whether balancers of the first tier tell one another who is there
+    directory: bool = False  # whether the list is the real service, in which servers hold leases
+    lease_s: float = 3.0
     snapshots: bool = False  # whether balancers keep what they learned, every half second
     folders: str = "own"  # what balancers find in $TMPDIR: `own`, or one that is `full` or `read-only`
 
@@ -123,6 +126,7 @@
     who: str
     version: str = ""
     folder: str = ""
+    memory: str = "kept"  # of the list service: `kept`, `lost`, or `old`, as it was when the load began
 
 
 class Drain(Step, frozen=True, forbid_unknown_fields=True, kw_only=True, tag="drain"):
@@ -317,6 +321,10 @@
             return f"step[{number}].do: fleet.peers is off, and there is nothing to look at"
         if isinstance(step, Expect) and step.state not in STATES:
             return f"step[{number}].state: {step.state!r}; allowed: {', '.join(STATES)}"
+        if isinstance(step, Start) and step.memory not in MEMORIES:
+            return f"step[{number}].memory: {step.memory!r}; allowed: {', '.join(MEMORIES)}"
+        if isinstance(step, List) and fleet.directory and step.state in ("stale", "fresh"):
+            return f"step[{number}].state: {step.state!r}; the real service has no such fault"
         if isinstance(step, Start) and step.version and step.version not in script.versions:
             known = ", ".join(script.versions) or "none"
             return f"step[{number}].version: {step.version!r}; the versions are: {known}"
@@ -332,7 +340,8 @@
     first = [f"s{i}" for i in range(fleet.servers)]
     beside = [f"{name}.b" for name in first] if fleet.inner else []
     fronts = [f"b{i}" for i in range(fleet.balancers)]
-    return [*fronts, *first, *beside, *[f"t{i}" for i in range(fleet.inner)], "list"]
+    services = ["list", *(["directory"] if fleet.directory else [])]
+    return [*fronts, *first, *beside, *[f"t{i}" for i in range(fleet.inner)], *services]
 
 
 def load(path: Path) -> Script:
--- a/basaltspindle/drill/server.py
+++ b/basaltspindle/drill/server.py
@@ -17,7 +17,9 @@
 import aiohttp
 from aiohttp import web
 
+from basaltspindle.directory.entries import Registration
 from basaltspindle.drill.clock import RealClock
+from basaltspindle.drill.lease import Lease
 from basaltspindle.drill.script import Model, Version
 from basaltspindle.drill.standin import Place, follow, read_spec, say
 from basaltspindle.world.servers import Build, Job, Server
@@ -36,6 +38,9 @@
     work_ms: dict[str, float]
     calls: str = ""  # host:port of the balancer beside it; empty where it makes no calls
     since_ms: float = 0.0
+    directory: str = ""  # host:port of a real list service; empty where the driver tells the list
+    tier: str = "first"
+    lease_ms: float = 3_000.0
 
 
 class StandIn:
@@ -172,6 +177,14 @@
         return 1_000.0
 
 
+def _lease(spec: Spec, address: str) -> Lease:
+    told = Registration(
+        address=address, zone=spec.zone, type="m", weight=float(spec.model.cores), tier=spec.tier,
+        since_ms=spec.since_ms, lease_ms=spec.lease_ms,
+    )  # fmt: skip
+    return Lease(spec.directory, spec.name, told)
+
+
 async def main() -> None:
     """Serve until SIGTERM, then until all that was taken is answered."""
     stand_in = StandIn(spec := read_spec(Spec))
@@ -186,9 +199,16 @@
     async with aiohttp.ClientSession(connector=aiohttp.TCPConnector(limit=0)) as session:
         stand_in.session = session
         say(ready=list(runner.addresses[0][:2]))
-        commands = asyncio.create_task(follow(stand_in.command))
+        tasks = [asyncio.create_task(follow(stand_in.command))]
+        host, port = runner.addresses[0][:2]
+        lease = _lease(spec, f"{host}:{port}") if spec.directory else None
+        if lease is not None:
+            tasks.append(asyncio.create_task(lease.hold()))
         await stand_in.stopping.wait()
-        commands.cancel()
+        for task in tasks:
+            task.cancel()
+        if lease is not None:
+            await lease.leave()
         await runner.cleanup()
     stand_in.history.close()
 
--- a/tests/test_drill.py
+++ b/tests/test_drill.py
@@ -29,6 +29,8 @@
     "never-gives-up": ("peers-killed", "views"),
     "forgets-returns": ("peers-heal", "views"),
     "forgets-snapshot": ("warm-start", "served"),
+    "believes-lapses": ("lease-storm", "served"),
+    "reuses-versions": ("list-lost", "versions"),
 }
 
 
--- a/tests/test_drill_checks.py
+++ b/tests/test_drill_checks.py
@@ -96,6 +96,16 @@
     return [*drained(events), old]
 
 
+def rewound(events: list[Event]) -> list[Event]:
+    entries = {"s0": "in_service", "s1": "in_service"}
+    return [*events, event(1, "list", "told", to="h1", index=0, snapshot=True, entries=entries)]
+
+
+def misjudged(events: list[Event]) -> list[Event]:
+    view = {"of": "b1", "wanted": "gone", "said": {"b0": "alive"}, "took_s": 5.0, "held": False}
+    return [*events, event(1, "driver", "view", **view)]
+
+
 def cordoned(events: list[Event]) -> list[Event]:
     return [*events, event(-0.5, "driver", "call", to="h0", call="cordon", body="s0", status=200)]
 
@@ -151,7 +161,7 @@
         (twice_by_a_retry, "once"), (drained, "drains"), (left_the_list, "drains"),
         (drained_then_stale, "drains"), (cordoned, "drains"), (knocked, "drains"), (unnamed, "named"),
         (pushed, "cold"), (slow, "late"), (refused, "served"), (not_back, "back"), (repeated, "attempts"),
-        (crashed, "standing"), (cut_off, "whole"),
+        (crashed, "standing"), (rewound, "versions"), (misjudged, "views"), (cut_off, "whole"),
     ],
 )  # fmt: skip
 def test_a_broken_history_fails_the_check_meant_for_it(
--- a/tests/test_house.py
+++ b/tests/test_house.py
@@ -22,7 +22,7 @@
     "net": {"interface", "peers", "policy", "state", "wire"},
     "conf": {"net"},
     # The plants of a drill are the program itself, made worse.
-    "drill": {"interface", "world", "net", "peers", "state", "__main__"},
+    "drill": {"interface", "world", "net", "peers", "state", "directory", "__main__"},
 }
 
 
