--- a/basaltspindle/cli/main.py
+++ b/basaltspindle/cli/main.py
@@ -13,7 +13,7 @@
 from basaltspindle.directory.caller import CallError
 from basaltspindle.directory.host import HostError
 from basaltspindle.directory.store import StoreError
-from basaltspindle.drill.drive import DriveError
+from basaltspindle.drill.crew import DriveError
 from basaltspindle.drill.load import LoadError
 from basaltspindle.drill.script import ScriptError
 from basaltspindle.lab.policies import PolicyError
--- a/basaltspindle/drill/__init__.py
+++ b/basaltspindle/drill/__init__.py
@@ -5,7 +5,7 @@
     for check in checks.judge(drill, history.read(Path("out"))):
         print(check.name, check.held, check.measured, check.bound)
 
-`script` reads what a drill is; `drive` plays it: it starts `processes` (balancers, and the stand-ins of
+`script` reads what a drill is; `drive` plays it by the `deeds` of its steps: its `crew` starts `processes` (balancers, and the stand-ins of
 `server`, `directory` and `clients`), sets faults on the `links` between them and writes the `history`;
 `checks` reads that and nothing else; `plants` are balancers with a known defect; `report` draws a page.
 """
--- a/basaltspindle/drill/clock.py
+++ b/basaltspindle/drill/clock.py
@@ -18,12 +18,12 @@
 
     def __init__(self, offset: float) -> None:
         """`offset` is the driver's `offset_ms()`."""
-        self._offset = offset
+        self.offset = offset
 
     @property
     def now(self) -> float:
         """The time, in ms."""
-        return self._offset + time.monotonic() * 1_000
+        return self.offset + time.monotonic() * 1_000
 
     def at(self, when: float, do: Callable[..., Any], *args: Any) -> asyncio.TimerHandle:
         """Do something at a time, at once if that has passed."""
--- a/basaltspindle/drill/plants.py
+++ b/basaltspindle/drill/plants.py
@@ -12,7 +12,7 @@
 from typing import Any
 
 from basaltspindle import interface as face
-from basaltspindle.drill.fleet import SERVICE_DEFECTS
+from basaltspindle.drill.papers import SERVICE_DEFECTS
 from basaltspindle.interface import Outcome, Readiness
 from basaltspindle.net import discovery, driver
 from basaltspindle.net.callers import Taken
