Look a change of the list up once for all watches, and the removed only at a removal

Read again: answers were written once for all watches, but each watch walked over all entries first to find what had changed; and each write walked over them to see whether removed ones were too many. Both are done once, and at removals alone. Catalog loses a field, a method and a sort that did nothing.

--- a/basaltspindle/directory/catalog.py
+++ b/basaltspindle/directory/catalog.py
@@ -47,13 +47,12 @@
 class Catalog:
     """All servers of all tiers. Times are Unix ms."""
 
-    def __init__(self, rules: Rules, start_index: int, now: float) -> None:
+    def __init__(self, rules: Rules, start_index: int) -> None:
         """`start_index` is from `first_index`; entries of an earlier life come by `restore`."""
         self._rules = rules
         self.index = self.floor = start_index  # who has seen less than the floor gets the whole list
         self.entries: dict[str, Entry] = {}
         self._kept: dict[str, Entry] = {}  # each as it was at its last change
-        self._started = now
         self._lapses: dict[str, deque[float]] = {}  # by tier: when leases ran out
         self.doubts: dict[str, float] = {}  # by tier: until when we doubt ourselves
         self.refused: Counter[str] = Counter()
@@ -92,7 +91,8 @@
             raise self._refuse(409, "moved", f"{name} is of tier {entry.told.tier!r}; remove it there first")
         entry.renewed_ms = now
         if told == entry.told and entry.status is Status.IN_SERVICE:
-            return self._well_again(entry, now, who)
+            entry.lapsed = False  # a mark that balancers don't see
+            return None
         is_new = told.since_ms > entry.told.since_ms
         if entry.status is Status.TERMINATING and not is_new:
             raise self._refuse(409, "draining", f"{name} drains; only a new start serves again")
@@ -106,8 +106,8 @@
             raise self._refuse(
                 409, "stale", f"{name} started at {entry.told.since_ms:.0f}, not {since_ms:.0f}"
             )
-        entry.renewed_ms = now
-        return self._well_again(entry, now, name)
+        entry.renewed_ms, entry.lapsed = now, False
+        return None  # balancers see no difference
 
     def drain(
         self, name: str, now: float, *, who: str = "", why: str = "", if_match: int | None = None
@@ -141,7 +141,7 @@
         """Look for leases that have run out, and take off the list those that we do not doubt."""
         over = [e for e in self.entries.values() if self._is_over(e, now) and not e.pinned]
         changes: list[Change] = []
-        for entry in sorted(over, key=lambda e: e.renewed_ms + e.told.lease_ms):
+        for entry in over:
             if not entry.lapsed:
                 self._lapses.setdefault(entry.told.tier, deque()).append(now)
         for tier in {e.told.tier for e in over}:
@@ -186,11 +186,6 @@
     def _is_over(self, entry: Entry, now: float) -> bool:
         return entry.is_listed and now > entry.renewed_ms + entry.told.lease_ms
 
-    def _well_again(self, entry: Entry, now: float, who: str) -> Change | None:
-        """A lease runs again: a mark of doubt goes. That is no change that balancers see."""
-        entry.lapsed = False
-        return None
-
     # ---- reads ----------------------------------------------------------------------------------
 
     def whole(self, tier: str) -> list[Entry]:
@@ -219,7 +214,8 @@
         before = self._kept.get(entry.name)
         self.entries[entry.name] = entry
         self._kept[entry.name] = kept = copy(entry)
-        self._bury()
+        if not entry.is_listed:
+            self._bury()
         return Change(self.index, now, entry.name, what, who, why, kept, before)
 
     def undo(self, changes: Sequence[Change]) -> None:
@@ -234,7 +230,7 @@
 
     def _bury(self) -> None:
         """Forget the removed that are too many; who has not heard of them gets the whole list."""
-        gone = [e for e in self.entries.values() if not e.is_listed] if len(self.entries) > 64 else []
+        gone = [e for e in self.entries.values() if not e.is_listed]
         for entry in sorted(gone, key=lambda e: e.index)[: max(len(gone) - self._rules.tombstones, 0)]:
             del self.entries[entry.name], self._kept[entry.name]
             self.floor = max(self.floor, entry.index)
--- a/basaltspindle/directory/service.py
+++ b/basaltspindle/directory/service.py
@@ -25,7 +25,8 @@
 WAIT_MOST_MS = 60_000.0
 BODY_MOST = 64 * 1024
 HISTORY_MOST = 10_000
-ANSWERS_KEPT = 64  # serializations that watchers share
+ANSWERS_KEPT = 64  # that watchers share
+WHOLE = -1  # in place of a version that was seen: none, and so the whole list
 WHO, WHY = "X-Who", "X-Why"
 Write = Callable[[], Change | None]
 
@@ -55,13 +56,13 @@
     def __init__(self, store: Store, rules: Rules) -> None:
         """StoreError if the file can't be read."""
         self._store, now = store, now_ms()
-        self.catalog = Catalog(rules, first_index(store.index(), now), now)
+        self.catalog = Catalog(rules, first_index(store.index(), now))
         self.catalog.restore(store.entries(), now)
         store.begin(self.catalog.index)
         self._queue: list[Waiting] = []
         self._flushing: asyncio.TimerHandle | None = None
         self._news = asyncio.Event()
-        self._answers: dict[tuple[str, int, int], bytes] = {}
+        self._answers: dict[tuple[str, int, int], bytes | None] = {}
         self.serialized = self.told = self.watching = 0
 
     def app(self) -> web.Application:
@@ -84,7 +85,7 @@
 
     async def _list(self, request: web.Request) -> web.Response:
         tier = request.query.get("tier", "first")
-        after = _number(request, "after", -1.0)
+        after = _number(request, "after", WHOLE)
         wait_ms = min(_number(request, "wait_ms", 0.0), WAIT_MOST_MS)
         self.watching += 1
         try:
@@ -96,41 +97,47 @@
 
     async def _answer(self, tier: str, after: int, wait_ms: float) -> bytes:
         """The whole list, or what changed since, as soon as something has."""
-        if after < 0:
-            return self._serialize(tier, -1, self.catalog.whole(tier))
         loop = asyncio.get_running_loop()
         until = loop.time() + wait_ms / 1_000
         while True:
             news = self._news
-            changed = self.catalog.changes(tier, after, now_ms())
-            if changed is None:
-                return self._serialize(tier, -1, self.catalog.whole(tier))
+            data = self._news_since(tier, after)
             left = until - loop.time()
-            if changed or left <= 0:
-                return self._serialize(tier, after, changed)
+            if data is None and left <= 0:
+                data = self._serialize(after, [])
+            if data is not None:
+                self.told += 1
+                return data
             try:
                 async with asyncio.timeout(left):
                     await news.wait()
             except TimeoutError:
                 continue
 
-    def _serialize(self, tier: str, after: int, entries: list[Entry]) -> bytes:
-        """The bytes that all who ask the same get: made once."""
-        self.told += 1
+    def _news_since(self, tier: str, after: int) -> bytes | None:
+        """What all get who have seen a version: found and written once. None if nothing has changed."""
         key = tier, after, self.catalog.index
-        data = self._answers.get(key)
-        if data is None:
-            self.serialized += 1
-            told = {
-                "index": self.catalog.index,
-                "snapshot": after < 0,
-                "endpoints": [entry.public() for entry in entries],
-            }
-            data = msgspec.json.encode(told)
+        if key not in self._answers:
+            changed = self.catalog.changes(tier, after, now_ms()) if after >= 0 else None
+            if changed is None and after >= 0:
+                data = self._news_since(tier, WHOLE)
+            elif changed is None:
+                data = self._serialize(WHOLE, self.catalog.whole(tier))
+            else:
+                data = self._serialize(after, changed) if changed else None
             while len(self._answers) >= ANSWERS_KEPT:
                 del self._answers[next(iter(self._answers))]
             self._answers[key] = data
-        return data
+        return self._answers[key]
+
+    def _serialize(self, after: int, entries: list[Entry]) -> bytes:
+        self.serialized += 1
+        told = {
+            "index": self.catalog.index,
+            "snapshot": after < 0,
+            "endpoints": [entry.public() for entry in entries],
+        }
+        return msgspec.json.encode(told)
 
     async def _history(self, request: web.Request) -> web.Response:
         most = min(int(_number(request, "most", 100.0)), HISTORY_MOST)
--- a/benchmarks/directory.py
+++ b/benchmarks/directory.py
@@ -28,10 +28,10 @@
 SERVERS, ROUNDS, WRITERS = 1_000, 5, 128
 EACH = """
 from basaltspindle.directory import service
-def serialize(self, tier, after, entries):
+def news_since(self, tier, after):
     self._answers.clear()
-    return real(self, tier, after, entries)
-real, service.Service._serialize = service.Service._serialize, serialize
+    return real(self, tier, after)
+real, service.Service._news_since = service.Service._news_since, news_since
 """
 SERVE = """
 import sys
--- a/tests/test_directory.py
+++ b/tests/test_directory.py
@@ -38,7 +38,7 @@
 
 
 def catalog(*names: str, now: float = 0.0, **more: Any) -> Catalog:
-    made = Catalog(RULES, start_index=100, now=now)
+    made = Catalog(RULES, start_index=100)
     for name in names:
         made.register(name, told(**more), now)
     return made
@@ -164,7 +164,7 @@
 
 
 def test_a_watcher_from_before_a_lost_memory_gets_the_whole_list_at_a_higher_version() -> None:
-    one = Catalog(RULES, first_index(0, 1_000_000.0), 1_000_000.0)
+    one = Catalog(RULES, first_index(0, 1_000_000.0))
     one.register("s0", told(), 1_000_000.0)
     assert one.changes("first", 1_000_500, 1_000_100.0) is None and one.index == 1_000_501
     assert one.changes("first", 10**15, 1_000_100.0) is None and one.index == 1_000_501  # nobody's version
@@ -174,7 +174,7 @@
 
 
 def some(store: Store, count: int) -> list[Change]:
-    one = Catalog(RULES, first_index(store.index(), 0.0), 0.0)
+    one = Catalog(RULES, first_index(store.index(), 0.0))
     changes = [one.register(f"s{i}", told(), 0.0, who="me", why="test") for i in range(count)]
     return [c for c in changes if c is not None]
 
