Hold a place on the list by one lease, for the agent and for a drill's servers

drill/lease.py had written again what the agent does: register, renew, tell anew what was forgotten. directory/ lease.py is that once; the agent adds health, a drill's server its loop.

--- a/basaltspindle/directory/agent.py
+++ b/basaltspindle/directory/agent.py
@@ -8,12 +8,10 @@
 from collections.abc import Callable
 from dataclasses import dataclass
 
-import msgspec
-
 from basaltspindle.directory.caller import Caller, CallError
 from basaltspindle.directory.entries import Registration
+from basaltspindle.directory.lease import Lease
 
-RENEW_PART = 0.3  # of the lease, after which it is renewed: two renewals may be lost
 CHECK_S = 1.0
 CHECK_PATIENCE_S = 1.0
 GOOD, BAD = 2, 3  # checks in a row that must pass to register, and fail to let go
@@ -54,10 +52,9 @@
         self, name: str, told: Registration, caller: Caller, is_well: Callable[[], bool],
         log: Callable[[str], None], now_ms: Callable[[], float] = lambda: time.time() * 1_000,
     ) -> None:  # fmt: skip
-        self._name, self._told, self._caller = name, told, caller
-        self._is_well, self._log, self._now_ms = is_well, log, now_ms
+        self._name, self._is_well, self._log = name, is_well, log
+        self._lease = Lease(caller, name, told, now_ms)
         self._health = Health()
-        self._registered, self._renewed = False, float("-inf")
         self._said = ""
 
     def step(self) -> float:
@@ -65,52 +62,36 @@
         was = self._health.well
         well = self._health.note(self._is_well())
         if well and not was:
-            # Whatever it was, it starts anew for the balancers: it may be cold.
-            since_ms = max(self._told.since_ms, self._now_ms())
-            self._told = msgspec.structs.replace(self._told, since_ms=since_ms)
-            self._registered = False
-        try:
-            if well and not self._registered:
-                told = msgspec.to_builtins(self._told)
-                self._caller.on("PUT", self._name, body=told, why="health checks pass")
-                self._registered, self._renewed = True, self._now_ms()
-                self._say("registered")
-            elif well and self._now_ms() - self._renewed >= RENEW_PART * self._told.lease_ms:
-                self._renew()
-            elif was and not well:
-                self._caller.on("DELETE", self._name, why="health checks fail")
-                self._registered = False
-                self._say("health checks fail: removed")
-        except CallError as error:
-            self._say(f"the list service: {error}")
-        return min(CHECK_S, RENEW_PART * self._told.lease_ms / 1_000)
+            self._lease.start_anew()  # whatever it was, it may be cold
+        if well:
+            self._try(self._keep)
+        elif was:
+            self._try(lambda: self._lease.leave("health checks fail"), "health checks fail: removed")
+        return min(CHECK_S, self._lease.step_s)
 
-    def _renew(self) -> None:
-        try:
-            self._caller.on("POST", self._name, "/renew", {"since_ms": self._told.since_ms})
-            self._renewed = self._now_ms()
-        except CallError as error:
-            if error.status == 404:  # it has lapsed, or the service has lost its memory
-                self._registered = False
-            raise
+    def _keep(self) -> None:
+        if self._lease.keep("health checks pass"):
+            self._say("registered")
 
     def drain(self) -> None:
         """The server is to end what it has."""
-        if self._registered:
-            try:
-                self._caller.on("POST", self._name, "/drain", why="it is told to end")
-                self._say("draining")
-            except CallError as error:
-                self._say(f"the list service: {error}")
+        if self._lease.is_held:
+            self._try(lambda: self._lease.drain("it is told to end"), "draining")
 
     def remove(self) -> None:
         """The server is gone."""
-        if self._registered:
-            try:
-                self._caller.on("DELETE", self._name, why="it has ended")
-                self._say("removed")
-            except CallError as error:
-                self._say(f"the list service: {error}")
+        if self._lease.is_held:
+            self._try(lambda: self._lease.leave("it has ended"), "removed")
+
+    def _try(self, call: Callable[[], None], done: str = "") -> None:
+        """Make a call, and say what came of it."""
+        try:
+            call()
+        except CallError as error:
+            self._say(f"the list service: {error}")
+        else:
+            if done:
+                self._say(done)
 
     def _say(self, text: str) -> None:
         if text != self._said:
--- a/basaltspindle/drill/server.py
+++ b/basaltspindle/drill/server.py
@@ -6,6 +6,7 @@
 from __future__ import annotations
 
 import asyncio
+import contextlib
 import hashlib
 import math
 import os
@@ -17,15 +18,17 @@
 import aiohttp
 from aiohttp import web
 
+from basaltspindle.directory.caller import Caller, CallError
 from basaltspindle.directory.entries import Registration
+from basaltspindle.directory.lease import Lease
 from basaltspindle.drill.clock import RealClock
-from basaltspindle.drill.lease import Lease
 from basaltspindle.drill.script import Model, Version
 from basaltspindle.drill.standin import Place, follow, read_spec, say
 from basaltspindle.world.servers import Build, Job, Server
 
 BEFORE_CALLS = 0.5  # the part of its work that comes before its calls to the next tier
 WORK_SPREAD = 0.6  # of the logarithm of a request's work
+LIST_PATIENCE_S, LIST_RETRY_S = 1.0, 0.3
 NOT_RUN = {"X-Not-Run": "1"}
 
 
@@ -182,7 +185,18 @@
         address=address, zone=spec.zone, type="m", weight=float(spec.model.cores), tier=spec.tier,
         since_ms=spec.since_ms, lease_ms=spec.lease_ms,
     )  # fmt: skip
-    return Lease(spec.directory, spec.name, told)
+    return Lease(Caller(spec.directory, who=spec.name, patience_s=LIST_PATIENCE_S), spec.name, told)
+
+
+async def _hold(lease: Lease) -> None:
+    """Keep the place on the list for ever; what fails is tried again soon."""
+    while True:
+        try:
+            await asyncio.to_thread(lease.keep)
+            wait_s = lease.step_s
+        except CallError:
+            wait_s = LIST_RETRY_S
+        await asyncio.sleep(wait_s)
 
 
 async def main() -> None:
@@ -203,12 +217,13 @@
         host, port = runner.addresses[0][:2]
         lease = _lease(spec, f"{host}:{port}") if spec.directory else None
         if lease is not None:
-            tasks.append(asyncio.create_task(lease.hold()))
+            tasks.append(asyncio.create_task(_hold(lease)))
         await stand_in.stopping.wait()
         for task in tasks:
             task.cancel()
         if lease is not None:
-            await lease.leave()
+            with contextlib.suppress(CallError):
+                await asyncio.to_thread(lease.leave, "it ends")
         await runner.cleanup()
     stand_in.history.close()
 
