Name the links of a fault at its end, so that what it excuses ends there, too

Read again: a lift was written into the history without its links, so the check answered never saw a fault on clients' links end and would have excused every later loss of that balancer. The test fails without it. A lift now touches only the links that its fault was set on.

--- a/basaltspindle/drill/deeds.py
+++ b/basaltspindle/drill/deeds.py
@@ -16,7 +16,7 @@
 from basaltspindle.drill.crew import NEW, READY_S, Crew, DriveError
 from basaltspindle.drill.fleet import FIRST, Fleet
 from basaltspindle.drill.history import Writer
-from basaltspindle.drill.links import Fault
+from basaltspindle.drill.links import DatagramLink, Fault, Link
 from basaltspindle.drill.papers import Papers
 
 DOWN = "list down"
@@ -32,6 +32,7 @@
         """`keep` gets what goes on beside the timeline."""
         self._fleet, self._papers, self._crew, self._history = fleet, papers, crew, history
         self._clock, self._seed, self._keep = clock, seed, keep
+        self._broken: dict[str, list[Link | DatagramLink]] = {}
 
     def _fault(self, kind: str, on: bool, targets: list[str], **more: Any) -> None:
         self._history.write("fault", kind=kind, on=on, targets=targets, **more)
@@ -123,12 +124,14 @@
         if not links:
             raise DriveError(f"no link is called {pattern!r}; there are {', '.join(self._fleet.links)}")
         self._fault(name, True, [link.name for link in links])
+        self._broken.setdefault(name, []).extend(links)
         for link in links:
             link.set(name, fault, direction)
 
     def _lift(self, name: str) -> None:
-        self._fault(name, False, [])
-        for link in self._fleet.matching("*"):
+        links = self._broken.pop(name, [])
+        self._fault(name, False, [link.name for link in links])
+        for link in links:
             link.lift(name)
 
     def _change_list(self, state: str) -> None:
--- a/tests/test_drill.py
+++ b/tests/test_drill.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import asyncio
 import json
 import os
 import shutil
@@ -11,11 +12,14 @@
 import time
 from concurrent.futures import ThreadPoolExecutor
 from pathlib import Path
+from types import SimpleNamespace
 from typing import Any
 
 import pytest
 
-from basaltspindle.drill.script import ScriptError, load, parse
+from basaltspindle.drill.deeds import Deeds
+from basaltspindle.drill.links import Fault
+from basaltspindle.drill.script import Break, Lift, ScriptError, load, parse
 
 ROOT = Path(__file__).parent.parent
 PATIENCE_S = 300
@@ -129,6 +133,25 @@
         time.sleep(0.05)
 
 
+def test_a_fault_and_its_end_name_the_same_links() -> None:
+    class Link:
+        name = "clients>b0"
+
+        def set(self, *args: object) -> None:
+            pass
+
+        lift = set
+
+    told: list[dict[str, Any]] = []
+    fleet: Any = SimpleNamespace(matching=lambda pattern: [Link()])
+    history: Any = SimpleNamespace(write=lambda what, **fields: told.append(fields))
+    rest: Any = None
+    deeds = Deeds(fleet, rest, rest, history, rest, 1, keep=rest)
+    for step in (Break(name="cut", link="*", fault=Fault(cut=True)), Lift(name="cut")):
+        asyncio.run(deeds.do(step))
+    assert [(e["on"], e["targets"]) for e in told] == [(True, ["clients>b0"]), (False, ["clients>b0"])]
+
+
 def test_every_drill_in_the_folder_can_be_read() -> None:
     names = {path.stem for path in (ROOT / "drills").glob("*.toml") if load(path).title}
     assert names >= set(
