Say wrong use, and find files by name, in one place for all commands

Five commands each had a Misuse of their own, lab and drill the same search by name; a drill's file was read twice, and its verdict built twice. Tables of irondrum load are as wide in a pipe as the others. Messages and outputs as before; the tests import Misuse from where it is.

--- a/basaltspindle/cli/demo.py
+++ b/basaltspindle/cli/demo.py
@@ -17,6 +17,7 @@
 from rich.text import Text
 
 from basaltspindle.cli.operate import ask_all, table_of
+from basaltspindle.cli.screen import screen
 from basaltspindle.drill import checks, history, load, script
 from basaltspindle.drill.drive import Drive
 from basaltspindle.drill.fleet import FIRST, Fleet
@@ -133,7 +134,7 @@
 
     Example: irondrum demo --keep
     """
-    console, began = Console(), time.monotonic()
+    console, began = screen(), time.monotonic()
     drill = script.parse(STORY, "demo")
     with tempfile.TemporaryDirectory() as folder:
         out = Path(folder) / "demo"
@@ -179,4 +180,4 @@
         endings = ", ".join(f"{count} {ending}" for ending, count in sorted(tally.endings.items()))
         times = [f"{tally.percentile_ms(part):.1f}" for part in PARTS]
         table.add_row(name, str(sum(tally.endings.values())), endings, *times)
-    Console().print(table)
+    screen().print(table)
--- a/basaltspindle/cli/directory.py
+++ b/basaltspindle/cli/directory.py
@@ -14,6 +14,7 @@
 import typer
 from rich.table import Table
 
+from basaltspindle.cli.misuse import Misuse
 from basaltspindle.cli.screen import screen
 from basaltspindle.directory import host
 from basaltspindle.directory.agent import Agent, check
@@ -30,10 +31,6 @@
 Server = Annotated[str, typer.Argument(help="The server's name.")]
 
 
-class Misuse(ValueError):
-    """An argument that can't be used: one line that tells which and why."""
-
-
 def _caller(at: str) -> Caller:
     return Caller(at, who=getpass.getuser())
 
--- a/basaltspindle/cli/drill.py
+++ b/basaltspindle/cli/drill.py
@@ -5,13 +5,15 @@
 import asyncio
 import json
 import tempfile
+from collections.abc import Iterable
 from pathlib import Path
-from typing import Annotated
+from typing import Annotated, Any
 
 import typer
 import uvloop
 from rich.table import Table
 
+from basaltspindle.cli.misuse import Misuse, find_file
 from basaltspindle.cli.screen import screen
 from basaltspindle.drill import checks, history, plants, script
 from basaltspindle.drill.checks import Check
@@ -20,30 +22,16 @@
 app = typer.Typer(no_args_is_help=True, help="A fleet of real processes on this machine, with faults.")
 FOLDER = Path("drills")
 NOT_HELD = 1
+TOLD = ("name", "held", "measured", "bound")  # of each check, by `--json`
 
 
-class Misuse(ValueError):
-    """An argument that can't be used: one line that tells which and why."""
-
-
-def find(name: str) -> Path:
-    """The file of a drill, by its name or its path."""
-    path = Path(name) if name.endswith(".toml") else FOLDER / f"{name}.toml"
-    if not path.exists():
-        known = ", ".join(p.stem for p in sorted(FOLDER.glob("*.toml"))) or f"none in {FOLDER}"
-        raise Misuse(f"no drill {name!r}; there are {known}")
-    return path
-
-
-def play(path: Path, seed: int, out: Path, plant: str = "") -> list[Check]:
-    """Play a drill in an empty folder, and judge it; DriveError if it can't be played."""
-    drill = script.load(path)
+def play(path: Path, drill: script.Script, seed: int, out: Path, plant: str = "") -> list[Check]:
+    """Play a drill from its file in an empty folder, and judge it; DriveError if it can't be played."""
     with asyncio.Runner(loop_factory=uvloop.new_event_loop) as runner:
         runner.run(Drive(drill, seed, out, plant).run())
     (out / "drill.toml").write_bytes(path.read_bytes())
     found = checks.judge(drill, history.read(out))
-    verdict = {"drill": path.stem, "seed": seed, "plant": plant, "held": all(c.held for c in found)}
-    verdict["checks"] = [{n: getattr(c, n) for n in c.__struct_fields__} for c in found]
+    verdict = {"seed": seed, "plant": plant} | verdict_of(path.stem, found, Check.__struct_fields__)
     (out / "verdict.json").write_text(json.dumps(verdict) + "\n", encoding="utf-8")
     return found
 
@@ -72,17 +60,16 @@
     """
     if plant and plant not in plants.DEFECTS:
         raise Misuse(f"no defect {plant!r}; there are {', '.join(plants.DEFECTS)}")
-    paths = [find(name) for name in names]
-    for path in paths:
-        script.load(path)  # all are sound before the first is played
+    paths = [find_file(FOLDER, "drill", name) for name in names]
+    drills = [(path, script.load(path)) for path in paths]  # all are sound before the first is played
     held = True
     with tempfile.TemporaryDirectory() as spare:
-        for path in paths:
+        for path, drill in drills:
             into = (out or Path(spare)) / path.stem
-            found = play(path, seed, into, plant)
+            found = play(path, drill, seed, into, plant)
             held = held and all(check.held for check in found)
             if as_json:
-                typer.echo(verdict_line(path.stem, found))
+                typer.echo(json.dumps(verdict_of(path.stem, found, TOLD)))
             else:
                 _show(path.stem, found)
     if not held:
@@ -105,10 +92,10 @@
         raise Misuse(str(error)) from None
 
 
-def verdict_line(name: str, found: list[Check]) -> str:
-    """The verdict of a drill as a line of JSON."""
-    told = [{"name": c.name, "held": c.held, "measured": c.measured, "bound": c.bound} for c in found]
-    return json.dumps({"drill": name, "held": all(c.held for c in found), "checks": told})
+def verdict_of(name: str, found: list[Check], fields: Iterable[str]) -> dict[str, Any]:
+    """The verdict of a drill, with these fields of each check."""
+    told = [{field: getattr(check, field) for field in fields} for check in found]
+    return {"drill": name, "held": all(check.held for check in found), "checks": told}
 
 
 def _show(name: str, found: list[Check]) -> None:
--- a/basaltspindle/cli/lab.py
+++ b/basaltspindle/cli/lab.py
@@ -15,6 +15,7 @@
 from rich.console import Console
 from rich.table import Table
 
+from basaltspindle.cli.misuse import Misuse, find_file
 from basaltspindle.lab import plays, policies
 from basaltspindle.lab.compare import compare as paired
 from basaltspindle.world import scenario as scenarios
@@ -25,10 +26,6 @@
 JOBS = max((os.cpu_count() or 2) // 2, 1)
 
 
-class Misuse(ValueError):
-    """An argument that can't be used: one line that tells which and why."""
-
-
 def seeds_of(text: str) -> list[int]:
     """The seeds that a text such as `1-16` or `1,4,7-9` names; Misuse if it names none."""
     seeds: list[int] = []
@@ -45,11 +42,7 @@
 
 def find(name: str, changes: list[str]) -> scenarios.Scenario:
     """A scenario by its name or its file, with changes such as `choke.at=5` made to it."""
-    path = Path(name) if name.endswith(".toml") else FOLDER / f"{name}.toml"
-    if not path.exists():
-        known = ", ".join(p.stem for p in sorted(FOLDER.glob("*.toml"))) or f"none in {FOLDER}"
-        raise Misuse(f"no scenario {name!r}; there are {known}")
-    return scenarios.load(path, [_change(text) for text in changes])
+    return scenarios.load(find_file(FOLDER, "scenario", name), [_change(text) for text in changes])
 
 
 def _change(text: str) -> tuple[list[str], Any]:
--- a/basaltspindle/cli/main.py
+++ b/basaltspindle/cli/main.py
@@ -9,6 +9,7 @@
 import typer
 
 from basaltspindle.cli import demo, directory, drill, lab, operate, serve
+from basaltspindle.cli.misuse import Misuse
 from basaltspindle.conf import Unusable
 from basaltspindle.directory.caller import CallError
 from basaltspindle.directory.host import HostError
@@ -30,8 +31,7 @@
     app.command()(command)
 app.command("load")(demo.load_)
 MISUSES = (
-    ScenarioError, PolicyError, ScriptError, DriveError, lab.Misuse, drill.Misuse, serve.Misuse,
-    operate.Misuse, LoadError, directory.Misuse, HostError, CallError, StoreError,
+    Misuse, ScenarioError, PolicyError, ScriptError, DriveError, LoadError, HostError, CallError, StoreError,
 )  # fmt: skip
 
 
--- a/basaltspindle/cli/operate.py
+++ b/basaltspindle/cli/operate.py
@@ -14,6 +14,7 @@
 from rich.live import Live
 from rich.table import Table
 
+from basaltspindle.cli.misuse import Misuse
 from basaltspindle.cli.screen import screen
 
 PATIENCE_S = 2.0
@@ -23,10 +24,6 @@
 ]
 
 
-class Misuse(ValueError):
-    """An argument that can't be used: one line that tells which and why."""
-
-
 @dataclass(frozen=True)
 class Answer:
     """What a console said; status 0 where nobody answered."""
--- a/basaltspindle/cli/serve.py
+++ b/basaltspindle/cli/serve.py
@@ -12,15 +12,12 @@
 
 from basaltspindle import __main__ as program
 from basaltspindle import conf
+from basaltspindle.cli.misuse import Misuse
 from basaltspindle.net.log import Fields, Sink
 
 FORMS = ("text", "json")
 
 
-class Misuse(ValueError):
-    """An argument that can't be used: one line that tells which and why."""
-
-
 def _sink(form: str) -> Sink:
     """Events by structlog, as text or as JSON."""
     renderer: structlog.typing.Processor = (
--- a/tests/test_lab.py
+++ b/tests/test_lab.py
@@ -10,8 +10,9 @@
 import pytest
 from typer.testing import CliRunner
 
-from basaltspindle.cli.lab import Misuse, find, seeds_of
+from basaltspindle.cli.lab import find, seeds_of
 from basaltspindle.cli.main import app
+from basaltspindle.cli.misuse import Misuse
 from basaltspindle.lab import plays
 from basaltspindle.lab.compare import compare
 from basaltspindle.world.scenario import ScenarioError
