Compose a request once, read its time by the program's own reader, drop what was dead

Clients, servers and irondrum load each wrote the same headers; a server's stand-in had a reader of X-Deadline beside net's; REFUSALS stood three times, a free port three times, who is present twice; what balancers were told was worked out anew for each of three checks. Docstrings that showed calls that are not so, or told what the core of membership no longer does, are put right. A close as an unbound method does not work on uvloop's transports (seen by the test of links), so the small function stays.

--- a/basaltspindle/drill/checks.py
+++ b/basaltspindle/drill/checks.py
@@ -10,6 +10,7 @@
 from collections import defaultdict
 from collections.abc import Callable, Iterable, Iterator
 from dataclasses import dataclass
+from functools import cached_property
 from itertools import pairwise
 
 import msgspec
@@ -23,6 +24,10 @@
 NONE_SINCE = float("-inf")
 
 
+Told = tuple[float, int, bool, dict[str, str]]
+"""A list as a balancer was told it: when, its index, whether it was whole, and each entry's status."""
+
+
 class Check(msgspec.Struct, frozen=True):
     """One check: what was measured against which bound, and one event that broke it."""
 
@@ -56,6 +61,16 @@
         self.asked = {e["id"]: e for e in self.by_kind["asked"]}
         self.start = min((e["t"] for e in self.by_kind["asked"]), default=0.0)
 
+    @cached_property
+    def told(self) -> dict[str, list[Told]]:
+        """What each balancer was told by lists, as it came."""
+        told: dict[str, list[Told]] = defaultdict(list)
+        for event in self.by_kind["told"]:
+            place = self.by_host.get(event["to"])
+            if place is not None:
+                told[place.name].append((event["t"], event["index"], event["snapshot"], event["entries"]))
+        return told
+
     def arrivals(self) -> Iterator[tuple[Event, str]]:
         """Each request that reached a server, with the balancer that sent it."""
         for event in self.by_kind["arrived"]:
@@ -147,16 +162,6 @@
     return _most("once", twice)
 
 
-def _told(story: Story) -> dict[str, list[tuple[float, int, bool, dict[str, str]]]]:
-    """What each balancer was told by lists, as they came: time, index, whether whole, entries."""
-    told: dict[str, list[tuple[float, int, bool, dict[str, str]]]] = defaultdict(list)
-    for event in story.by_kind["told"]:
-        place = story.by_host.get(event["to"])
-        if place is not None:
-            told[place.name].append((event["t"], event["index"], event["snapshot"], event["entries"]))
-    return told
-
-
 def _out_since(story: Story) -> dict[tuple[str, str], list[tuple[float, bool]]]:
     """For each balancer and server: when it was told that the server is out, and that it is in again.
 
@@ -164,7 +169,7 @@
     back, whatever lists say.
     """
     changes: dict[tuple[str, str], list[tuple[float, bool]]] = defaultdict(list)
-    for balancer, lists in _told(story).items():
+    for balancer, lists in story.told.items():
         newest, listed = -1, dict[str, str]()
         for when, index, whole, entries in lists:
             if index < newest:
@@ -210,7 +215,7 @@
 def named(story: Story, script: Script) -> Check:
     """Nothing is sent to a server that no list has named."""
     first: dict[tuple[str, str], float] = {}
-    for balancer, lists in _told(story).items():
+    for balancer, lists in story.told.items():
         for when, _, _, entries in lists:
             for server in entries:
                 first.setdefault((balancer, server), when)
@@ -325,7 +330,7 @@
     """The version of the list that a balancer is told never goes back, unless a drill makes it."""
     back = []
     if not any(e["kind"] == "stale list" for e in story.by_kind["fault"]):
-        for balancer, lists in _told(story).items():
+        for balancer, lists in story.told.items():
             for (_, one, _, _), (when, other, _, _) in pairwise(lists):
                 if other < one:
                     back.append(f"{balancer} was told {other} after {one}, at {when - story.start:.0f} ms")
--- a/basaltspindle/drill/clients.py
+++ b/basaltspindle/drill/clients.py
@@ -19,13 +19,13 @@
 
 from basaltspindle.drill.clock import RealClock
 from basaltspindle.drill.script import Class, Load
-from basaltspindle.drill.standin import Place, follow, read_spec, say
+from basaltspindle.drill.standin import Place, follow, read_spec, request_of, say
+from basaltspindle.net.figures import REFUSALS
 
 CHECK_S, CHECK_PATIENCE_S, FAILS_TO_LEAVE = 0.3, 1.0, 2
 PATIENCE_MS = 1_500.0  # past its time, in which a late answer is still seen
 REPORT_S = 0.1
 ELSEWHERE = 3  # balancers that are tried when connections are refused
-REFUSED = (429, 503)
 
 
 class Spec(Place, kw_only=True, frozen=True):
@@ -137,22 +137,19 @@
 
     async def _ask(self, id_: str, name: str, cls: Class, remaining: float, again: bool) -> tuple[str, float]:
         began = self.clock.now
-        headers = {"X-Request-Id": id_, "X-Class": cls.name, "X-Deadline": f"{remaining:.0f}m"}
+        asked = request_of(id_, cls.name, remaining, cls.effect == "unsafe")
         if again:
-            headers["X-Retry"] = "1"
-        unsafe = cls.effect == "unsafe"
+            asked["headers"]["X-Retry"] = "1"
         url = f"http://{self.front.balancers[name]}/{cls.name}/{id_}"
         timeout = aiohttp.ClientTimeout(total=(remaining + PATIENCE_MS) / 1_000)
-        async with self.session.request(
-            "POST" if unsafe else "GET", url, headers=headers, data=b"{}" if unsafe else None, timeout=timeout
-        ) as answer:
+        async with self.session.request(url=url, timeout=timeout, **asked) as answer:
             body = await answer.read()
             status, away = answer.status, answer.headers.get("Retry-After", "0")
         took = round(self.clock.now - began, 3)
         self.history.write("answered", id=id_, status=status, took=took, run=_run_of(body, id_))
         if status == 200:
             return "served", 0.0
-        return ("refused" if status in REFUSED else "failed"), float(away)
+        return ("refused" if status in REFUSALS else "failed"), float(away)
 
 
 def _run_of(body: bytes, id_: str) -> str:
--- a/basaltspindle/drill/fleet.py
+++ b/basaltspindle/drill/fleet.py
@@ -152,7 +152,7 @@
 
     def beside(self, name: str) -> list[str]:
         """A process, and what starts and stops with it."""
-        return [name, *[f"{name}.b" for _ in [0] if f"{name}.b" in self.spots]]
+        return [one for one in (name, f"{name}.b") if one in self.spots]
 
     def links_to(self, name: str) -> list[Link]:
         """The links that lead to a process."""
--- a/basaltspindle/drill/links.py
+++ b/basaltspindle/drill/links.py
@@ -1,7 +1,7 @@
 """The ways between processes, as relays on loopback on which faults are set and lifted while they run.
 
-    link = Link("b0>s1", source="127.9.0.1", listen="127.9.3.1", target=("127.9.1.1", 4000))
-    await link.start()
+    link = Link("b0>s1", "127.9.0.1", "127.9.3.1", ("127.9.1.1", 4000), random.Random(1))
+    link.start()
     link.set("slow", Fault(delay_ms=50, jitter_ms=10), "back")
     link.lift("slow")
 
@@ -270,7 +270,6 @@
         self._plugs: list[socket.socket] = []  # connections of our own that fill a silent listener's queue
         self._open: set[asyncio.Transport] = set()
         self._tasks: set[asyncio.Task[None]] = set()
-        self.connections = 0
 
     @property
     def address(self) -> Address:
@@ -377,7 +376,6 @@
                 sock.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, _LINGER_NONE)
                 sock.close()
                 continue
-            self.connections += 1
             sock.setblocking(False)
             task = asyncio.get_running_loop().create_task(self._relay(sock))
             self._tasks.add(task)
--- a/basaltspindle/drill/load.py
+++ b/basaltspindle/drill/load.py
@@ -16,9 +16,11 @@
 import aiohttp
 from hdrh.histogram import HdrHistogram
 
+from basaltspindle.drill.standin import request_of
+from basaltspindle.net.figures import REFUSALS
+
 MOST_RATE, MOST_SECONDS = 5_000.0, 600.0
 LONGEST_MS = 600_000
-REFUSALS = (429, 503)
 
 
 class LoadError(ValueError):
@@ -110,15 +112,10 @@
     session: aiohttp.ClientSession, url: str, kind: Kind, number: str, due: float, tally: Tally
 ) -> None:
     loop = asyncio.get_running_loop()
-    headers = {"X-Request-Id": number, "X-Class": kind.name, "X-Deadline": f"{kind.deadline_ms:.0f}m"}
+    asked = request_of(number, kind.name, kind.deadline_ms, kind.unsafe)
+    timeout = aiohttp.ClientTimeout(total=kind.deadline_ms / 1_000)
     try:
-        async with session.request(
-            "POST" if kind.unsafe else "GET",
-            f"{url.rstrip('/')}/{kind.name}",
-            headers=headers,
-            data=b"{}" if kind.unsafe else None,
-            timeout=aiohttp.ClientTimeout(total=kind.deadline_ms / 1_000),
-        ) as answer:
+        async with session.request(url=f"{url.rstrip('/')}/{kind.name}", timeout=timeout, **asked) as answer:
             await answer.read()
             status = answer.status
         ending = "served" if status == 200 else "refused" if status in REFUSALS else "failed"
--- a/basaltspindle/drill/server.py
+++ b/basaltspindle/drill/server.py
@@ -23,11 +23,13 @@
 from basaltspindle.directory.lease import Lease
 from basaltspindle.drill.clock import RealClock
 from basaltspindle.drill.script import Model, Version
-from basaltspindle.drill.standin import Place, follow, read_spec, say
+from basaltspindle.drill.standin import Place, follow, read_spec, request_of, say
+from basaltspindle.net.callers import read_span_ms
 from basaltspindle.world.servers import Build, Job, Server
 
 BEFORE_CALLS = 0.5  # the part of its work that comes before its calls to the next tier
 WORK_SPREAD = 0.6  # of the logarithm of a request's work
+NO_DEADLINE_MS = 1_000.0  # for a request that tells none
 LIST_PATIENCE_S, LIST_RETRY_S = 1.0, 0.3
 NOT_RUN = {"X-Not-Run": "1"}
 
@@ -153,33 +155,20 @@
     async def _call(self, request: web.Request, number: str, cls: str) -> bool:
         """Make our own call to the next tier, with what is left of the time; whether it was served."""
         assert self.session is not None
-        left_ms = _deadline_ms(request.headers.get("X-Deadline", "")) * 0.8
-        headers = {
-            "X-Request-Id": f"{number}.{self.spec.name}.{self.chance.randrange(1 << 32):08x}",
-            "X-Class": cls,
-            "X-Deadline": f"{left_ms:.0f}m",
-        }
-        url = f"http://{self.spec.calls}/{cls}"
+        left_ms = (read_span_ms(request.headers.get("X-Deadline", "").encode()) or NO_DEADLINE_MS) * 0.8
+        inner = f"{number}.{self.spec.name}.{self.chance.randrange(1 << 32):08x}"
+        asked = request_of(inner, cls, left_ms, request.method == "POST")
         timeout = aiohttp.ClientTimeout(total=left_ms / 1_000)
         try:
             async with self.session.request(
-                request.method, url, headers=headers, data=b"{}" if request.method == "POST" else None,
-                timeout=timeout,
-            ) as answer:  # fmt: skip
+                url=f"http://{self.spec.calls}/{cls}", timeout=timeout, **asked
+            ) as answer:
                 await answer.read()
                 return answer.status == 200
         except (aiohttp.ClientError, OSError, TimeoutError):
             return False
 
 
-def _deadline_ms(text: str) -> float:
-    """A time such as `480m` or `480000u` in ms; a second where there is none."""
-    try:
-        return float(text[:-1]) / (1_000 if text.endswith("u") else 1)
-    except ValueError:
-        return 1_000.0
-
-
 def _lease(spec: Spec, address: str) -> Lease:
     told = Registration(
         address=address, zone=spec.zone, type="m", weight=float(spec.model.cores), tier=spec.tier,
--- a/basaltspindle/drill/standin.py
+++ b/basaltspindle/drill/standin.py
@@ -37,6 +37,16 @@
     return msgspec.json.decode(Path(sys.argv[1]).read_bytes(), type=kind)
 
 
+def request_of(number: str, cls: str, deadline_ms: float, unsafe: bool) -> dict[str, Any]:
+    """A request as PROTOCOL has it: what aiohttp's `request` takes beside the address."""
+    headers = {"X-Request-Id": number, "X-Class": cls, "X-Deadline": f"{deadline_ms:.0f}m"}
+    return (
+        {"method": "POST", "data": b"{}", "headers": headers}
+        if unsafe
+        else {"method": "GET", "headers": headers}
+    )
+
+
 def say(**line: Any) -> None:
     """Tell the driver something."""
     print(json.dumps(line), flush=True)
--- a/basaltspindle/net/peers.py
+++ b/basaltspindle/net/peers.py
@@ -122,7 +122,7 @@
         counts = member.counts
         return {
             "me": self._config.settings.number,
-            "present": member.table.present,
+            "present": len(member.table.present),
             "takes_part": self._socket is not None,
             "health": member.health,
             "members": members,
--- a/basaltspindle/peers/swim.py
+++ b/basaltspindle/peers/swim.py
@@ -6,8 +6,8 @@
 travels with the notes; the member overrules it by a higher incarnation.
 
 A member that is itself slow, was stopped or has lost its link sees all others fail. So our own health counts:
-each probe that fails without a sign that others fail too, and each wake-up that comes late, stretches our
-times, up to eightfold, and good ones shrink them again.
+each suspicion that we raise, and each wake-up that comes late, stretches our times, up to eightfold, and each
+answer in time shrinks them again.
 """
 
 from __future__ import annotations
@@ -30,7 +30,7 @@
 TRIAL_EVERY = 4  # periods: one of the gone is pinged, so that a healed cut is seen
 LEAVING_NOTES = 6  # to so many members we say that we go
 RELAYED_MOST = 256  # probes that we carry for others at once
-TRUST_MS = 10_000.0  # a suspicion that nobody confirms or overrules is forgotten
+TRUST_MS = 10_000.0  # after which a suspicion that nobody confirms or overrules is looked into again
 
 
 @dataclass(frozen=True, slots=True)
@@ -109,7 +109,7 @@
                 self._step(probe, now)
         if self._next_period <= now:
             self._period(now)
-        self._forget_old_suspicions(now)
+        self._look_again(now)
         return self._done(now)
 
     def heard(self, sender: int, data: bytes, now: float) -> list[Action]:
@@ -138,7 +138,7 @@
     def leave(self, now: float) -> list[Action]:
         """Say to some that we go on purpose, and nothing more from then on."""
         self.table.leave(now)
-        others = [n for n in self._present() if n != self._number]
+        others = [n for n in self.table.present if n != self._number]
         for to in self._random.sample(others, min(LEAVING_NOTES, len(others))):
             self._tell(to, Kind.PING, self._new_sequence(), about_us=True)
         self._left = True
@@ -153,7 +153,7 @@
         self._periods += 1
         self._carried = dict(list(self._carried.items())[-RELAYED_MOST // 2 :])
         if not self._order:
-            self._order = [n for n in self._present() if n != self._number]
+            self._order = [n for n in self.table.present if n != self._number]
             self._random.shuffle(self._order)
         while self._order:
             target = self._order.pop()
@@ -194,7 +194,7 @@
         probe.next_step = now + ROUND_MS * self._stretch()
 
     def _ask_others(self, probe: Probe) -> None:
-        others = [n for n in self._present() if n not in (self._number, probe.target)]
+        others = [n for n in self.table.present if n not in (self._number, probe.target)]
         for other in self._random.sample(others, min(RELAYS, len(others))):
             self._tell(other, Kind.RELAY, probe.sequence, probe.target)
 
@@ -228,7 +228,7 @@
             elif (incarnation, state) > (self.table.incarnation, State.ALIVE):
                 self.table.refute(incarnation, now)
 
-    def _forget_old_suspicions(self, now: float) -> None:
+    def _look_again(self, now: float) -> None:
         """Look again at those whose suspicion nobody confirms or overrules: who raised it may be gone."""
         for number, belief in enumerate(self.table.beliefs):
             if (
@@ -241,9 +241,6 @@
 
     # ---- notes ----------------------------------------------------------------------------------
 
-    def _present(self) -> list[int]:
-        return [n for n, b in enumerate(self.table.beliefs) if b.state <= State.SUSPECTED]
-
     def _stretch(self) -> float:
         return 1.0 + self.health
 
--- a/basaltspindle/peers/table.py
+++ b/basaltspindle/peers/table.py
@@ -50,9 +50,9 @@
         return self.beliefs[self.number].incarnation
 
     @property
-    def present(self) -> int:
+    def present(self) -> list[int]:
         """Members that are not known to be gone, ourselves included."""
-        return sum(b.state <= State.SUSPECTED for b in self.beliefs)
+        return [n for n, b in enumerate(self.beliefs) if b.state <= State.SUSPECTED]
 
     def state(self, number: int) -> State:
         """What is believed of a member."""
--- a/benchmarks/directory.py
+++ b/benchmarks/directory.py
@@ -25,6 +25,8 @@
 import aiohttp
 import typer
 
+from basaltspindle.drill.fleet import free_port
+
 SERVERS, ROUNDS, WRITERS = 1_000, 5, 128
 EACH = """
 from basaltspindle.directory import service
@@ -131,9 +133,7 @@
 
 def served(folder: Path, name: str, patch: str) -> tuple[subprocess.Popen[bytes], str]:
     """The service as a process on the first core that we may use."""
-    with socket.socket() as probe:
-        probe.bind(("127.0.0.1", 0))
-        at = f"127.0.0.1:{probe.getsockname()[1]}"
+    at = f"127.0.0.1:{free_port('127.0.0.1')}"
     file = folder / f"{name}.toml"
     file.write_text(f'listen = "{at}"\ndatabase = "{folder / name}.sqlite"\n', encoding="utf-8")
     core = min(os.sched_getaffinity(0))
--- a/tests/test_upgrade.py
+++ b/tests/test_upgrade.py
@@ -15,6 +15,7 @@
 
 import pytest
 
+from basaltspindle.drill.fleet import free_port
 from basaltspindle.interface import Member, Succession
 from basaltspindle.net import handover
 from tests.helpers import Desk
@@ -32,12 +33,6 @@
 )
 
 
-def free_port() -> int:
-    with socket.socket() as probe:
-        probe.bind(("127.0.0.1", 0))
-        return int(probe.getsockname()[1])
-
-
 class Site:
     """The addresses and the folder that the processes of one balancer share, and its upstreams."""
 
@@ -45,7 +40,7 @@
         self.folder, self.upstreams, self._sockets = folder, upstreams, sockets
         (folder / "shared").mkdir()
         self.discovery = ListServer()
-        self.port = free_port()
+        self.port = free_port("127.0.0.1")
         self.entries: list[dict[str, Any]] = []
 
     async def start(self) -> None:
@@ -55,7 +50,7 @@
 
     @asynccontextmanager
     async def process(self) -> AsyncIterator[Process]:
-        console = free_port()
+        console = free_port("127.0.0.1")
         raw = json.loads(config_text(self._discovery, self.entries, f"127.0.0.1:{console}"))
         raw["listen"], raw["limits"]["sockets"] = f"127.0.0.1:{self.port}", self._sockets
         path = self.folder / f"{console}.json"
