Doubt a whole list that leaves out many ready servers; drop each as it proves dead

Need: a list service of one's own can be emptied, halved or set back by a fault, and a balancer then dropped every server that the list left unsaid.

Change: `Balancer.believe` reads a list before it is told: where a whole list leaves out more than `list_doubt` of the ready servers, or names none, they stay until one refuses (no connection, or its own word that it takes nothing); what is said outright, drains and removals, is done at once, however many. A service that has gone back does not call a server ready that drains. Off unless the configuration has the table `lists`: the platform's settings leave `list_doubt` at 1, where all lists are believed as before.

Ruled out: doubting in the network code (it decides nothing); a time after which doubted servers go all the same (while they answer they are there).

--- a/basaltspindle/conf/model.py
+++ b/basaltspindle/conf/model.py
@@ -130,6 +130,17 @@
     endpoints: tuple[Endpoint, ...] = ()
 
 
+class ListService(Table, frozen=True, forbid_unknown_fields=True):
+    """How a list service of one's own is asked (docs/directory.md)."""
+
+    others: tuple[Address, ...] = ()
+    """Further instances that hold the same list."""
+    tier: str = ""
+    """The tier that is asked for; empty for the service's first."""
+    doubt: Annotated[float, Meta(gt=0, le=1)] = 0.3
+    """A whole list that leaves out more than this part of the ready servers is doubted."""
+
+
 class Machine(Table, frozen=True, forbid_unknown_fields=True):
     """What the balancer's machine gives it."""
 
@@ -161,6 +172,8 @@
     snapshots: str = ""
     """A folder in which what was learned is kept over a restart; empty for none."""
     snapshotEvery: Duration = 10_000.0
+    lists: ListService | None = None
+    """Where the list is a service of one's own; left out for the platform's."""
 
 
 def schema() -> dict[str, Any]:
--- a/basaltspindle/conf/reading.py
+++ b/basaltspindle/conf/reading.py
@@ -83,6 +83,8 @@
 
 
 def _table_faults(value: Any, kind: type[msgspec.Struct], path: str) -> Iterator[str]:
+    if value is None:
+        return
     if not isinstance(value, dict):
         yield f"{path or 'the file'}: must be a table"
         return
@@ -103,8 +105,11 @@
 
 
 def _bare(kind: Any) -> Any:
-    """A type without its bounds."""
-    return get_args(kind)[0] if hasattr(kind, "__metadata__") else kind
+    """A type without its bounds, and without the None that stands for a table left out."""
+    bare = get_args(kind)[0] if hasattr(kind, "__metadata__") else kind
+    parts = [part for part in get_args(bare) if part is not type(None)]
+    is_optional = isinstance(bare, UnionType) and len(parts) < len(get_args(bare)) == 2
+    return parts[0] if is_optional else bare
 
 
 def _allowed(kind: Any) -> str:
@@ -155,7 +160,7 @@
         return duration_ms(value)
     if get_origin(bare) is tuple:
         return [_in_ms(item, get_args(bare)[0]) for item in value]
-    if isinstance(bare, type) and issubclass(bare, msgspec.Struct):
+    if isinstance(bare, type) and issubclass(bare, msgspec.Struct) and value is not None:
         hints = get_type_hints(bare, include_extras=True)
         return {name: _in_ms(item, hints[name]) for name, item in value.items()}
     return value
--- a/basaltspindle/interface.py
+++ b/basaltspindle/interface.py
@@ -117,6 +117,8 @@
     calling_tier: int = 0
     zone: str = ""
     list_is_asked: bool = False
+    list_doubt: float = 1.0
+    """A whole list that leaves out more than this part of the ready servers is not believed at once."""
     ask_within_ms: float = 10_000.0
     max_attempts: int = 3
     may_cancel: bool = False
@@ -141,7 +143,8 @@
             _require(getattr(self, field) >= 0, field, getattr(self, field), "must not be negative")
         for field in ("ask_within_ms", "cold_window_ms", "cold_overload_factor", "tick_ms"):
             _require(getattr(self, field) > 0, field, getattr(self, field), "must be above 0")
-        _require(0 < self.cold_from <= 1, "cold_from", self.cold_from, "must be above 0 and at most 1")
+        for field in ("cold_from", "list_doubt"):
+            _require(0 < getattr(self, field) <= 1, field, getattr(self, field), "must be above 0, at most 1")
         _require(
             0 <= self.over_share_worth <= 1,
             "over_share_worth",
@@ -174,6 +177,10 @@
 
     kind: ListKind
     members: tuple[Member, ...] = ()
+    rewound: bool = False
+    """It comes from a service that has gone back to an older state."""
+    doubted: frozenset[str] = frozenset()
+    """Members that a whole list left out, and that stay until they prove dead: see `Balancer.believe`."""
 
 
 @dataclass(frozen=True, slots=True)
--- a/basaltspindle/net/config.py
+++ b/basaltspindle/net/config.py
@@ -10,7 +10,7 @@
 import json
 import math
 from collections.abc import Callable, Mapping
-from dataclasses import dataclass
+from dataclasses import dataclass, replace
 from pathlib import Path
 from typing import Any
 
@@ -18,6 +18,7 @@
 from basaltspindle.interface import Member, Readiness, Settings
 
 Address = tuple[str, int]
+LIST_DOUBT = 0.3  # of the ready servers: more do not go at once unsaid, but for a fault of the list itself
 SNAPSHOT_MS, SNAPSHOT_LEAST_MS = 10_000.0, 100.0  # evidence fades within 6 s: more often gains nothing
 
 _READINESS = {
@@ -46,6 +47,20 @@
     index: int
     whole: bool
     endpoints: tuple[Endpoint, ...]
+    rewound: bool = False
+    """Whether its service has gone back to an older state, and nobody else has a newer one."""
+
+
+@dataclass(frozen=True, slots=True)
+class Lists:
+    """How a list service of one's own is asked; the platform's is asked as PROTOCOL says, without this."""
+
+    others: tuple[Address, ...] = ()
+    """Further instances that hold the same list."""
+    tier: str = ""
+    """The tier that is asked for; empty for the service's first."""
+    doubt: float = LIST_DOUBT
+    """A whole list that leaves out more than this part of the ready servers is doubted: `list_doubt`."""
 
 
 @dataclass(frozen=True, slots=True)
@@ -70,6 +85,8 @@
     snapshots: Path | None = None
     """The folder in which what was learned is kept; None where it is not."""
     snapshot_every_ms: float = SNAPSHOT_MS
+    lists: Lists | None = None
+    """None for the platform's list."""
 
 
 def read_address(text: object) -> Address:
@@ -160,6 +177,18 @@
     return peers
 
 
+def _read_lists(raw: Mapping[str, Any]) -> Lists | None:
+    """How a list service of one's own is asked, if the configuration has one."""
+    told = raw.get("lists")
+    if not isinstance(told, Mapping):
+        return None
+    others = tuple(read_address(address) for address in told.get("others") or ())
+    own = read_address(raw["discovery"])
+    if len({own, *others}) < 1 + len(others):
+        raise ValueError("lists.others: an instance stands twice, or is the one in `discovery`")
+    return Lists(others, str(told.get("tier") or ""), float(told.get("doubt", LIST_DOUBT)))
+
+
 def read_config(text: str, note: Callable[[str], None], console: str = "") -> Config:
     """The configuration from its JSON text; ConfigError says in one line what is wrong with it.
 
@@ -170,7 +199,9 @@
         console = raw.get("console") or console
         facts: wire.Fields = {}
         flatten(raw["settings"], "", facts)
-        settings = wire.read_settings(facts, note)
+        settings, lists = wire.read_settings(facts, note), _read_lists(raw)
+        if lists is not None:
+            settings = replace(settings, list_doubt=lists.doubt)
         peers = _read_peers(raw, settings, facts)
         return Config(
             name=str(raw.get("name", "")),
@@ -189,6 +220,7 @@
             snapshots=Path(str(raw["snapshots"])) if raw.get("snapshots") else None,
             snapshot_every_ms=max(float(raw.get("snapshotEvery", SNAPSHOT_MS)), SNAPSHOT_LEAST_MS),
             peer_listen=read_address(raw["peer_listen"]) if peers else None,
+            lists=lists,
         )
     except KeyError as error:
         raise ConfigError(f"{error} is missing") from None
--- a/basaltspindle/net/driver.py
+++ b/basaltspindle/net/driver.py
@@ -7,7 +7,7 @@
 import socket
 import time
 from collections import deque
-from dataclasses import fields
+from dataclasses import fields, replace
 from pathlib import Path
 from typing import TYPE_CHECKING, Any, assert_never
 
@@ -515,6 +515,12 @@
         self._listed(ListKind.FULL if news.whole else ListKind.DELTA, news)
 
     def _listed(self, kind: ListKind, news: ServerList) -> None:
+        update = self.balancer.believe(
+            face.ListUpdate(kind, tuple([e.member for e in news.endpoints]), news.rewound)
+        )
+        if update.doubted or news.rewound:
+            at = {e.member.server: e.address for e in (*self._list.values(), *news.endpoints)}
+            news = replace(news, endpoints=tuple([Endpoint(m, at[m.server]) for m in update.members]))
         self.upstreams.listed(news)
         self._index = news.index
         if news.whole:
@@ -527,7 +533,7 @@
             self._ids[endpoint.member.server] = None
         while len(self._ids) > IDS_MAX:
             del self._ids[next(iter(self._ids))]
-        self._tell(face.ListUpdate(kind, tuple([e.member for e in news.endpoints])))
+        self._tell(update)
 
     def _list_failed(self) -> None:
         self._asked.set()
--- a/basaltspindle/policy/balancer.py
+++ b/basaltspindle/policy/balancer.py
@@ -86,6 +86,14 @@
                     request.is_whole = True
         return self._actions
 
+    def believe(self, event: face.ListUpdate) -> face.ListUpdate:
+        """What a list is taken for; to be told with `handle`, and followed on sockets, in its place."""
+        return self._roster.believe(event)
+
+    def doubted(self) -> list[str]:
+        """The servers in use that a list has left out, and that have not proved dead."""
+        return sorted(name for name, server in self._roster.ready.items() if server.doubted)
+
     def avoided(self) -> list[str]:
         """The listed servers that get no new work: held by operators, or ready and not kept to."""
         return self._roster.avoided()
@@ -347,6 +355,8 @@
             return
         attempt.out, attempt.ran = False, event.outcome not in face.NEVER_RAN
         self._book(attempt, event.outcome, request, now)
+        if self._roster.proves_dead(attempt.server, event.outcome):
+            self._take_stock(now)
         if event.answered:
             request.owed = False
             for beaten in (a for a in request.attempts if a.out):
--- a/basaltspindle/policy/roster.py
+++ b/basaltspindle/policy/roster.py
@@ -5,9 +5,10 @@
 import math
 import random
 from bisect import bisect_left, insort
+from dataclasses import replace
 
 from basaltspindle import interface as face
-from basaltspindle.interface import ListKind, Readiness, Settings
+from basaltspindle.interface import ListKind, Outcome, Readiness, Settings
 from basaltspindle.policy.servers import Server
 
 SUBSET_MIN = 12  # servers that a balancer keeps to at the least: losing a few must leave a choice
@@ -16,6 +17,7 @@
 LIST_RETRY_MS = 500.0  # first pause before the list is asked again, doubled at each failure
 LIST_CALL_MS = 25.0  # of that first pause for each balancer of the tier at the least: after an outage all ask
 
+DEATHS = frozenset({Outcome.CONNECT_FAILED, Outcome.REJECTED})  # no process there, or its own word
 
 LAST = (math.inf, "")  # behind all ranks
 
@@ -85,18 +87,52 @@
         told = [face.Log("server list out of reach; keeping the last one")] if self._failures == 1 else []
         return [*told, face.SetTimer(now + pause * (0.5 + self._random.random()), "list")]
 
+    def believe(self, event: face.ListUpdate) -> face.ListUpdate:
+        """What a list is taken for.
+
+        Servers that a whole list leaves out unsaid stay if they are too many, or all there are.
+        A service that has gone back to an older state does not call a server ready that was to end.
+        """
+        members, doubted = event.members, frozenset[str]()
+        named = {member.server for member in members}
+        if event.kind is ListKind.FULL:
+            lost = self.ready.keys() - named
+            if len(lost) > max(self._settings.list_doubt * len(self.ready), bool(named)):
+                doubted = frozenset(lost)
+                members += tuple(self.ready[name].member for name in sorted(lost))
+        if event.rewound:
+            members = tuple(self._kept_draining(member) for member in members)
+        return replace(event, members=members, doubted=doubted)
+
+    def _kept_draining(self, member: face.Member) -> face.Member:
+        old = self.servers.get(member.server)
+        drains = old and old.member.readiness is Readiness.DRAINING
+        if old and drains and member.up_since_ms <= old.member.up_since_ms:
+            return replace(member, readiness=Readiness.DRAINING)
+        return member
+
+    def proves_dead(self, server: Server, outcome: Outcome) -> bool:
+        """Whether this ends our doubt of a list that has left the server out: it is gone, then."""
+        if not server.doubted or outcome not in DEATHS:
+            return False
+        self._gone(server)
+        return True
+
     def listed(self, event: face.ListUpdate, now: float) -> list[face.Action]:
         """Take a whole list, or a change to it."""
         told: list[face.Action] = []
+        if event.doubted:
+            part = f"{len(event.doubted)} of {len(self.ready)}"
+            told.append(face.Log(f"the list leaves out {part} ready servers: kept for now"))
         if self._failures and event.kind is not ListKind.CACHED:
             self._failures = 0
-            told = [face.Log("server list is back")]
+            told.append(face.Log("server list is back"))
         if event.kind is not ListKind.DELTA:
             named = {member.server for member in event.members}
             for server in [s for name, s in self.servers.items() if name not in named]:
                 self._gone(server)  # missing from a whole list
         for member in event.members:
-            self._take(member, now)
+            self._take(member, now, member.server in event.doubted)
         return told
 
     def cordoned(self, event: face.Cordoned, now: float) -> None:
@@ -130,18 +166,18 @@
         if not server.listed and not server.in_flight:
             self.servers.pop(server.member.server, None)
 
-    def _take(self, member: face.Member, now: float) -> None:
+    def _take(self, member: face.Member, now: float, doubted: bool) -> None:
         if (server := self.servers.get(member.server)) is None:
             server = self.servers[member.server] = Server(member, now, self._random.random())
         if member.up_since_ms > server.member.up_since_ms:
             server.forget(now)  # the same name, a new process
-        server.listed = member.readiness is not Readiness.GONE
+        server.listed, server.doubted = member.readiness is not Readiness.GONE, doubted
         self._sort_in(server, member)
         if not server.listed:
             self._gone(server)
 
     def _gone(self, server: Server) -> None:
-        server.listed = False
+        server.listed = server.doubted = False
         self._sort_in(server, server.member)
         self.unused.pop(server.member.server, None)
         self.call_ended(server)
--- a/basaltspindle/policy/servers.py
+++ b/basaltspindle/policy/servers.py
@@ -19,7 +19,7 @@
     """One server: its list entry, our calls there and the evidence on its capacity."""
 
     __slots__ = (
-        *"busy chance chance_until in_flight listed member rank".split(),
+        *"busy chance chance_until doubted in_flight listed member rank".split(),
         *"ready seen sends served size started used".split(),
     )
 
@@ -27,6 +27,7 @@
         self.member, self.rank = member, rank
         self.listed, self.ready, self.size, self.used = False, False, 1.0, math.inf
         self.started = member.up_since_ms  # or when operators put it back, if that was later
+        self.doubted = False  # whether a list that is not believed has left it out
         self.in_flight = 0  # m of the design
         self.sends: deque[float] = deque()
         self.chance, self.chance_until = 0.0, -math.inf  # of one call more where a cold budget is a fraction
--- /dev/null
+++ b/tests/test_doubt.py
@@ -0,0 +1,120 @@
+"""Lists that are not believed at once: emptied, halved, gone back; and what ends the doubt."""
+
+from __future__ import annotations
+
+from basaltspindle.interface import (
+    Action,
+    AttemptEnded,
+    ListKind,
+    ListUpdate,
+    Log,
+    Member,
+    Outcome,
+    Readiness,
+)
+from tests.helpers import Desk, members, sent
+
+NAMES = [f"s{i}" for i in range(6)]
+
+
+def desk(doubt: float = 0.3) -> Desk:
+    return Desk(count=6, list_doubt=doubt)
+
+
+def tell_list(d: Desk, *listed: Member, whole: bool = True, rewound: bool = False) -> list[Action]:
+    kind = ListKind.FULL if whole else ListKind.DELTA
+    return d.tell(d.balancer.believe(ListUpdate(kind, listed, rewound)))
+
+
+def ready(d: Desk) -> list[str]:
+    return sorted(d.balancer._roster.ready)
+
+
+def send_until(d: Desk, server: str, outcome: Outcome) -> None:
+    """Let requests come until one goes to a server, and end that attempt; the others are served."""
+    for _ in range(500):
+        out = sent(d.ask()[1])
+        for number, send in enumerate(out):  # a retry follows behind
+            is_it = send.server == server
+            ended = outcome if is_it else Outcome.SERVED
+            d.now += 10.0
+            out += sent(d.tell(AttemptEnded(send.request, number, send.server, ended, not is_it)))
+        if any(send.server == server for send in out):
+            return
+    raise AssertionError(f"nothing went to {server}")
+
+
+def test_a_list_that_leaves_out_too_many_keeps_them_in_use_and_says_so_once() -> None:
+    d = desk()
+    told = tell_list(d, *members(3))
+    assert ready(d) == NAMES
+    assert d.balancer.doubted() == ["s3", "s4", "s5"]
+    assert told[0] == Log("the list leaves out 3 of 6 ready servers: kept for now")
+
+
+def test_an_empty_list_is_doubted_however_few_there_were() -> None:
+    d = Desk(count=1, list_doubt=0.3)
+    tell_list(d)
+    assert ready(d) == ["s0"]
+
+
+def test_a_single_server_that_is_left_out_goes_at_once() -> None:
+    d = desk()
+    tell_list(d, *members(5))
+    assert ready(d) == NAMES[:5]
+
+
+def test_what_is_said_outright_is_done_however_many_it_is() -> None:
+    """The rules on drains hold: only what a list leaves unsaid is doubted."""
+    d = desk()
+    drained = tuple(Member(name, Readiness.DRAINING) for name in NAMES[:5])
+    tell_list(d, *drained, *members(6)[5:])
+    assert ready(d) == ["s5"]
+    tell_list(d, *[Member(name, Readiness.GONE) for name in NAMES], whole=False)
+    assert ready(d) == []
+
+
+def test_a_doubted_server_goes_when_it_refuses_and_stays_when_it_only_fails() -> None:
+    d = desk()
+    tell_list(d, *members(3))
+    send_until(d, "s4", Outcome.ERROR)
+    assert "s4" in ready(d)
+    send_until(d, "s4", Outcome.CONNECT_FAILED)
+    send_until(d, "s3", Outcome.REJECTED)
+    assert ready(d) == ["s0", "s1", "s2", "s5"]
+    assert d.balancer.doubted() == ["s5"]
+
+
+def test_a_server_that_the_list_names_again_is_not_doubted_any_more() -> None:
+    d = desk()
+    tell_list(d, *members(3))
+    tell_list(d, *members(6)[3:5], whole=False)
+    assert d.balancer.doubted() == ["s5"]
+    tell_list(d, *members(6))
+    assert d.balancer.doubted() == []
+    send_until(d, "s4", Outcome.CONNECT_FAILED)
+    assert ready(d) == NAMES  # refusing once is no reason to forget one that is listed
+
+
+def test_replacements_that_come_with_the_list_are_in_use_beside_the_doubted() -> None:
+    d = desk()
+    tell_list(d, *[Member(f"n{i}") for i in range(6)])
+    assert len(ready(d)) == 12
+    tell_list(d, Member("n0", Readiness.GONE), whole=False)
+    assert "n0" not in ready(d)
+
+
+def test_where_the_platform_keeps_the_list_it_is_believed_at_once() -> None:
+    d = desk(doubt=1.0)
+    tell_list(d)
+    assert ready(d) == []
+
+
+def test_a_service_that_has_gone_back_does_not_undo_a_drain() -> None:
+    d = desk()
+    tell_list(d, Member("s1", Readiness.DRAINING, up_since_ms=5.0), whole=False)
+    old = Member("s1", up_since_ms=5.0)
+    tell_list(d, *members(1), old, *members(6)[2:], rewound=True)
+    assert "s1" not in ready(d)
+    tell_list(d, Member("s1", up_since_ms=6.0), whole=False, rewound=True)
+    assert "s1" in ready(d), "a later start is a new server"
