Ask several instances of a list service in turn, and notice one that stands still

Need: the client had one address; a list that went back ended its watch; a service that answers and never changes was not noticed.

Change, where the configuration has the table `lists`: a failed call goes on to the next instance after a chance wait that fits the fleet (5 ms a balancer), and only when all have failed in turn has the list failed; balancers begin at different instances and return to their first choice after a while. Versions of instances do not compare, so whoever changes asks for the whole list. A list older than one the same instance told is refused to a watch, and taken as a new beginning when a whole look tells it, too. Every half minute (0.1 s a balancer) another instance's list is looked at, at once when listed servers only refuse: two looks, or that evidence, tell which of the two stands still.

Ruled out: comparing versions across instances (each counts for itself); going by the first look alone (the other one may be the one that stands still).

Without the table every call, wait and pause is as before.

--- a/basaltspindle/cli/main.py
+++ b/basaltspindle/cli/main.py
@@ -26,7 +26,7 @@
 app.add_typer(directory.app, name="directory")
 for command in (
     serve.serve, serve.check, operate.health, operate.stats, operate.cordon, operate.uncordon, operate.top,
-    operate.peers, demo.demo,
+    operate.peers, operate.lists, demo.demo,
 ):  # fmt: skip
     app.command()(command)
 app.command("load")(demo.load_)
--- a/basaltspindle/cli/operate.py
+++ b/basaltspindle/cli/operate.py
@@ -185,3 +185,30 @@
         cells = [f"{m['state']} {m['incarnation']}" for m in row]
         table.add_row(str(number), *cells, "" if same else "[red]differs[/red]")
     return table, agreed
+
+
+def lists(console: Consoles) -> None:
+    """Where several balancers have their list from, and how old it is; exit 1 if one does not say.
+
+    Example: irondrum lists --console 127.0.0.1:9901 --console 127.0.0.1:9902
+    """
+    answers = ask_all(console, "GET", "/admin/list")
+    screen().print(lists_of({a.console: json.loads(a.text) for a in answers if a.is_yes}))
+    if missing := [answer for answer in answers if not answer.is_yes]:
+        _tell(missing)
+
+
+def lists_of(told: dict[str, dict[str, Any]]) -> Table:
+    """A row for each balancer: ages in seconds, and the servers on which list and evidence differ."""
+    table = Table(
+        "balancer", "from", "version", "heard s", "changed s", "moves", "rewound", "doubted, contradicted"
+    )
+    for console, report in told.items():
+        ages = [
+            "never" if report[key] is None else f"{report[key] / 1_000:.1f}"
+            for key in ("heard_ms_ago", "changed_ms_ago")
+        ]
+        counts = [str(report["moves"]), str(report["rewound"])]
+        odd = " ".join([*report["doubted"], *(f"{name} refuses" for name in report["contradicted"])])
+        table.add_row(console, report["from"], str(report["index"]), *ages, *counts, odd)
+    return table
--- a/basaltspindle/net/console.py
+++ b/basaltspindle/net/console.py
@@ -26,6 +26,7 @@
     "/admin/health": "GET",
     "/admin/stats": "GET",
     "/admin/peers": "GET",
+    "/admin/list": "GET",
     "/metrics": "GET",
     "/admin/cordon": "POST",
     "/admin/uncordon": "POST",
@@ -49,6 +50,9 @@
     def membership(self) -> dict[str, object] | None:
         """What is believed of the other balancers; None where membership is off."""
 
+    def list_report(self) -> dict[str, object]:
+        """Where the list of servers is from, and how old it is."""
+
     def cordon(self, server: str, out: bool) -> bool:
         """Leave a server out from now on, or let it serve again; False if nobody has that ID."""
 
@@ -186,6 +190,8 @@
             if (members := self._office.membership()) is None:
                 return 404, "membership is off", _TEXT
             return 200, json.dumps(members), _JSON
+        if path == "/admin/list":
+            return 200, json.dumps(self._office.list_report()), _JSON
         if path == "/metrics":
             return 200, self._office.metrics(), [(b"Content-Type", CONTENT_TYPE)]
         if path == "/admin/health":
--- a/basaltspindle/net/driver.py
+++ b/basaltspindle/net/driver.py
@@ -307,6 +307,16 @@
         """What we believe of the other balancers; None where membership is off."""
         return self.peers.report() if self.peers else None
 
+    def list_report(self) -> dict[str, object]:
+        """Where the list is from, how old it is, and whom it left out that is in use all the same."""
+        told = self._discovery.report()
+        if told["heard_ms_ago"] is None and self._kept is not None:
+            age_ms = max(time.time() * 1_000 - self._kept.written_ms, 0.0)
+            return told | {"from": "snapshot", "heard_ms_ago": round(age_ms), "doubted": []}
+        if told["heard_ms_ago"] is None:
+            return told | {"from": "configuration", "doubted": []}
+        return told | {"doubted": self.balancer.doubted()}
+
     def cordon(self, server: str, out: bool) -> bool:
         """Take a server out, or put it back; False if nobody has that ID."""
         if server not in self._ids and server not in self._cordons.cordons.out:
@@ -491,6 +501,8 @@
         """An attempt is over. The first served answer goes out before anything else is done."""
         request.out -= 1
         request.ran = request.ran or outcome not in NEVER_RAN
+        if self._config.lists is not None:
+            self._discovery.witnesses.note(server, outcome, self._loop.time())
         if request.open and request.passed_on is not None and request.passed_on is request.attempts[index]:
             if outcome is Outcome.SERVED:
                 self._close(request, 200)
--- /dev/null
+++ b/basaltspindle/net/sources.py
@@ -0,0 +1,128 @@
+"""Which instance of a list service is asked, and what speaks against its list: told the time, without I/O.
+
+    sources = Sources((one, other), number=0, chance=Random(1))
+    sources.address                      # our own first choice; balancers spread over the instances
+    if sources.failed(): ...             # the next one is asked at once, unless all have failed in turn
+    sources.may_go_home(now)             # after a while the first choice is tried again
+
+Times are seconds of a clock that never goes back.
+"""
+
+from __future__ import annotations
+
+import math
+import random
+from dataclasses import dataclass
+
+from basaltspindle.interface import Outcome
+from basaltspindle.net.config import Address
+
+HOME_S = 60.0  # after so long, spread by half, the first choice is tried again
+REFUSED_S = 5.0  # a listed server that has only refused for so long speaks against the list
+
+
+@dataclass(frozen=True, slots=True)
+class Look:
+    """A list as one instance tells it: its version, and who is on it in which state."""
+
+    address: Address
+    index: int
+    content: frozenset[tuple[object, ...]]
+
+
+class Sources:
+    """The instances in our own order, and the one that is asked."""
+
+    def __init__(self, addresses: tuple[Address, ...], number: int, chance: random.Random) -> None:
+        """`number` is the balancer's in its tier: each begins its order at another instance."""
+        first = number % len(addresses)
+        self._ring, self._random = (*addresses[first:], *addresses[:first]), chance
+        self._at, self._failed, self._home_from = 0, 0, math.inf
+        self._newest: dict[Address, int] = {}
+        self._last: tuple[Look, Look] | None = None
+        self.moves = 0
+
+    @property
+    def address(self) -> Address:
+        """The instance to ask."""
+        return self._ring[self._at]
+
+    @property
+    def others(self) -> int:
+        """How many there are beside it."""
+        return len(self._ring) - 1
+
+    def failed(self) -> bool:
+        """It gave no answer: the next one is asked from now on. Whether there was one that has not failed."""
+        self._failed += 1
+        if self.others:
+            self._move(self._at + 1)
+        if self._failed % len(self._ring):
+            return True
+        self._failed = 0
+        return False
+
+    def answered(self, index: int, now: float) -> bool:
+        """It told a list; whether that is of an earlier version than one it told before."""
+        self._failed = 0
+        rewound = index < self._newest.get(self.address, -1)
+        self._newest[self.address] = index
+        if self._at and self._home_from == math.inf:
+            self._home_from = now + HOME_S * (1 + self._random.random()) / 1.5
+        return rewound
+
+    def may_go_home(self, now: float) -> bool:
+        """Whether it is time to try the first choice again; if so, that is the one to ask."""
+        if now < self._home_from:
+            return False
+        self._move(0)
+        return True
+
+    def _move(self, place: int) -> None:
+        self._at, self._home_from, self._last = place % len(self._ring), math.inf, None
+        self.moves += 1
+
+    def any_other(self) -> Address:
+        """One of those that are not asked now."""
+        return self._ring[(self._at + 1 + self._random.randrange(self.others)) % len(self._ring)]
+
+    def stands_still(self, ours: Look, other: Look, contradicted: bool) -> bool:
+        """Whether our instance's list has stood still while another's moved on; if so, ask the other.
+
+        Two looks tell: the other's version has grown between them, ours has not, and they differ. One is
+        enough where servers contradict our list (`contradicted`) and the other's is another.
+        """
+        last, self._last = self._last, (ours, other)
+        differ = ours.content != other.content
+        moved_on = (
+            last is not None
+            and last[1].address == other.address
+            and last[0].index == ours.index
+            and last[1].index < other.index
+        )
+        if not differ or not (contradicted or moved_on):
+            return False
+        self._move(self._ring.index(other.address))
+        return True
+
+
+class Witnesses:
+    """Servers that the list calls ready and that only refuse: what they say goes before what it says."""
+
+    def __init__(self) -> None:
+        self._since: dict[str, float] = {}
+
+    def note(self, server: str, outcome: Outcome, now: float) -> None:
+        """Take the end of an attempt."""
+        if outcome is Outcome.CONNECT_FAILED:
+            self._since.setdefault(server, now)
+        elif self._since and outcome is not Outcome.NOT_SENT:
+            self._since.pop(server, None)
+
+    def forget(self, server: str) -> None:
+        """The list has told something new of a server."""
+        self._since.pop(server, None)
+
+    def against(self, now: float) -> list[str]:
+        """Those that have refused for so long that the list is wrong about them."""
+        return sorted(name for name, since in self._since.items() if now - since >= REFUSED_S)
--- a/tests/loopback.py
+++ b/tests/loopback.py
@@ -120,7 +120,13 @@
     return base | {"status": "in_service", "since_ms": 0} | more
 
 
-def config_text(discovery: str, entries: list[dict[str, Any]], console: str = "", **settings: Any) -> str:
+def config_text(
+    discovery: str,
+    entries: list[dict[str, Any]],
+    console: str = "",
+    lists: dict[str, Any] | None = None,
+    **settings: Any,
+) -> str:
     classes = [
         {"name": "read", "target": 2000.0, "deadline": 5000.0, "effect": "retryable", "worth": 2.0},
         {"name": "pay", "target": 2000.0, "deadline": 5000.0, "effect": "fragile", "worth": 1.0},
@@ -151,6 +157,7 @@
             "known": {"index": 7, "snapshot": True, "endpoints": entries},
             "settings": base | settings,
         }
+        | ({} if lists is None else {"lists": lists})
     )
 
 
--- a/tests/test_operate.py
+++ b/tests/test_operate.py
@@ -133,3 +133,11 @@
     for text in ("", "a:0", "a:1:0", "a:1:1:safe", "a:1:1:unsafe:x"):
         with pytest.raises(LoadError):
             read_kind(text)
+
+
+def test_where_the_list_is_from_is_told_by_console(served: Served) -> None:
+    told = irondrum("lists", "--console", served.console)
+    assert told.returncode == 0
+    assert "configuration" in told.stdout
+    assert "never" in told.stdout
+    assert irondrum("lists", "--console", f"{HOST}:{free_port(HOST)}").returncode == 1
--- /dev/null
+++ b/tests/test_sources.py
@@ -0,0 +1,204 @@
+"""A list service of several instances, as its clients see it: one fails, goes back, empties, stands still."""
+
+from __future__ import annotations
+
+import asyncio
+import json
+import random
+from typing import Any
+
+import pytest
+
+from basaltspindle import conf
+from basaltspindle import interface as face
+from basaltspindle.interface import ListKind, Outcome
+from basaltspindle.net import discovery
+from basaltspindle.net.config import read_config
+from basaltspindle.net.sources import HOME_S, REFUSED_S, Look, Sources, Witnesses
+from basaltspindle.policy import roster
+from tests.loopback import ListServer, Rig, Upstream, config_text, entry, response, run, status
+from tests.test_net import listen_to
+
+A, B, C = (("127.0.0.1", port) for port in (1, 2, 3))
+
+
+def sources(number: int = 0) -> Sources:
+    return Sources((A, B, C), number, random.Random(1))
+
+
+def look(address: tuple[str, int], index: int, *names: str) -> Look:
+    return Look(address, index, frozenset((name,) for name in names))
+
+
+def test_balancers_begin_at_different_instances_and_ask_all_in_turn() -> None:
+    assert [sources(number).address for number in range(4)] == [A, B, C, A]
+    s = sources(1)
+    told = []
+    for _ in range(4):
+        told.append((s.failed(), s.address))
+    assert told == [(True, C), (True, A), (False, B), (True, C)]
+
+
+def test_who_went_elsewhere_tries_its_first_choice_again_after_a_while() -> None:
+    s = sources()
+    s.answered(5, 0.0)
+    assert not s.may_go_home(1e9), "it is at home"
+    s.failed()
+    s.answered(3, 100.0)
+    assert not s.may_go_home(100.0 + HOME_S / 2)
+    assert s.may_go_home(100.0 + 2 * HOME_S)
+    assert s.address == A
+
+
+def test_a_version_below_one_that_the_same_instance_told_is_rewound() -> None:
+    s = sources()
+    assert not s.answered(5, 0.0)
+    s.failed()
+    assert not s.answered(2, 0.0), "versions of instances do not compare"
+    assert s.answered(1, 0.0)
+
+
+def test_an_instance_that_stands_still_while_another_moves_on_is_left() -> None:
+    s = sources()
+    ours = look(A, 7, "s0", "s1")
+    assert not s.stands_still(ours, look(B, 50, "s0"), contradicted=False), "one look does not tell"
+    assert not s.stands_still(ours, look(B, 50, "s0"), contradicted=False), "both stand still"
+    assert not s.stands_still(look(A, 8, "s0", "s1"), look(B, 51, "s0"), contradicted=False), "ours moves"
+    assert s.stands_still(look(A, 8, "s0", "s1"), look(B, 52, "s0"), contradicted=False)
+    assert s.address == B
+
+
+def test_what_servers_say_against_our_list_makes_one_look_enough() -> None:
+    s = sources()
+    assert not s.stands_still(look(A, 7, "s0"), look(B, 50, "s0"), contradicted=True), "the lists agree"
+    assert s.stands_still(look(A, 7, "s0"), look(B, 50, "s1"), contradicted=True)
+
+
+def test_a_listed_server_that_only_refuses_speaks_against_the_list() -> None:
+    w = Witnesses()
+    w.note("s0", Outcome.CONNECT_FAILED, 0.0)
+    w.note("s1", Outcome.CONNECT_FAILED, 0.0)
+    w.note("s1", Outcome.TIMED_OUT, 1.0)
+    w.note("s0", Outcome.CONNECT_FAILED, 4.0)
+    assert w.against(REFUSED_S - 0.1) == []
+    assert w.against(REFUSED_S) == ["s0"]
+    w.forget("s0")
+    assert w.against(100.0) == []
+
+
+def test_the_table_lists_turns_this_on_and_its_faults_are_told() -> None:
+    entries = [entry("s0", "127.0.0.1:5000")]
+    assert read_config(config_text("127.0.0.1:9", entries), pytest.fail).lists is None
+    good: dict[str, Any] = {"others": ["127.0.0.1:10"], "tier": "second"}
+    config = conf.parse(json.loads(config_text("127.0.0.1:9", entries, lists=good)), pytest.fail)
+    assert config.lists is not None
+    assert (config.lists.tier, config.settings.list_doubt) == ("second", 0.3)
+    bad = json.loads(config_text("127.0.0.1:9", entries, lists={"others": ["here"], "doubt": 2, "x": 1}))
+    assert len(conf.faults(bad)) == 3
+    twice = json.loads(config_text("127.0.0.1:9", entries, lists={"others": ["127.0.0.1:9"]}))
+    assert conf.faults(twice) == ["lists.others: an instance stands twice, or is the one in `discovery`"]
+
+
+class Two:
+    """Two scripted instances, and a balancer that knows both."""
+
+    def __init__(self, upstreams: int = 1) -> None:
+        self.one, self.other, self._upstreams = ListServer(), ListServer(), upstreams
+
+    async def rig(self) -> Rig:
+        self.at = [await self.one.start(), await self.other.start()]
+        rig = Rig(*[Upstream() for _ in range(self._upstreams)], lists={"others": self.at[1:]})
+        rig.discovery = self.one
+        return rig
+
+
+def indices(told: list[face.Event]) -> list[tuple[ListKind, int]]:
+    return [(e.kind, len(e.members)) for e in told if isinstance(e, face.ListUpdate)]
+
+
+def test_the_next_instance_is_asked_when_one_fails_and_the_list_has_not_failed(
+    monkeypatch: pytest.MonkeyPatch,
+) -> None:
+    monkeypatch.setattr(roster, "LIST_RETRY_MS", 1.0)
+
+    async def scenario() -> None:
+        two = Two()
+        async with await two.rig() as rig:
+            told = listen_to(rig)
+            assert "after=7&" in await two.one.calls.get()
+            two.one.answers.put_nowait(response(503, b""))
+            assert await two.other.calls.get() == "GET /v1/servers HTTP/1.1"
+            two.other.tell(3, *rig.entries, snapshot=True)
+            assert "after=3&" in await two.other.calls.get(), "versions of instances do not compare"
+            assert indices(told) == [(ListKind.FULL, 1)]
+            two.other.answers.put_nowait(response(503, b""))
+            await two.one.calls.get()
+            two.one.answers.put_nowait(response(503, b""))
+            await two.other.calls.get()
+            assert indices(told)[1:] == [(ListKind.FAILED, 0)], "now all have failed in turn"
+
+    run(scenario())
+
+
+def test_a_list_that_went_back_is_taken_when_there_is_no_other_and_undoes_no_drain() -> None:
+    async def scenario() -> None:
+        rig = Rig(Upstream(), Upstream(), lists={})
+        async with rig:
+            await rig.discovery.calls.get()
+            draining = rig.entries[0] | {"status": "terminating"}
+            rig.discovery.tell(9, draining)
+            await rig.discovery.calls.get()
+            rig.discovery.tell(4, *rig.entries, snapshot=True)  # to a watch: refused
+            assert "after" not in await rig.discovery.calls.get()
+            rig.discovery.tell(4, *rig.entries, snapshot=True)  # to a whole look: a new beginning
+            assert "after=4&" in await rig.discovery.calls.get()
+            assert sorted(rig.driver.balancer._roster.ready) == ["s1"]
+            assert rig.driver.list_report()["rewound"] == 1
+            for _ in range(4):
+                assert status(await rig.ask()) == 200
+            assert not rig.upstreams[0].asked
+
+    run(scenario())
+
+
+def test_an_emptied_list_leaves_servers_in_use_until_they_refuse() -> None:
+    async def scenario() -> None:
+        rig = Rig(Upstream(), Upstream(), lists={})
+        async with rig:
+            await rig.discovery.calls.get()
+            rig.discovery.tell(9, snapshot=True)
+            await rig.discovery.calls.get()
+            assert rig.driver.list_report()["doubted"] == ["s0", "s1"]
+            assert status(await rig.ask()) == 200
+            gone = rig.upstreams[0]
+            gone.server.close()
+            for writer in gone.writers:
+                writer.transport.abort()
+            while rig.driver.list_report()["doubted"] != ["s1"]:
+                assert status(await rig.ask()) == 200
+
+    run(scenario())
+
+
+def test_a_watch_moves_on_from_an_instance_that_answers_and_never_changes(
+    monkeypatch: pytest.MonkeyPatch,
+) -> None:
+    monkeypatch.setattr(discovery, "COMPARE_S", 0.0)
+    monkeypatch.setattr(discovery, "COMPARE_MS", 0.0)
+    monkeypatch.setattr(discovery, "LOOK_S", 0.01)
+
+    async def scenario() -> None:
+        two = Two(upstreams=2)
+        async with await two.rig() as rig:
+            await two.one.calls.get()
+            two.one.tell(8, *rig.entries, snapshot=True)
+            await two.one.calls.get()  # a watch that nothing ends
+            for index in (50, 51):
+                await two.other.calls.get()
+                two.other.tell(index, rig.entries[0], snapshot=True)
+            assert await two.other.calls.get() == "GET /v1/servers HTTP/1.1"
+            two.other.tell(51, rig.entries[0], snapshot=True)
+            while not rig.driver.list_report()["stood_still"]:
+                await asyncio.sleep(0.01)
+
+    run(scenario())
