Let several instances hold one list, kept alike by anti-entropy

Need: one list service, whose end stopped all changes.

Change: up to eight instances (`instances`, `instance` in the service's file) take writes and watches each; what moves at one is told to the others within a quarter of a second (`POST /v1/exchange`), renewals as bare counts. Two accounts of a server join alike in any order (`merge.py`): a later start, or a registration after a removal, goes before; within one life a drain or removal is never taken back, the entry that was changed more often stands, and a lapse holds only against renewals it knew of. No clock decides. A lease lapses only when every other instance has been heard after its end, so that a cut drops no server that renews at the other side; until then it is marked. Fingerprints find what the counts missed, and all is told again. Versions carry the instance's number, so today's clients may come from another instance: they get the whole list at a higher version. After a start, reads wait (503, 3 s at most) until the others were heard. Files of the version before are read. Tools and agents take several addresses (`--at A,B`).

Found beside it: a write that met a full disk set the lease's time back to the change before, and the server could lapse at once; mended, with its test.

Ruled out: a leader (a minority could register nobody); ordering writes by clocks (a clock that runs ahead wins for ever); versions shared by instances.

Shown by Hypothesis: joins commute, associate and repeat without effect; after any order of writes, cuts, restarts and lapses at three instances all agree within a few rounds.

--- a/basaltspindle/directory/caller.py
+++ b/basaltspindle/directory/caller.py
@@ -19,30 +19,47 @@
 
 
 class Caller:
-    """The service at an address."""
+    """The service at an address, or at those of its instances: the next is asked where one gives no answer."""
 
     def __init__(self, address: str, who: str = "", patience_s: float = PATIENCE_S) -> None:
-        """`address` is HOST:PORT; CallError if it is none."""
-        host, _, port = address.rpartition(":")
-        if not host or not port.isdigit():
-            raise CallError(0, f"{address!r} is no address: give HOST:PORT, such as 127.0.0.1:8500")
-        self._host, self._port, self._who, self._patience_s = host, int(port), who, patience_s
+        """`address` is HOST:PORT, or several with commas between; CallError if one is none."""
+        self._instances: list[tuple[str, int]] = []
+        for one in address.split(","):
+            host, _, port = one.strip().rpartition(":")
+            if not host or not port.isdigit():
+                raise CallError(0, f"{one!r} is no address: give HOST:PORT, such as 127.0.0.1:8500")
+            self._instances.append((host, int(port)))
+        self._who, self._patience_s = who, patience_s
 
     def call(
         self, method: str, path: str, body: object = None, *, why: str = "", if_match: int | None = None
     ) -> Any:
-        """The answer's JSON; CallError tells what was wrong."""
+        """The answer's JSON; CallError tells what was wrong, as the last instance that was asked has it.
+
+        A call that nobody answered may have been carried out: at another instance it is a call of its own.
+        """
+        for left in reversed(range(len(self._instances))):
+            try:
+                return self._call(method, path, body, why, if_match)
+            except CallError as error:
+                if error.status not in (0, 503) or not left:
+                    raise
+                self._instances.append(self._instances.pop(0))
+        raise AssertionError("there is always an instance")
+
+    def _call(self, method: str, path: str, body: object, why: str, if_match: int | None) -> Any:
+        host, port = self._instances[0]
         headers = {"X-Who": self._who, "X-Why": why}
         if if_match is not None:
             headers["If-Match"] = f'"{if_match}"'
-        connection = http.client.HTTPConnection(self._host, self._port, timeout=self._patience_s)
+        connection = http.client.HTTPConnection(host, port, timeout=self._patience_s)
         try:
             data = json.dumps(body).encode() if body is not None else None
             connection.request(method, path, data, headers)
             answer = connection.getresponse()
             told = json.loads(answer.read())
         except (OSError, ValueError, http.client.HTTPException) as error:
-            raise CallError(0, f"{self._host}:{self._port} gave no answer: {error}") from None
+            raise CallError(0, f"{host}:{port} gave no answer: {error}") from None
         finally:
             connection.close()
         if answer.status >= 300:
--- a/basaltspindle/directory/catalog.py
+++ b/basaltspindle/directory/catalog.py
@@ -2,17 +2,24 @@
 
 One index grows with each change and never goes back. After a start it is above all that any watcher can have
 seen (`first_index`), and everybody gets the whole list once: so neither a lost nor a restored memory looks to
-today's clients like an older list.
+today's clients like an older list. Where several instances hold the list, each counts for itself: an index
+leaves the instance's number when divided by `stride`, so that a watch that comes from another instance is
+known by its version, and gets the whole list at a higher one.
 """
 
 from __future__ import annotations
 
+import math
 from collections import Counter, deque
-from collections.abc import Iterable, Sequence
+from collections.abc import Iterable, Iterator, Sequence
 from copy import copy
 from dataclasses import dataclass
 
+import msgspec
+import xxhash
+
 from basaltspindle.directory.entries import Entry, Registration, Rules, Status
+from basaltspindle.directory.merge import Shared, disagree, join, share
 
 CLOCKS_DIFFER_MS = 86_400_000.0  # by so much a clock may have gone back between two lives
 
@@ -39,29 +46,41 @@
     before: Entry | None = None
 
 
-def first_index(stored: int, now_ms: float) -> int:
+def first_index(stored: int, now_ms: float, number: int = 0, stride: int = 1) -> int:
     """An index above all that were given out: changes come at less than one a millisecond on average."""
-    return max(stored + 1, int(now_ms))
+    return _above(max(stored, int(now_ms) * stride - 1), number, stride)
+
+
+def _above(index: int, number: int, stride: int) -> int:
+    """The first index above another one that is this instance's."""
+    return index + 1 + (number - index - 1) % stride
 
 
 class Catalog:
     """All servers of all tiers. Times are Unix ms."""
 
-    def __init__(self, rules: Rules, start_index: int) -> None:
+    def __init__(self, rules: Rules, start_index: int, number: int = 0, stride: int = 1) -> None:
         """`start_index` is from `first_index`; entries of an earlier life come by `restore`."""
-        self._rules = rules
+        self._rules, self._number, self._stride = rules, number, stride
         self.index = self.floor = start_index  # who has seen less than the floor gets the whole list
         self.entries: dict[str, Entry] = {}
         self._kept: dict[str, Entry] = {}  # each as it was at its last change
         self._lapses: dict[str, deque[float]] = {}  # by tier: when leases ran out
         self.doubts: dict[str, float] = {}  # by tier: until when we doubt ourselves
         self.refused: Counter[str] = Counter()
+        self.disagreed: Counter[str] = Counter()  # by server: accounts that were lost in a join
+        self.moved = 0  # grows with each change, renewals included
+        self._moves: dict[str, int] = {}  # when each entry moved last, in that order
+        self._changed: dict[str, int] = {}  # and when in more than its beats
+        self._prints: dict[str, int] = {}
+        self.fingerprint = 0  # of all entries but for their beats: alike where instances agree
 
     def restore(self, entries: Iterable[Entry], now: float) -> None:
         """Go on with the entries of an earlier life; all leases run anew, for we were not there to hear."""
         for entry in entries:
             entry.renewed_ms = now
             self.entries[entry.name], self._kept[entry.name] = entry, copy(entry)
+            self._touch(entry)
 
     # ---- writes ---------------------------------------------------------------------------------
 
@@ -76,12 +95,16 @@
             if entry is not None:
                 self._not_older(entry, told)
             damped = entry.damped_until_ms if entry else 0.0
-            lapses = entry.lapses_ms if entry else []
             if now < damped:
                 raise self._refuse(
                     429, "damped", f"{name} has come and gone too often; {(damped - now) / 1_000:.0f} s more"
                 )
-            fresh = Entry(name=name, told=told, renewed_ms=now, lapses_ms=lapses)
+            fresh = Entry(name=name, told=told, renewed_ms=now, beats=1)
+            if entry is not None:
+                fresh.lapses_ms, fresh.rev = entry.lapses_ms, entry.rev
+                if entry.told.since_ms == told.since_ms:
+                    fresh.life = entry.life + (entry.said is not Status.IN_SERVICE)
+                    fresh.beats, fresh.lapsed_at = entry.beats + 1, entry.lapsed_at
             return self._put(fresh, now, "registered", who, why)
         self._match(entry, if_match)
         if entry.told.owner != told.owner and not self._is_over(entry, now):
@@ -89,14 +112,16 @@
         self._not_older(entry, told)
         if told.tier != entry.told.tier:
             raise self._refuse(409, "moved", f"{name} is of tier {entry.told.tier!r}; remove it there first")
-        entry.renewed_ms = now
         if told == entry.told and entry.status is Status.IN_SERVICE:
-            entry.lapsed = False  # a mark that balancers don't see
+            self._beat(entry, now)
             return None
         is_new = told.since_ms > entry.told.since_ms
         if entry.status is Status.TERMINATING and not is_new:
             raise self._refuse(409, "draining", f"{name} drains; only a new start serves again")
-        entry.told, entry.status, entry.lapsed = told, Status.IN_SERVICE, False
+        if is_new:
+            entry.said, entry.life, entry.lapsed_at = Status.IN_SERVICE, 0, -1
+        entry.told = told
+        self._beat(entry, now)
         return self._put(entry, now, "started anew" if is_new else "changed", who, why)
 
     def renew(self, name: str, since_ms: float, now: float) -> Change | None:
@@ -106,7 +131,7 @@
             raise self._refuse(
                 409, "stale", f"{name} started at {entry.told.since_ms:.0f}, not {since_ms:.0f}"
             )
-        entry.renewed_ms, entry.lapsed = now, False
+        self._beat(entry, now)
         return None  # balancers see no difference
 
     def drain(
@@ -117,7 +142,7 @@
         self._match(entry, if_match)
         if entry.status is Status.TERMINATING:
             return None
-        entry.status = Status.TERMINATING
+        entry.said = Status.TERMINATING
         return self._put(entry, now, "drained", who, why)
 
     def remove(
@@ -126,7 +151,7 @@
         """A server is gone."""
         entry = self._listed(name)
         self._match(entry, if_match)
-        entry.status = Status.TERMINATED
+        entry.said = Status.TERMINATED
         return self._put(entry, now, "removed", who, why)
 
     def pin(self, name: str, pinned: bool, now: float, *, who: str = "", why: str = "") -> Change:
@@ -137,9 +162,16 @@
 
     # ---- leases ---------------------------------------------------------------------------------
 
-    def lapse(self, now: float) -> list[Change]:
-        """Look for leases that have run out, and take off the list those that we do not doubt."""
+    def lapse(self, now: float, heard: float = math.inf) -> list[Change]:
+        """Look for leases that have run out, and take off the list those that we do not doubt.
+
+        `heard` is since when all other instances' renewals are known here. While one is out of reach, whose
+        lease ran out after that may have renewed there: it stays, marked.
+        """
         over = [e for e in self.entries.values() if self._is_over(e, now) and not e.pinned]
+        for entry in over:
+            entry.lapsed = entry.lapsed or entry.lease_end_ms >= heard
+        over = [e for e in over if e.lease_end_ms < heard]
         changes: list[Change] = []
         for entry in over:
             if not entry.lapsed:
@@ -150,7 +182,7 @@
             if self.doubts.get(entry.told.tier, 0.0) > now or self._is_spared(entry, now):
                 entry.lapsed = True
                 continue
-            entry.status, entry.lapsed, entry.by_lapse = Status.TERMINATED, False, True
+            entry.lapsed, entry.lapsed_at = False, entry.beats
             entry.lapses_ms = [at for at in entry.lapses_ms if at > now - self._rules.flap_ms] + [now]
             if len(entry.lapses_ms) >= self._rules.flaps:
                 entry.damped_until_ms = now + self._rules.damp_ms
@@ -184,7 +216,7 @@
         return entry.is_listed or (entry.by_lapse and entry.lapses_ms[-1] > lately)
 
     def _is_over(self, entry: Entry, now: float) -> bool:
-        return entry.is_listed and now > entry.renewed_ms + entry.told.lease_ms
+        return entry.is_listed and now > entry.lease_end_ms
 
     # ---- reads ----------------------------------------------------------------------------------
 
@@ -195,25 +227,103 @@
     def changes(self, tier: str, after: int, now: float) -> list[Entry] | None:
         """What has changed since a version; None if only the whole list can tell.
 
-        A watcher that has seen more than there is comes from before a memory was lost, and a clock that went
-        back: the index goes above it, if any index of ours could be so high.
+        A watcher that has seen more than there is comes from another instance, or from before a memory was
+        lost and a clock that went back: the index goes above it, if any index of ours could be so high.
         """
+        foreign = after % self._stride != self._number
         if after > self.index:
-            if after <= now + CLOCKS_DIFFER_MS:
-                self.index = self.floor = after + 1
+            if after <= (now + CLOCKS_DIFFER_MS) * self._stride:
+                self.index = _above(after, self._number, self._stride)
+                self.floor = self.floor if foreign else self.index
             return None
-        if after < self.floor:
+        if foreign or after < self.floor:
             return None
         return [e for e in self.entries.values() if e.index > after and e.told.tier == tier]
 
+    # ---- other instances ------------------------------------------------------------------------
+
+    def since(self, moved: int) -> Iterator[Entry]:
+        """The entries that have moved since, the latest first."""
+        for name in reversed(self._moves):
+            if self._moves[name] <= moved:
+                return
+            yield self.entries[name]
+
+    def moved_at(self, name: str) -> int:
+        """The count at which an entry moved last."""
+        return self._moves[name]
+
+    def changed_at(self, name: str) -> int:
+        """The count at which an entry changed last in more than its beats."""
+        return self._changed[name]
+
+    def beat(self, name: str, start: tuple[float, int], beats: int, now: float) -> Change | None:
+        """Another instance has heard renewals of a server that we know, too; else its whole entry comes."""
+        entry = self.entries.get(name)
+        if entry is None or (entry.told.since_ms, entry.life) != start or beats <= entry.beats:
+            return None
+        was_lapsed = entry.by_lapse
+        self._beat(entry, now, beats)
+        return self._put(entry, now, "renewed elsewhere", "the list", "") if was_lapsed else None
+
+    def merge(self, theirs: Shared, now: float, who: str) -> Change | None:
+        """Take another instance's account of a server; a change if balancers, or the file, must know."""
+        entry = self.entries.get(theirs.name)
+        if entry is None:
+            entry = Entry(name=theirs.name, told=theirs.told, renewed_ms=now)
+            return self._adopt(entry, theirs, now, who)
+        ours = share(entry)
+        if disagree(ours, theirs):
+            self.disagreed[theirs.name] += 1
+        joined = join(ours, theirs)
+        if joined == ours:
+            return None
+        is_renewed = joined.start != ours.start or joined.beats > ours.beats
+        if joined == msgspec.structs.replace(ours, beats=joined.beats) and not entry.by_lapse:
+            self._beat(entry, now, joined.beats)
+            return None
+        if is_renewed:
+            entry.renewed_ms, entry.lapsed = now, False
+        return self._adopt(entry, joined, now, who)
+
+    def _adopt(self, entry: Entry, account: Shared, now: float, who: str) -> Change:
+        entry.told, entry.said, entry.life = account.told, account.said, account.life
+        entry.beats, entry.lapsed_at, entry.pinned = account.beats, account.lapsed_at, account.pinned
+        return self._put(entry, now, "told by another instance", who, "", rev=account.rev)
+
     # ---- what writes have in common -------------------------------------------------------------
 
-    def _put(self, entry: Entry, now: float, what: str, who: str, why: str) -> Change:
-        self.index += 1
-        entry.index = self.index
+    def _beat(self, entry: Entry, now: float, beats: int | None = None) -> None:
+        """Its lease was renewed, here or elsewhere."""
+        entry.renewed_ms, entry.lapsed = now, False
+        entry.beats = entry.beats + 1 if beats is None else beats
+        self._move(entry.name)
+
+    def _move(self, name: str) -> None:
+        self.moved += 1
+        self._moves.pop(name, None)
+        self._moves[name] = self.moved
+
+    def _touch(self, entry: Entry) -> None:
+        """An entry has changed in more than its beats."""
+        self._move(entry.name)
+        self._changed[entry.name] = self.moved
+        plain = msgspec.structs.replace(share(entry), beats=entry.by_lapse)
+        new = xxhash.xxh3_64_intdigest(msgspec.json.encode(plain))
+        self.fingerprint ^= self._prints.get(entry.name, 0) ^ new
+        self._prints[entry.name] = new
+
+    def _forget(self, name: str) -> None:
+        del self.entries[name], self._kept[name], self._moves[name], self._changed[name]
+        self.fingerprint ^= self._prints.pop(name)
+
+    def _put(self, entry: Entry, now: float, what: str, who: str, why: str, rev: int | None = None) -> Change:
+        self.index += self._stride
+        entry.index, entry.rev = self.index, entry.rev + 1 if rev is None else rev
         before = self._kept.get(entry.name)
         self.entries[entry.name] = entry
         self._kept[entry.name] = kept = copy(entry)
+        self._touch(entry)
         if not entry.is_listed:
             self._bury()
         return Change(self.index, now, entry.name, what, who, why, kept, before)
@@ -221,18 +331,20 @@
     def undo(self, changes: Sequence[Change]) -> None:
         """Changes that could not be kept have not been made; their versions stay unused."""
         for change in reversed(changes):
-            if change.before is None:
-                self.entries.pop(change.name, None)
-                self._kept.pop(change.name, None)
-            else:
-                self.entries[change.name] = copy(change.before)
+            if change.before is not None:
+                renewed = self.entries[change.name].renewed_ms  # that it was renewed remains true
+                self.entries[change.name] = before = copy(change.before)
+                before.renewed_ms = max(before.renewed_ms, renewed)
                 self._kept[change.name] = change.before
+                self._touch(before)
+            elif change.name in self.entries:
+                self._forget(change.name)
 
     def _bury(self) -> None:
         """Forget the removed that are too many; who has not heard of them gets the whole list."""
         gone = [e for e in self.entries.values() if not e.is_listed]
         for entry in sorted(gone, key=lambda e: e.index)[: max(len(gone) - self._rules.tombstones, 0)]:
-            del self.entries[entry.name], self._kept[entry.name]
+            self._forget(entry.name)
             self.floor = max(self.floor, entry.index)
 
     def _listed(self, name: str) -> Entry:
--- a/basaltspindle/directory/entries.py
+++ b/basaltspindle/directory/entries.py
@@ -61,18 +61,40 @@
 
     name: str
     told: Registration
-    status: Status = Status.IN_SERVICE
+    said: Status = Status.IN_SERVICE
+    """What servers or operators said of it; a lapse is nobody's word."""
+    life: int = 0
+    """How often it was registered again after a removal, at one start of it."""
+    rev: int = 0
+    """How often the entry was changed."""
+    beats: int = 0
+    """How often its lease was renewed, at any instance."""
+    lapsed_at: int = -1
+    """The beats at which its lease was held for over: it is off the list until the next one."""
     index: int = 0
     renewed_ms: float = 0.0
     lapsed: bool = False
     """Its lease has run out, and it is listed all the same: we doubt ourselves, or are at a floor."""
-    by_lapse: bool = False
-    """It is off the list since its lease ran out, and not because anybody said so."""
     pinned: bool = False
     """Operators hold it: no lapse touches it."""
     damped_until_ms: float = 0.0
     lapses_ms: list[float] = []
 
+    @property
+    def by_lapse(self) -> bool:
+        """Whether it is off the list since its lease ran out, and not because anybody said so."""
+        return self.said is not Status.TERMINATED and self.beats <= self.lapsed_at
+
+    @property
+    def status(self) -> Status:
+        """As balancers see it."""
+        return Status.TERMINATED if self.by_lapse else self.said
+
+    @property
+    def lease_end_ms(self) -> float:
+        """When its lease runs out if nobody renews it, by this instance's clock."""
+        return self.renewed_ms + self.told.lease_ms
+
     @property
     def is_listed(self) -> bool:
         """Whether balancers see it."""
--- a/basaltspindle/directory/host.py
+++ b/basaltspindle/directory/host.py
@@ -4,11 +4,13 @@
 
 import tomllib
 from pathlib import Path
+from typing import Annotated
 
 import msgspec
 from aiohttp import web
 
 from basaltspindle.directory.entries import Address, Rules
+from basaltspindle.directory.exchange import MOST_INSTANCES
 from basaltspindle.directory.service import Service
 from basaltspindle.directory.store import Store
 
@@ -25,20 +27,30 @@
     listen: Address
     """Loopback, or a named address: there is no sign-in."""
     database: str
+    instances: tuple[Address, ...] = ()
+    """All that hold this list, in the same order in the files of all; none for a list held by one."""
+    instance: Annotated[int, msgspec.Meta(ge=0)] = 0
+    """Which of them this one is, from 0."""
     rules: Rules = Rules()
 
 
 def read_file(path: Path) -> File:
     """The service's file; HostError tells in a line what is wrong with it."""
     try:
-        return msgspec.convert(tomllib.loads(path.read_text(encoding="utf-8")), type=File)
+        told = msgspec.convert(tomllib.loads(path.read_text(encoding="utf-8")), type=File)
+        count = len(told.instances)
+        if count > MOST_INSTANCES or len(set(told.instances)) < count:
+            raise ValueError(f"instances: {count}; allowed: {MOST_INSTANCES} at most, each once")
+        if told.instance >= max(count, 1):
+            raise ValueError(f"instance: {told.instance}; allowed: 0 to {max(count, 1) - 1}")
+        return told
     except (OSError, ValueError) as error:
         raise HostError(f"{path}: {' '.join(str(error).split())}") from None
 
 
 def open_service(told: File) -> Service:
     """The service with all that its database holds; StoreError if that can't be used."""
-    return Service(Store(told.database), told.rules)
+    return Service(Store(told.database), told.rules, told.instances, told.instance)
 
 
 def serve(told: File, service: Service) -> None:
--- a/basaltspindle/directory/service.py
+++ b/basaltspindle/directory/service.py
@@ -8,22 +8,30 @@
 
 import asyncio
 import json
+import secrets
 import time
-from collections.abc import Callable
+from collections.abc import Callable, Sequence
+from contextlib import suppress
 from dataclasses import dataclass
 from typing import Any
 
+import aiohttp
 import msgspec
 from aiohttp import web
 
 from basaltspindle.directory.catalog import Catalog, Change, Refused, first_index
 from basaltspindle.directory.entries import Entry, Name, Registration, Rules
+from basaltspindle.directory.exchange import MOST_INSTANCES, Exchange, Message, Mismatch
 from basaltspindle.directory.store import Store, StoreError
 
 BATCH_S = 0.005  # writes that come within it share a transaction, and watches are told of them at once
 LAPSE_S = 0.25
 WAIT_MOST_MS = 60_000.0
 BODY_MOST = 64 * 1024
+EXCHANGE_S = 0.25  # between questions to another instance
+EXCHANGE_PATIENCE_S = 2.0
+EXCHANGE_PART, EXCHANGE_MOST = 64 * 1024, 16 * 1024 * 1024
+SYNC_MS = 3_000.0  # after a start, until the others have been heard
 HISTORY_MOST = 10_000
 ANSWERS_KEPT = 64  # that watchers share
 WHOLE = -1  # in place of a version that was seen: none, and so the whole list
@@ -53,11 +61,16 @@
 class Service:
     """One instance: the catalog in memory, its file, and those who watch."""
 
-    def __init__(self, store: Store, rules: Rules) -> None:
-        """StoreError if the file can't be read."""
+    def __init__(self, store: Store, rules: Rules, instances: Sequence[str] = (), instance: int = 0) -> None:
+        """`instances` are the addresses of all that hold the list; StoreError if the file can't be read."""
         self._store, now = store, now_ms()
-        self.catalog = Catalog(rules, first_index(store.index(), now))
+        first = first_index(store.index(), now, instance, MOST_INSTANCES)
+        self.catalog = Catalog(rules, first, instance, MOST_INSTANCES)
         self.catalog.restore(store.entries(), now)
+        self.exchange = Exchange(self.catalog, instance, max(len(instances), 1), secrets.randbits(48) + 1)
+        self._addresses = instances
+        self._moved = asyncio.Event()  # something is to be told to the other instances at once
+        self._synced = not self.exchange.others
         store.begin(self.catalog.index)
         self._queue: list[Waiting] = []
         self._flushing: asyncio.TimerHandle | None = None
@@ -75,10 +88,13 @@
         app.router.add_post("/v1/servers/{name}/drain", self._drain)
         app.router.add_post("/v1/servers/{name}/pin", self._pin)
         app.router.add_post("/v1/servers/{name}/unpin", self._pin)
+        app.router.add_post("/v1/exchange", self._exchange)
         app.router.add_get("/v1/history", self._history)
         app.router.add_get("/v1/state", self._state)
         app.router.add_get("/healthz", self._health)
         app.cleanup_ctx.append(self._lapses)
+        if self.exchange.others:
+            app.cleanup_ctx.append(self._exchanges)
         return app
 
     # ---- reads ----------------------------------------------------------------------------------
@@ -87,6 +103,8 @@
         tier = request.query.get("tier", "first")
         after = _number(request, "after", WHOLE)
         wait_ms = min(_number(request, "wait_ms", 0.0), WAIT_MOST_MS)
+        if not self._synced:
+            raise Refused(503, "this instance has just started, and has not heard the others yet")
         self.watching += 1
         try:
             return web.Response(
@@ -162,7 +180,8 @@
                 "index": catalog.index, "floor": catalog.floor, "entries": entries,
                 "doubts": {tier: round(until - now) for tier, until in catalog.doubts.items() if until > now},
                 "refused": dict(catalog.refused), "watching": self.watching, "told": self.told,
-                "serialized": self.serialized,
+                "serialized": self.serialized, "instance": self.exchange.number,
+                "others": self.exchange.report(now), "disagreed": dict(catalog.disagreed),
             }
         )  # fmt: skip
 
@@ -233,6 +252,8 @@
                 waiting.answer.set_result(change)
         if changes:
             self._wake()
+        if done and self.exchange.others:
+            self._moved.set()
 
     def _wake(self) -> None:
         news, self._news = self._news, asyncio.Event()
@@ -249,14 +270,78 @@
     async def _look_for_lapses(self) -> None:
         while True:
             await asyncio.sleep(LAPSE_S)
-            changes = self.catalog.lapse(now_ms())
-            try:
-                self._store.keep(changes)
-            except StoreError:
-                self.catalog.undo(changes)  # they lapse again when the disk takes them
-                continue
-            if changes:
-                self._wake()
+            with suppress(StoreError):  # they lapse again when the disk takes them
+                self._keep(self.catalog.lapse(now_ms(), self.exchange.heard))
+
+    def _keep(self, changes: list[Change]) -> None:
+        """Keep changes that nobody here waits for; StoreError, and none is made, if that can't be."""
+        try:
+            self._store.keep(changes)
+        except StoreError:
+            self.catalog.undo(changes)
+            raise
+        if changes:
+            self._wake()
+
+    # ---- other instances ------------------------------------------------------------------------
+
+    async def _exchange(self, request: web.Request) -> web.Response:
+        """Another instance's question."""
+        data = bytearray()
+        async for part in request.content.iter_chunked(EXCHANGE_PART):
+            data += part
+            if len(data) > EXCHANGE_MOST:
+                raise Refused(413, "a message of another instance is too long")
+        try:
+            question = msgspec.json.decode(data, type=Message)
+            answer, changes = self.exchange.heard_from(question, now_ms())
+        except (msgspec.DecodeError, Mismatch) as error:
+            raise Refused(400, f"no message of another instance: {' '.join(str(error).split())}") from None
+        self._keep_heard(question.sender, changes)
+        return web.Response(body=msgspec.json.encode(answer), content_type="application/json")
+
+    def _keep_heard(self, sender: int, changes: list[Change]) -> None:
+        try:
+            self._keep(changes)
+        except StoreError:
+            self.exchange.others[sender].heard = 0  # all is to be told again
+            raise
+
+    async def _exchanges(self, app: web.Application) -> Any:
+        async with aiohttp.ClientSession(timeout=aiohttp.ClientTimeout(total=EXCHANGE_PATIENCE_S)) as http:
+            tasks = [asyncio.create_task(self._ask_on(http, other)) for other in self.exchange.others]
+            tasks.append(asyncio.create_task(self._begin()))
+            yield
+            for task in tasks:
+                task.cancel()
+            await asyncio.gather(*tasks, return_exceptions=True)
+
+    async def _begin(self) -> None:
+        """Answer nobody until the others have been heard, or are seen to be out of reach."""
+        began = now_ms()
+        while not self._synced and now_ms() < began + SYNC_MS:
+            await asyncio.sleep(EXCHANGE_S / 10)
+            self._synced = self._synced or self.exchange.heard >= began
+        self._synced = True
+
+    async def _ask_on(self, http: aiohttp.ClientSession, other: int) -> None:
+        """Ask another instance every so often, and at once when something is to be told."""
+        while True:
+            with suppress(aiohttp.ClientError, OSError, ValueError, StoreError):
+                await self._ask(http, other)
+            with suppress(TimeoutError):
+                async with asyncio.timeout(EXCHANGE_S):
+                    await self._moved.wait()
+            self._moved.clear()
+
+    async def _ask(self, http: aiohttp.ClientSession, other: int) -> None:
+        asked_at, question = now_ms(), self.exchange.question(other)
+        url = f"http://{self._addresses[other]}/v1/exchange"
+        async with http.post(url, data=msgspec.json.encode(question)) as response:
+            if response.status != 200:
+                return
+            answer = msgspec.json.decode(await response.read(), type=Message)
+        self._keep_heard(other, self.exchange.answered(other, answer, asked_at, now_ms()))
 
 
 def _fail(waiting: Waiting, error: Exception) -> None:
--- a/basaltspindle/directory/store.py
+++ b/basaltspindle/directory/store.py
@@ -12,7 +12,7 @@
 from basaltspindle.directory.catalog import Change
 from basaltspindle.directory.entries import Entry
 
-FORM = 1
+FORM = 2
 HISTORY_MOST = 100_000  # changes that are remembered
 TRIM_EVERY = 1_000
 _TABLES = """
@@ -42,7 +42,9 @@
             self._db.execute("pragma synchronous = full")  # durable before it is answered
             self._db.executescript(_TABLES)
             form = self._meta("form")
-            if form not in (0, FORM):
+            if form == 1:
+                self._read_anew()
+            elif form not in (0, FORM):
                 raise StoreError(f"{path}: it is of form {form}; this program reads form {FORM}")
             self._db.execute("insert or replace into meta values ('form', ?)", (FORM,))
         except sqlite3.Error as error:
@@ -52,6 +54,18 @@
         row = self._db.execute("select value from meta where key = ?", (key,)).fetchone()
         return int(row[0]) if row else 0
 
+    def _read_anew(self) -> None:
+        """Entries of form 1 as form 2 has them: one instance's list, whose lapses were a status."""
+        steps: list[tuple[str, tuple[object, ...]]] = []
+        for table, key in (("entries", "name"), ("history", "version")):
+            for row, data in self._db.execute(f"select {key}, entry from {table}").fetchall():
+                old = msgspec.json.decode(data)
+                lapsed = old.pop("by_lapse", False)
+                old |= {"said": "in_service" if lapsed else old.pop("status"), "lapsed_at": int(lapsed) - 1}
+                new = msgspec.json.encode(msgspec.convert(old, type=Entry))
+                steps.append((f"update {table} set entry = ? where {key} = ?", (new, row)))
+        self._run(steps)
+
     def index(self) -> int:
         """The highest version that was ever given out."""
         return self._meta("index")
--- /dev/null
+++ b/tests/test_directory_instances.py
@@ -0,0 +1,373 @@
+"""Several instances of the list: accounts join, cuts drop nobody, and all agree again by themselves."""
+
+from __future__ import annotations
+
+import json
+import sqlite3
+from contextlib import suppress
+from pathlib import Path
+from typing import Any
+
+import msgspec
+import pytest
+from hypothesis import given, settings
+from hypothesis import strategies as st
+from hypothesis.stateful import RuleBasedStateMachine, initialize, invariant, rule
+
+from basaltspindle.directory import Catalog, Refused, Registration, Rules, Status, first_index
+from basaltspindle.directory.exchange import MOST_INSTANCES, ODD_LOOKS, Exchange, Mismatch
+from basaltspindle.directory.host import HostError, read_file
+from basaltspindle.directory.merge import SAID, Shared, disagree, join
+from basaltspindle.directory.store import Store
+
+LEASE_MS = 1_000.0
+RULES = Rules(doubt_part=1.0, floor_part=0.0, flaps=1_000)
+
+
+def told(**more: Any) -> Registration:
+    base: dict[str, Any] = {"address": "127.0.0.1:5000", "zone": "a", "lease_ms": LEASE_MS}
+    return Registration(**(base | more))
+
+
+class Instances:
+    """So many instances whose messages arrive at once, or not at all."""
+
+    def __init__(self, count: int = 2) -> None:
+        self.now = 0.0
+        self.cut: set[tuple[int, int]] = set()
+        self.catalogs: list[Catalog] = []
+        self.exchanges: list[Exchange] = []
+        for number in range(count):
+            self.catalogs.append(self.catalog(number))
+            self.exchanges.append(Exchange(self.catalogs[number], number, count, life=number + 1))
+
+    def catalog(self, number: int) -> Catalog:
+        first = first_index(0, 1_000.0 + number, number, MOST_INSTANCES)
+        return Catalog(RULES, first, number, MOST_INSTANCES)
+
+    def restart(self, number: int) -> None:
+        """It comes back without its memory."""
+        self.catalogs[number] = self.catalog(number)
+        life = 100 + int(self.now) + number
+        self.exchanges[number] = Exchange(self.catalogs[number], number, len(self.catalogs), life)
+
+    def ask(self, one: int, other: int) -> None:
+        if (one, other) in self.cut:
+            return
+        question = self.exchanges[one].question(other)
+        answer, _ = self.exchanges[other].heard_from(passed_on(question), self.now)
+        if (other, one) not in self.cut:
+            self.exchanges[one].answered(other, passed_on(answer), self.now, self.now)
+
+    def ask_all(self) -> None:
+        for one in range(len(self.catalogs)):
+            for other in self.exchanges[one].others:
+                self.ask(one, other)
+
+    def pass_by(self, span_ms: float, *renewing: tuple[int, str]) -> None:
+        """Time passes; servers renew at an instance, all lapse what they may."""
+        for _ in range(round(span_ms / 100)):
+            self.now += 100.0
+            for number, name in renewing:
+                self.catalogs[number].renew(name, 0.0, self.now)
+            self.ask_all()
+            for catalog, exchange in zip(self.catalogs, self.exchanges, strict=True):
+                catalog.lapse(self.now, exchange.heard)
+
+    def split(self) -> None:
+        self.cut = {(0, 1), (1, 0)}
+
+    def listed(self, number: int) -> dict[str, str]:
+        return {e.name: e.status.value for e in self.catalogs[number].whole("first")}
+
+
+def passed_on(message: Any) -> Any:
+    """As it arrives on the wire."""
+    return msgspec.json.decode(msgspec.json.encode(message), type=type(message))
+
+
+def two(*names: str) -> Instances:
+    made = Instances()
+    for name in names:
+        made.catalogs[0].register(name, told(), 0.0)
+    made.ask_all()
+    return made
+
+
+# ---- two accounts of a server --------------------------------------------------------------------
+
+
+accounts = st.builds(
+    Shared,
+    st.just("s0"),
+    st.builds(told, since_ms=st.sampled_from([0.0, 5.0]), weight=st.sampled_from([1.0, 2.0])),
+    st.sampled_from(SAID),
+    st.integers(0, 1),
+    st.integers(0, 2),
+    st.integers(0, 3),
+    st.integers(-1, 3),
+    st.booleans(),
+)
+
+
+@given(accounts, accounts, accounts)
+def test_accounts_join_alike_in_any_order_and_however_often(one: Shared, two: Shared, three: Shared) -> None:
+    assert join(one, two) == join(two, one)
+    assert join(join(one, two), three) == join(one, join(two, three))
+    assert join(one, one) == one
+    assert disagree(one, two) == disagree(two, one)
+
+
+@given(accounts, accounts)
+def test_a_drain_is_never_lost_but_to_a_later_server(one: Shared, two: Shared) -> None:
+    joined = join(one, two)
+    for account in (one, two):
+        if account.start == joined.start:
+            assert SAID.index(joined.said) >= SAID.index(account.said)
+        else:
+            assert account.start < joined.start
+
+
+# ---- instances -----------------------------------------------------------------------------------
+
+
+def test_a_write_at_any_instance_is_known_at_all_and_an_echo_changes_nothing() -> None:
+    made = two("s0", "s1")
+    made.catalogs[1].drain("s0", 1.0)
+    made.ask_all()
+    assert made.listed(0) == made.listed(1) == {"s0": "terminating", "s1": "in_service"}
+    before = [catalog.index for catalog in made.catalogs]
+    made.ask_all()
+    assert [catalog.index for catalog in made.catalogs] == before
+    assert made.exchanges[0].question(1).entries == ()
+
+
+def test_a_cut_drops_no_server_that_renews_at_either_side() -> None:
+    made = two("s0", "s1")
+    made.split()
+    made.pass_by(20 * LEASE_MS, (0, "s0"), (1, "s1"))
+    assert made.listed(0) == made.listed(1) == {"s0": "in_service", "s1": "in_service"}
+    assert [made.catalogs[0].entries[name].lapsed for name in ("s0", "s1")] == [False, True]
+    made.cut = set()
+    made.pass_by(3 * LEASE_MS, (0, "s0"), (1, "s1"))
+    assert made.listed(0) == made.listed(1) == {"s0": "in_service", "s1": "in_service"}
+
+
+def test_a_server_that_died_in_the_cut_goes_when_it_is_healed() -> None:
+    made = two("s0", "s1")
+    made.split()
+    made.pass_by(5 * LEASE_MS, (0, "s0"))
+    assert "s1" in made.listed(0), "it may be renewing at the other side"
+    made.cut = set()
+    made.pass_by(LEASE_MS, (0, "s0"))
+    assert made.listed(0) == made.listed(1) == {"s0": "in_service"}
+
+
+def test_a_lapse_does_not_stand_against_a_renewal_that_it_had_not_heard_of() -> None:
+    made = two("s0")
+    made.now = 2 * LEASE_MS
+    made.catalogs[1].renew("s0", 0.0, made.now)
+    assert [c.what for c in made.catalogs[0].lapse(made.now)] == ["lapsed"]  # as one that is alone
+    made.ask_all()
+    assert made.listed(0) == made.listed(1) == {"s0": "in_service"}
+
+
+def test_both_sides_of_a_cut_may_write_and_what_was_lost_is_shown() -> None:
+    made = two("s0", "s1")
+    made.split()
+    made.catalogs[0].register("s0", told(weight=2.0), 1.0)
+    made.catalogs[1].register("s0", told(weight=3.0), 1.0)
+    made.catalogs[0].drain("s1", 1.0)
+    made.catalogs[1].register("s1", told(weight=4.0), 1.0)
+    made.cut = set()
+    for _ in range(2):
+        made.ask_all()
+    weights = {c.entries["s0"].told.weight for c in made.catalogs}
+    assert len(weights) == 1 and weights <= {2.0, 3.0}
+    assert made.listed(0)["s1"] == made.listed(1)["s1"] == "terminating"
+    assert sum(c.disagreed["s0"] for c in made.catalogs) >= 1
+    assert made.catalogs[0].fingerprint == made.catalogs[1].fingerprint
+
+
+def test_one_that_lost_its_memory_has_it_back_from_the_others() -> None:
+    made = two("s0", "s1")
+    made.catalogs[0].drain("s0", 1.0)
+    made.ask_all()
+    made.restart(1)
+    made.ask_all()
+    assert made.listed(1) == {"s0": "terminating", "s1": "in_service"}
+
+
+def test_an_entry_that_a_fault_has_altered_is_told_again() -> None:
+    made = two("s0", "s1")
+    catalog = made.catalogs[1]
+    catalog.entries["s0"].said = Status.TERMINATING
+    catalog._touch(catalog.entries["s0"])
+    catalog._changed["s0"] = catalog._moves["s0"] = 1  # and nobody knows that it moved
+    for _ in range(2 * ODD_LOOKS + 2):
+        made.ask_all()
+    assert made.listed(0) == made.listed(1) == {"s0": "terminating", "s1": "in_service"}
+    assert sum(o.repaired for e in made.exchanges for o in e.others.values()) >= 1
+
+
+def test_a_large_list_goes_over_in_parts(monkeypatch: pytest.MonkeyPatch) -> None:
+    monkeypatch.setattr("basaltspindle.directory.exchange.MOST_TOLD", 3)
+    made = Instances()
+    for number in range(10):
+        made.catalogs[0].register(f"s{number}", told(), 0.0)
+    assert made.exchanges[1].heard == float("-inf")
+    for _ in range(5):
+        made.ask(1, 0)
+    assert len(made.listed(1)) == 10
+    assert made.exchanges[1].heard == 0.0
+
+
+def test_a_watch_that_comes_from_another_instance_gets_the_whole_list_at_a_higher_version() -> None:
+    made = two("s0", "s1")
+    one, other = made.catalogs
+    for _ in range(20):
+        one.pin("s0", True, 1.0)
+    seen = one.index
+    assert seen > other.index and one.changes("first", seen, 1.0) == []
+    stayed = other.index
+    assert other.changes("first", seen, 1_000.0) is None
+    assert other.index > seen and other.index % MOST_INSTANCES == 1
+    changes = other.changes("first", stayed, 1_000.0)
+    assert changes == [], "whoever stayed goes on from where it was"
+
+
+def test_a_message_from_somebody_else_is_refused_and_changes_nothing() -> None:
+    made = two("s0")
+    question = made.exchanges[0].question(1)
+    for sender in (1, 5):
+        with pytest.raises(Mismatch):
+            made.exchanges[1].heard_from(msgspec.structs.replace(question, sender=sender), 0.0)
+    with pytest.raises(Mismatch):
+        made.exchanges[1].answered(0, msgspec.structs.replace(question, sender=1), 0.0, 0.0)
+
+
+class Anything(RuleBasedStateMachine):
+    """Writes, renewals, cuts, restarts and lapses in any order at three instances."""
+
+    names = st.sampled_from(["s0", "s1", "s2"])
+    numbers = st.integers(0, 2)
+
+    @initialize()
+    def begin(self) -> None:
+        self.made = Instances(3)
+
+    @rule(number=numbers, name=names, since=st.sampled_from([0.0, 0.0, 7.0]), weight=st.integers(1, 3))
+    def register(self, number: int, name: str, since: float, weight: int) -> None:
+        self._try(
+            lambda c: c.register(name, told(since_ms=since, weight=float(weight)), self.made.now), number
+        )
+
+    @rule(number=numbers, name=names)
+    def renew(self, number: int, name: str) -> None:
+        entry = self.made.catalogs[number].entries.get(name)
+        since = entry.told.since_ms if entry else 0.0
+        self._try(lambda c: c.renew(name, since, self.made.now), number)
+
+    @rule(number=numbers, name=names, remove=st.booleans())
+    def drain_or_remove(self, number: int, name: str, remove: bool) -> None:
+        self._try(lambda c: (c.remove if remove else c.drain)(name, self.made.now), number)
+
+    @rule(one=numbers, other=numbers)
+    def ask(self, one: int, other: int) -> None:
+        if one != other:
+            self.made.ask(one, other)
+
+    @rule(one=numbers, other=numbers)
+    def cut(self, one: int, other: int) -> None:
+        self.made.cut ^= {(one, other)}
+
+    @rule(number=numbers)
+    def restart(self, number: int) -> None:
+        self.made.restart(number)
+
+    @rule(number=numbers, span=st.sampled_from([100.0, 2 * LEASE_MS]))
+    def lapse(self, number: int, span: float) -> None:
+        self.made.now += span
+        self.made.catalogs[number].lapse(self.made.now, self.made.exchanges[number].heard)
+
+    @invariant()
+    def versions_are_the_instances_own(self) -> None:
+        for number, catalog in enumerate(getattr(self, "made", Instances(0)).catalogs):
+            assert catalog.index % MOST_INSTANCES == number
+
+    def teardown(self) -> None:
+        """Without further faults all agree within a few rounds."""
+        if not hasattr(self, "made"):
+            return
+        self.made.cut = set()
+        for _ in range(3 * ODD_LOOKS + 4):
+            self.made.ask_all()
+        lists = [self.made.listed(number) for number in range(3)]
+        assert lists[0] == lists[1] == lists[2]
+        assert len({catalog.fingerprint for catalog in self.made.catalogs}) == 1
+
+    def _try(self, write: Any, number: int) -> None:
+        with suppress(Refused):
+            write(self.made.catalogs[number])
+
+
+Anything.TestCase.settings = settings(
+    max_examples=60, stateful_step_count=40, deadline=None, derandomize=True
+)
+TestAnything = Anything.TestCase
+
+
+# ---- files ---------------------------------------------------------------------------------------
+
+
+def test_a_change_that_could_not_be_kept_takes_back_no_renewal() -> None:
+    """A drain that met a full disk left the lease as it was at the change before, and the server lapsed."""
+    made = two("s0", "s1")
+    one = made.catalogs[0]
+    one.renew("s0", 0.0, 900.0)
+    change = one.drain("s0", 950.0)
+    assert change is not None
+    one.undo([change])
+    assert made.listed(0)["s0"] == "in_service"
+    assert not one.lapse(1_500.0) or "s0" in made.listed(0)
+    assert "s0" in made.listed(0)
+
+
+def test_a_file_of_the_version_before_is_read_and_sound(tmp_path: Path) -> None:
+    path = tmp_path / "list.sqlite"
+    store = Store(path)
+    one = Catalog(RULES, 100)
+    store.keep([c for name in ("s0", "s1", "s2") if (c := one.register(name, told(), 0.0))])
+    store.keep([c for c in [one.drain("s1", 1.0), one.remove("s2", 1.0)] if c])
+    store.keep(one.lapse(5_000.0))
+    store.close()
+    with sqlite3.connect(path) as old:  # as the program before this one wrote it
+        for table, key in (("entries", "name"), ("history", "version")):
+            for row, data in old.execute(f"select {key}, entry from {table}").fetchall():
+                entry = json.loads(data)
+                lapsed = entry["lapsed_at"] >= entry["beats"]
+                said = "terminated" if lapsed else entry["said"]
+                entry |= {"status": said, "by_lapse": lapsed}
+                for new in ("said", "life", "rev", "beats", "lapsed_at"):
+                    del entry[new]
+                old.execute(f"update {table} set entry = ? where {key} = ?", (json.dumps(entry), row))
+        old.execute("update meta set value = 1 where key = 'form'")
+    again = Store(path)
+    assert list(again.verify()) == []
+    found = {e.name: (e.by_lapse, e.is_listed) for e in again.entries()}
+    assert found == {"s0": (True, False), "s1": (True, False), "s2": (False, False)}
+
+
+@pytest.mark.parametrize(
+    ("line", "fault"),
+    [
+        ('instances = ["127.0.0.1:1", "127.0.0.1:1"]', "instances: 2; allowed: 8 at most, each once"),
+        ('instances = ["127.0.0.1:1"]\ninstance = 1', "instance: 1; allowed: 0 to 0"),
+        ('instances = ["nowhere"]', "matching regex"),
+    ],
+)
+def test_instances_that_cannot_be_are_a_line(tmp_path: Path, line: str, fault: str) -> None:
+    path = tmp_path / "directory.toml"
+    path.write_text(f'listen = "127.0.0.1:1"\ndatabase = "x"\n{line}\n')
+    with pytest.raises(HostError, match=fault):
+        read_file(path)
