--- a/basaltspindle/cli/drill.py
+++ b/basaltspindle/cli/drill.py
@@ -16,8 +16,8 @@
 from basaltspindle.cli.misuse import Misuse, find_file
 from basaltspindle.cli.screen import screen
 from basaltspindle.drill import checks, history, plants, script
-from basaltspindle.drill.checks import Check
 from basaltspindle.drill.drive import Drive
+from basaltspindle.drill.story import Check
 
 app = typer.Typer(no_args_is_help=True, help="A fleet of real processes on this machine, with faults.")
 FOLDER = Path("drills")
--- a/basaltspindle/cli/operate.py
+++ b/basaltspindle/cli/operate.py
@@ -201,7 +201,7 @@
 def lists_of(told: dict[str, dict[str, Any]]) -> Table:
     """A row for each balancer: ages in seconds, and the servers on which list and evidence differ."""
     table = Table(
-        "balancer", "from", "version", "heard s", "changed s", "moves", "rewound", "doubted, contradicted"
+        "balancer", "from", "version", "heard s", "changed s", "moves", "rewound", "doubted, silent"
     )
     for console, report in told.items():
         ages = [
@@ -209,6 +209,6 @@
             for key in ("heard_ms_ago", "changed_ms_ago")
         ]
         counts = [str(report["moves"]), str(report["rewound"])]
-        odd = " ".join([*report["doubted"], *(f"{name} refuses" for name in report["contradicted"])])
+        odd = " ".join([*report["doubted"], *(f"{name} is silent" for name in report["contradicted"])])
         table.add_row(console, report["from"], str(report["index"]), *ages, *counts, odd)
     return table
--- a/basaltspindle/directory/caller.py
+++ b/basaltspindle/directory/caller.py
@@ -19,7 +19,7 @@
 
 
 class Caller:
-    """The service at an address, or at those of its instances: the next is asked where one gives no answer."""
+    """The service at an address, or at those of its instances: the next is asked if one does not answer."""
 
     def __init__(self, address: str, who: str = "", patience_s: float = PATIENCE_S) -> None:
         """`address` is HOST:PORT, or several with commas between; CallError if one is none."""
--- a/basaltspindle/directory/catalog.py
+++ b/basaltspindle/directory/catalog.py
@@ -179,7 +179,8 @@
         for tier in {e.told.tier for e in over}:
             self._see_whether_to_doubt(tier, now)
         for entry in over:
-            if self.doubts.get(entry.told.tier, 0.0) > now or self._is_spared(entry, now):
+            settles = now <= entry.lease_end_ms + self._rules.settle_ms
+            if settles or self.doubts.get(entry.told.tier, 0.0) > now or self._is_spared(entry, now):
                 entry.lapsed = True
                 continue
             entry.lapsed, entry.lapsed_at = False, entry.beats
--- a/basaltspindle/directory/entries.py
+++ b/basaltspindle/directory/entries.py
@@ -45,6 +45,10 @@
     doubt_part: Annotated[float, Meta(gt=0, le=1)] = 0.3
     """More than this part of a tier's servers lapsing within `doubt_ms` is our own fault until shown."""
     doubt_ms: Annotated[float, Meta(gt=0)] = 15_000.0
+    settle_ms: Annotated[float, Meta(ge=0)] = 1_000.0
+    """A lapse stands only so long after the lease's end: whether others lapse, too, must be seen first."""
+    learn_ms: Annotated[float, Meta(ge=0)] = 5_000.0
+    """So long after a start without any memory, who has seen a list before is told to keep it."""
     floor_part: Annotated[float, Meta(ge=0, le=1)] = 0.5
     """Lapses take at most the rest of any zone's, or group's, servers, as they were `floor_ms` ago."""
     floor_ms: Annotated[float, Meta(gt=0)] = 600_000.0
--- a/basaltspindle/directory/service.py
+++ b/basaltspindle/directory/service.py
@@ -71,6 +71,8 @@
         self._addresses = instances
         self._moved = asyncio.Event()  # something is to be told to the other instances at once
         self._synced = not self.exchange.others
+        self._first = first
+        self._learns_until = now + rules.learn_ms if not store.index() else now
         store.begin(self.catalog.index)
         self._queue: list[Waiting] = []
         self._flushing: asyncio.TimerHandle | None = None
@@ -105,6 +107,9 @@
         wait_ms = min(_number(request, "wait_ms", 0.0), WAIT_MOST_MS)
         if not self._synced:
             raise Refused(503, "this instance has just started, and has not heard the others yet")
+        is_ours = self._first <= after <= self.catalog.index
+        if after >= 0 and not is_ours and now_ms() < self._learns_until:
+            raise Refused(503, "this service has lost its memory, or is new: keep the list that you have")
         self.watching += 1
         try:
             return web.Response(
--- a/basaltspindle/drill/history.py
+++ b/basaltspindle/drill/history.py
@@ -14,6 +14,7 @@
 | `began`, `ended` | servers | `id`, `cls`; `status`, `run` |
 | `up` | servers | `cores`, `speed`, `cold_from`, `cold_ms`, `since` |
 | `told` | the list | `to` (an address), `index`, `snapshot`, `entries` (name to status) |
+| `turned_away` | the list | `to` (an address): a call that it failed |
 | `process` | the driver | `name`, `state`: `started`, `ready`, `ended`; `code` and `wanted` |
 | `fault` | the driver | `kind`, `on`, `targets`, and what it was |
 | `call` | the driver | `to`, `call`, `body`, `status` |
--- a/basaltspindle/drill/report.py
+++ b/basaltspindle/drill/report.py
@@ -13,7 +13,7 @@
 from matplotlib.figure import Figure
 
 from basaltspindle.drill import history
-from basaltspindle.drill.checks import SECOND, Story
+from basaltspindle.drill.story import SECOND, Story
 
 ENDINGS = {
     "served": "#2a7f62",
--- a/basaltspindle/net/discovery.py
+++ b/basaltspindle/net/discovery.py
@@ -23,6 +23,7 @@
 PUSH_PAUSE_S = 0.5  # before the agent on this machine is called again, where lists are pushed
 WHOLE_S = 2.0  # the same, where another instance can be asked instead
 FAILOVER_MS = 5.0  # for each balancer of the tier: the watches of an instance that dies go on within so long
+DOUBT_S = 1.0  # before a list that is not believed is asked for again, or CALL_MS for each balancer
 COMPARE_S, COMPARE_MS = 30.0, 100.0  # between looks at another instance, and for each balancer of the tier
 LOOK_S = 1.0
 LIST_MAX = 4 * 1024 * 1024
@@ -99,11 +100,14 @@
     def __init__(
         self,
         config: Config,
-        on_news: Callable[[ServerList], None],
+        on_news: Callable[[ServerList], bool],
         on_failed: Callable[[], None],
         fresh: bool = False,
     ) -> None:
-        """`fresh` asks for the whole list first, which is answered at once, whatever is known."""
+        """`on_news` says whether it believes a list; one that it does not is asked for again, whole.
+
+        `fresh` asks for the whole list first, which is answered at once, whatever is known.
+        """
         self._on_news, self._on_failed = on_news, on_failed
         self._asked = config.settings.list_is_asked
         self._own, self._number = config.lists, config.settings.number
@@ -113,6 +117,7 @@
         afforded = CALL_MS * config.settings.balancers
         self._wait_ms = min(max(config.drain_grace_ms or WAIT_MS, afforded), WAIT_MS)
         self._spread_s = min(FAILOVER_MS * config.settings.balancers / 1_000, ANSWER_S)
+        self._doubt_s = max(DOUBT_S, CALL_MS * config.settings.balancers / 1_000)
         self._compare_s = max(COMPARE_S, COMPARE_MS * config.settings.balancers / 1_000)
         self._random = random.Random(config.seed)
         self._home = config.discovery
@@ -196,20 +201,24 @@
                     return
                 await asyncio.sleep(PUSH_PAUSE_S)
                 continue
-            self._take(news, loop.time())
-            if self._own is not None and self._sources.may_go_home(loop.time()):
+            if not self._take(news, loop.time()):
+                self._index = -1  # what comes after it would not tell whom it has left out
+                self._sources.failed()  # a second opinion, where there is another instance
+                self._close_link()
+                await asyncio.sleep(self._doubt_s * (0.5 + self._random.random()))
+            elif self._own is not None and self._sources.may_go_home(loop.time()):
                 self._index = -1
                 self._close_link()
 
-    def _take(self, news: ServerList, now: float) -> None:
-        """Pass news on."""
-        if self._sources.answered(news.index, now) and self._own is not None:
+    def _take(self, news: ServerList, now: float) -> bool:
+        """Pass news on; whether they are believed."""
+        if self._sources.answered(news.index, now, self._index >= 0) and self._own is not None:
             self._rewound += 1
             news = replace(news, rewound=True)
         self._index, self._heard, self._doubted_watch = news.index, now, 0
         if self._own is not None:
             self._note(news, now)
-        self._on_news(news)
+        return self._on_news(news)
 
     def _note(self, news: ServerList, now: float) -> None:
         before = dict(self._content)
--- a/basaltspindle/net/driver.py
+++ b/basaltspindle/net/driver.py
@@ -522,11 +522,12 @@
         """A probe is over."""
         self._tell(face.ProbeEnded(server, outcome))
 
-    def _news(self, news: ServerList) -> None:
+    def _news(self, news: ServerList) -> bool:
+        """Take news of the list; whether it was believed."""
         self._asked.set()
-        self._listed(ListKind.FULL if news.whole else ListKind.DELTA, news)
+        return self._listed(ListKind.FULL if news.whole else ListKind.DELTA, news)
 
-    def _listed(self, kind: ListKind, news: ServerList) -> None:
+    def _listed(self, kind: ListKind, news: ServerList) -> bool:
         update = self.balancer.believe(
             face.ListUpdate(kind, tuple([e.member for e in news.endpoints]), news.rewound)
         )
@@ -546,6 +547,7 @@
         while len(self._ids) > IDS_MAX:
             del self._ids[next(iter(self._ids))]
         self._tell(update)
+        return not update.doubted
 
     def _list_failed(self) -> None:
         self._asked.set()
--- a/basaltspindle/net/sources.py
+++ b/basaltspindle/net/sources.py
@@ -18,7 +18,9 @@
 from basaltspindle.net.config import Address
 
 HOME_S = 60.0  # after so long, spread by half, the first choice is tried again
-REFUSED_S = 5.0  # a listed server that has only refused for so long speaks against the list
+ANSWERS = frozenset({Outcome.SERVED, Outcome.ERROR, Outcome.REJECTED})
+SILENCE = frozenset({Outcome.CONNECT_FAILED, Outcome.RESET, Outcome.TIMED_OUT})
+SILENT_S = 5.0  # a listed server that has answered nothing for so long speaks against the list
 
 
 @dataclass(frozen=True, slots=True)
@@ -62,9 +64,13 @@
         self._failed = 0
         return False
 
-    def answered(self, index: int, now: float) -> bool:
-        """It told a list; whether that is of an earlier version than one it told before."""
-        self._failed = 0
+    def answered(self, index: int, now: float, watched: bool) -> bool:
+        """It told a list; whether that is of an earlier version than one it told before.
+
+        Only a watch that was answered shows that it is well: one that tells whole lists and no more has
+        failed as much as one that is down.
+        """
+        self._failed = 0 if watched else self._failed
         rewound = index < self._newest.get(self.address, -1)
         self._newest[self.address] = index
         if self._at and self._home_from == math.inf:
@@ -107,16 +113,16 @@
 
 
 class Witnesses:
-    """Servers that the list calls ready and that only refuse: what they say goes before what it says."""
+    """Servers that the list calls ready and that answer nothing: what they say goes before what it says."""
 
     def __init__(self) -> None:
         self._since: dict[str, float] = {}
 
     def note(self, server: str, outcome: Outcome, now: float) -> None:
         """Take the end of an attempt."""
-        if outcome is Outcome.CONNECT_FAILED:
+        if outcome in SILENCE:
             self._since.setdefault(server, now)
-        elif self._since and outcome is not Outcome.NOT_SENT:
+        elif self._since and outcome in ANSWERS:
             self._since.pop(server, None)
 
     def forget(self, server: str) -> None:
@@ -124,5 +130,5 @@
         self._since.pop(server, None)
 
     def against(self, now: float) -> list[str]:
-        """Those that have refused for so long that the list is wrong about them."""
-        return sorted(name for name, since in self._since.items() if now - since >= REFUSED_S)
+        """Those that have been silent for so long that the list may be wrong about them."""
+        return sorted(name for name, since in self._since.items() if now - since >= SILENT_S)
--- a/basaltspindle/policy/roster.py
+++ b/basaltspindle/policy/roster.py
@@ -17,7 +17,7 @@
 LIST_RETRY_MS = 500.0  # first pause before the list is asked again, doubled at each failure
 LIST_CALL_MS = 25.0  # of that first pause for each balancer of the tier at the least: after an outage all ask
 
-DEATHS = frozenset({Outcome.CONNECT_FAILED, Outcome.REJECTED})  # no process there, or its own word
+STRIKES = 2  # connections in a row that do not come up: one may be lost on the way, or to a crowd
 
 LAST = (math.inf, "")  # behind all ranks
 
@@ -113,10 +113,14 @@
 
     def proves_dead(self, server: Server, outcome: Outcome) -> bool:
         """Whether this ends our doubt of a list that has left the server out: it is gone, then."""
-        if not server.doubted or outcome not in DEATHS:
-            return False
-        self._gone(server)
-        return True
+        if server.doubted and outcome is Outcome.CONNECT_FAILED:
+            server.doubted -= 1
+            if not server.doubted:
+                self._gone(server)
+                return True
+        elif server.doubted and outcome in (Outcome.SERVED, Outcome.ERROR, Outcome.REJECTED):
+            server.doubted = STRIKES
+        return False
 
     def listed(self, event: face.ListUpdate, now: float) -> list[face.Action]:
         """Take a whole list, or a change to it."""
@@ -171,13 +175,14 @@
             server = self.servers[member.server] = Server(member, now, self._random.random())
         if member.up_since_ms > server.member.up_since_ms:
             server.forget(now)  # the same name, a new process
-        server.listed, server.doubted = member.readiness is not Readiness.GONE, doubted
+        server.listed = member.readiness is not Readiness.GONE
+        server.doubted = (server.doubted or STRIKES) if doubted else 0
         self._sort_in(server, member)
         if not server.listed:
             self._gone(server)
 
     def _gone(self, server: Server) -> None:
-        server.listed = server.doubted = False
+        server.listed, server.doubted = False, 0
         self._sort_in(server, server.member)
         self.unused.pop(server.member.server, None)
         self.call_ended(server)
--- a/basaltspindle/policy/servers.py
+++ b/basaltspindle/policy/servers.py
@@ -27,7 +27,7 @@
         self.member, self.rank = member, rank
         self.listed, self.ready, self.size, self.used = False, False, 1.0, math.inf
         self.started = member.up_since_ms  # or when operators put it back, if that was later
-        self.doubted = False  # whether a list that is not believed has left it out
+        self.doubted = 0  # if a list that is not believed has left it out: what it takes to prove it dead
         self.in_flight = 0  # m of the design
         self.sends: deque[float] = deque()
         self.chance, self.chance_until = 0.0, -math.inf  # of one call more where a cold budget is a fraction
--- a/tests/test_drill.py
+++ b/tests/test_drill.py
@@ -35,6 +35,9 @@
     "forgets-snapshot": ("warm-start", "served"),
     "believes-lapses": ("lease-storm", "served"),
     "reuses-versions": ("list-lost", "versions"),
+    "lapses-unheard": ("list-split", "kept"),
+    "obeys-lists": ("list-empty", "served"),
+    "stays-with-one": ("list-one-down", "heard"),
 }
 
 
