Let watches go on over a restart of the list service, and pace them under many changes

Need: each start of the service sent the whole list to every watch (1.5 MB for 10,000 servers, all at once), and under a stream of changes every watch was woken for each.

Change: the file remembers the versions of each life (`lives`) and the version before which removals are forgotten (`floor`): a watch that has seen a version of a life that is remembered gets what changed since; one of a lost life gets the whole list, as before. Removals past the bound are forgotten on the disk, too. Changes since a version are found from the newest back, not by a look at all entries. Watches are woken no more often than half of the service's time suffices to answer them (30 us each).

Ruled out: going by the highest stored version alone (a copy put back twice would take versions of a lost life for its own).

--- a/basaltspindle/directory/catalog.py
+++ b/basaltspindle/directory/catalog.py
@@ -1,10 +1,11 @@
 """The list and its versions, as a state machine that is told the time: what may change, and who is told what.
 
 One index grows with each change and never goes back. After a start it is above all that any watcher can have
-seen (`first_index`), and everybody gets the whole list once: so neither a lost nor a restored memory looks to
-today's clients like an older list. Where several instances hold the list, each counts for itself: an index
-leaves the instance's number when divided by `stride`, so that a watch that comes from another instance is
-known by its version, and gets the whole list at a higher one.
+seen (`first_index`). Who has seen a version of a life that is remembered (`lives`) goes on from there; who
+has seen another one, of a memory that was lost, gets the whole list: so neither a lost nor a restored memory
+looks to today's clients like an older list. Where several instances hold the list, each counts for itself:
+an index leaves the instance's number when divided by `stride`, so that a watch that comes from another
+instance is known by its version, and gets the whole list at a higher one.
 """
 
 from __future__ import annotations
@@ -63,6 +64,8 @@
         """`start_index` is from `first_index`; entries of an earlier life come by `restore`."""
         self._rules, self._number, self._stride = rules, number, stride
         self.index = self.floor = start_index  # who has seen less than the floor gets the whole list
+        self.lives: list[tuple[int, int]] = []  # first and last version of those before, the oldest first
+        self.first = start_index
         self.entries: dict[str, Entry] = {}
         self._kept: dict[str, Entry] = {}  # each as it was at its last change
         self._lapses: dict[str, deque[float]] = {}  # by tier: when leases ran out
@@ -70,17 +73,32 @@
         self.refused: Counter[str] = Counter()
         self.disagreed: Counter[str] = Counter()  # by server: accounts that were lost in a join
         self.moved = 0  # grows with each change, renewals included
+        self._order: dict[str, None] = {}  # entries by their versions
         self._moves: dict[str, int] = {}  # when each entry moved last, in that order
         self._changed: dict[str, int] = {}  # and when in more than its beats
         self._prints: dict[str, int] = {}
         self.fingerprint = 0  # of all entries but for their beats: alike where instances agree
 
-    def restore(self, entries: Iterable[Entry], now: float) -> None:
-        """Go on with the entries of an earlier life; all leases run anew, for we were not there to hear."""
-        for entry in entries:
+    def restore(
+        self, entries: Iterable[Entry], now: float, lives: Sequence[tuple[int, int]] = (), floor: int = 0
+    ) -> None:
+        """Go on with the entries of earlier lives; all leases run anew, for we were not there to hear.
+
+        `floor` is what it was: removals before it are not remembered.
+        """
+        for entry in sorted(entries, key=lambda e: e.index):
             entry.renewed_ms = now
             self.entries[entry.name], self._kept[entry.name] = entry, copy(entry)
             self._touch(entry)
+        self.lives = list(lives)
+        self.floor = max(floor, lives[0][0]) if lives else self.first
+        self._bury()
+
+    def knows(self, version: int) -> bool:
+        """Whether a version was given out in a life that is remembered, and all since is."""
+        if self.first <= version <= self.index:
+            return version >= self.floor
+        return version >= self.floor and any(first <= version <= last for first, last in self.lives)
 
     # ---- writes ---------------------------------------------------------------------------------
 
@@ -235,11 +253,19 @@
         if after > self.index:
             if after <= (now + CLOCKS_DIFFER_MS) * self._stride:
                 self.index = _above(after, self._number, self._stride)
-                self.floor = self.floor if foreign else self.index
+                if not foreign:  # what is between was given out by nobody we know
+                    self.floor = self.first = self.index
             return None
-        if foreign or after < self.floor:
+        if foreign or not self.knows(after):
             return None
-        return [e for e in self.entries.values() if e.index > after and e.told.tier == tier]
+        changed = []
+        for name in reversed(self._order):
+            entry = self.entries[name]
+            if entry.index <= after:
+                break
+            if entry.told.tier == tier:
+                changed.append(entry)
+        return changed
 
     # ---- other instances ------------------------------------------------------------------------
 
@@ -308,6 +334,8 @@
     def _touch(self, entry: Entry) -> None:
         """An entry has changed in more than its beats."""
         self._move(entry.name)
+        self._order.pop(entry.name, None)
+        self._order[entry.name] = None
         self._changed[entry.name] = self.moved
         plain = msgspec.structs.replace(share(entry), beats=entry.by_lapse)
         new = xxhash.xxh3_64_intdigest(msgspec.json.encode(plain))
@@ -315,7 +343,8 @@
         self._prints[entry.name] = new
 
     def _forget(self, name: str) -> None:
-        del self.entries[name], self._kept[name], self._moves[name], self._changed[name]
+        for known in (self.entries, self._kept, self._order, self._moves, self._changed):
+            del known[name]
         self.fingerprint ^= self._prints.pop(name)
 
     def _put(self, entry: Entry, now: float, what: str, who: str, why: str, rev: int | None = None) -> Change:
--- a/basaltspindle/directory/service.py
+++ b/basaltspindle/directory/service.py
@@ -25,6 +25,8 @@
 from basaltspindle.directory.store import Store, StoreError
 
 BATCH_S = 0.005  # writes that come within it share a transaction, and watches are told of them at once
+ANSWER_S = 30e-6  # that it takes to answer a watch with shared bytes (benchmarks/directory.py)
+WAKES_PART = 0.5  # of our time that may go into answering watches
 LAPSE_S = 0.25
 WAIT_MOST_MS = 60_000.0
 BODY_MOST = 64 * 1024
@@ -66,17 +68,18 @@
         self._store, now = store, now_ms()
         first = first_index(store.index(), now, instance, MOST_INSTANCES)
         self.catalog = Catalog(rules, first, instance, MOST_INSTANCES)
-        self.catalog.restore(store.entries(), now)
+        self.catalog.restore(store.entries(), now, store.lives(), store.floor())
         self.exchange = Exchange(self.catalog, instance, max(len(instances), 1), secrets.randbits(48) + 1)
         self._addresses = instances
         self._moved = asyncio.Event()  # something is to be told to the other instances at once
         self._synced = not self.exchange.others
-        self._first = first
         self._learns_until = now + rules.learn_ms if not store.index() else now
-        store.begin(self.catalog.index)
+        store.begin(self.catalog.index, self.catalog.floor, self.catalog.entries)
         self._queue: list[Waiting] = []
         self._flushing: asyncio.TimerHandle | None = None
         self._news = asyncio.Event()
+        self._waking: asyncio.TimerHandle | None = None
+        self._woken = float("-inf")
         self._answers: dict[tuple[str, int, int], bytes | None] = {}
         self.serialized = self.told = self.watching = 0
 
@@ -107,8 +110,7 @@
         wait_ms = min(_number(request, "wait_ms", 0.0), WAIT_MOST_MS)
         if not self._synced:
             raise Refused(503, "this instance has just started, and has not heard the others yet")
-        is_ours = self._first <= after <= self.catalog.index
-        if after >= 0 and not is_ours and now_ms() < self._learns_until:
+        if after >= 0 and now_ms() < self._learns_until and not self.catalog.knows(int(after)):
             raise Refused(503, "this service has lost its memory, or is new: keep the list that you have")
         self.watching += 1
         try:
@@ -141,7 +143,7 @@
         """What all get who have seen a version: found and written once. None if nothing has changed."""
         key = tier, after, self.catalog.index
         if key not in self._answers:
-            changed = self.catalog.changes(tier, after, now_ms()) if after >= 0 else None
+            changed = self._changes(tier, after) if after >= 0 else None
             if changed is None and after >= 0:
                 data = self._news_since(tier, WHOLE)
             elif changed is None:
@@ -153,6 +155,12 @@
             self._answers[key] = data
         return self._answers[key]
 
+    def _changes(self, tier: str, after: int) -> list[Entry] | None:
+        first, changed = self.catalog.first, self.catalog.changes(tier, after, now_ms())
+        if self.catalog.first != first:
+            self._store.begin_again(self.catalog.first)
+        return changed
+
     def _serialize(self, after: int, entries: list[Entry]) -> bytes:
         self.serialized += 1
         told = {
@@ -261,6 +269,21 @@
             self._moved.set()
 
     def _wake(self) -> None:
+        """Wake all watches, but not before they can have been answered since they were woken last.
+
+        Under a stream of changes each watch then gets several at once, and the service has time for writes.
+        """
+        if self._waking is not None:
+            return
+        loop = asyncio.get_running_loop()
+        due = self._woken + ANSWER_S * self.watching / WAKES_PART
+        if due > loop.time():
+            self._waking = loop.call_at(due, self._wake_all)
+        else:
+            self._wake_all()
+
+    def _wake_all(self) -> None:
+        self._waking, self._woken = None, asyncio.get_running_loop().time()
         news, self._news = self._news, asyncio.Event()
         news.set()
 
@@ -268,8 +291,9 @@
         task = asyncio.get_running_loop().create_task(self._look_for_lapses())
         yield
         task.cancel()
-        if self._flushing is not None:
-            self._flushing.cancel()
+        for due in (self._flushing, self._waking):
+            if due is not None:
+                due.cancel()
         self.flush()
 
     async def _look_for_lapses(self) -> None:
--- a/basaltspindle/directory/store.py
+++ b/basaltspindle/directory/store.py
@@ -3,7 +3,7 @@
 from __future__ import annotations
 
 import sqlite3
-from collections.abc import Iterator, Sequence
+from collections.abc import Container, Iterator, Sequence
 from contextlib import closing
 from pathlib import Path
 
@@ -15,6 +15,7 @@
 FORM = 2
 HISTORY_MOST = 100_000  # changes that are remembered
 TRIM_EVERY = 1_000
+LIVES_MOST = 100  # that are remembered; who has seen an earlier one gets the whole list
 _TABLES = """
 create table if not exists meta (key text primary key, value integer not null);
 create table if not exists entries (name text primary key, entry blob not null);
@@ -22,6 +23,7 @@
     version integer primary key, at_ms real not null, name text not null, what text not null,
     who text not null, why text not null, entry blob not null
 );
+create table if not exists lives (first integer primary key, last integer not null);
 create index if not exists by_name on history (name, version);
 """
 
@@ -78,9 +80,38 @@
         except (sqlite3.Error, msgspec.DecodeError, msgspec.ValidationError) as error:
             raise StoreError(f"an entry can't be read: {error}") from None
 
-    def begin(self, index: int) -> None:
-        """Take note of the version that a new life starts at, before anybody gets it."""
-        self._run([("insert or replace into meta values ('index', ?)", (index,))])
+    def floor(self) -> int:
+        """The version before which removals are not remembered."""
+        return self._meta("floor")
+
+    def lives(self) -> list[tuple[int, int]]:
+        """First and last version of each life of this file, the oldest first."""
+        return self._db.execute("select first, last from lives order by first").fetchall()
+
+    def begin(self, index: int, floor: int, kept: Container[str]) -> None:
+        """Take note of the version that a new life starts at, before anybody gets it.
+
+        Of the entries only those `kept` are remembered; history stays as it is.
+        """
+        names = [row[0] for row in self._db.execute("select name from entries").fetchall()]
+        steps: list[tuple[str, tuple[object, ...]]] = [
+            ("delete from entries where name = ?", (name,)) for name in names if name not in kept
+        ]
+        steps += [
+            ("insert or replace into meta values ('index', ?)", (index,)),
+            ("insert or replace into meta values ('floor', ?)", (floor,)),
+            ("insert into lives values (?, ?)", (index, index)),
+            (
+                "delete from lives where first <="
+                " (select first from lives order by first desc limit 1 offset ?)",
+                (LIVES_MOST,),
+            ),
+        ]
+        self._run(steps)
+
+    def begin_again(self, index: int) -> None:
+        """The versions given out go on above others that somebody has seen: as if a new life had begun."""
+        self._run([("insert or replace into lives values (?, ?)", (index, index))])
 
     def keep(self, changes: Sequence[Change]) -> None:
         """Keep changes, all or none, on the disk when this returns; StoreError if that can't be done."""
@@ -94,6 +125,10 @@
             steps.append(("insert into history values (?, ?, ?, ?, ?, ?, ?)", row))
         last = max(change.index for change in changes)
         steps.append(("insert or replace into meta values ('index', ?)", (last,)))
+        steps.append(
+            ("update lives set last = ? where first = (select max(first) from lives where first <= ?)",
+             (last, last))
+        )  # fmt: skip
         self._writes += len(changes)
         if self._writes >= TRIM_EVERY:
             self._writes = 0
@@ -140,6 +175,8 @@
         with closing(self._db.execute("select name, max(version), entry from history group by name")) as rows:
             for name, version, data in rows:
                 entry = kept.get(name)
+                if entry is None and not msgspec.json.decode(data, type=Entry).is_listed:
+                    continue  # a removal of long ago, which only history remembers
                 if entry is None or entry.index != version or msgspec.json.encode(entry) != data:
                     yield f"{name}: its entry is not what history says of version {version}"
 
--- a/tests/test_directory.py
+++ b/tests/test_directory.py
@@ -5,6 +5,7 @@
 import asyncio
 import json
 import os
+import shutil
 import signal
 import sqlite3
 import subprocess
@@ -205,6 +206,79 @@
     assert list(again.verify()) == []
 
 
+def test_after_a_restart_watches_go_on_and_those_of_a_lost_life_get_the_whole_list(tmp_path: Path) -> None:
+    """Each start made all watches ask for the whole list: 1.5 MB each for 10,000 servers, all at once."""
+    store = Store(tmp_path / "a")
+
+    def begin(store: Store, now: float) -> Catalog:
+        one = Catalog(RULES, first_index(store.index(), now))
+        one.restore(store.entries(), now, store.lives(), store.floor())
+        store.begin(one.index, one.floor, one.entries)
+        return one
+
+    def put(one: Catalog, name: str) -> int:
+        change = one.register(name, told(), 0.0)
+        assert change is not None
+        store.keep([change])
+        return one.index
+
+    one = begin(store, 1_000.0)
+    seen = put(one, "s0")
+    put(one, "s1")
+    two = begin(store, 5_000.0)
+    missed = two.changes("first", seen, 5_000.0)
+    assert missed is not None and [e.name for e in missed] == ["s1"]
+    store.close()
+    shutil.copy(tmp_path / "a", tmp_path / "old")
+    store = Store(tmp_path / "a")
+    lost = put(begin(store, 9_000.0), "s2")
+    store.close()
+    store = Store(tmp_path / "old")  # the life in which s2 came is not in this copy
+    three = begin(store, 20_000.0)
+    assert three.knows(seen) and not three.knows(lost)
+    assert three.changes("first", lost, 20_000.0) is None
+    put(three, "s3")
+    assert begin(store, 30_000.0).changes("first", lost, 30_000.0) is None, "nor later"
+    assert list(store.verify()) == []
+
+
+def test_removals_of_long_ago_are_forgotten_on_the_disk_too(tmp_path: Path) -> None:
+    store = Store(tmp_path / "a")
+    rules = msgspec.structs.replace(RULES, tombstones=2)
+    one = Catalog(rules, 100)
+    names = [f"s{i}" for i in range(6)]
+    for name in names:
+        store.keep([c for c in (one.register(name, told(), 0.0), one.remove(name, 0.0)) if c])
+    two = Catalog(rules, 500)
+    two.restore(store.entries(), 0.0, store.lives(), store.floor())
+    store.begin(two.index, two.floor, two.entries)
+    assert [e.name for e in store.entries()] == ["s4", "s5"]
+    assert list(store.verify()) == []
+
+
+def test_a_stream_of_changes_wakes_watches_no_more_often_than_they_can_be_answered(
+    monkeypatch: pytest.MonkeyPatch,
+) -> None:
+    monkeypatch.setattr("basaltspindle.directory.service.ANSWER_S", 0.1)
+
+    async def scenario() -> None:
+        async with serving() as (service, at), aiohttp.ClientSession() as http:
+            url = f"http://{at}/v1/servers?after={service.catalog.index}&wait_ms=60000"
+            watch = asyncio.create_task(http.get(url))
+            while not service.watching:
+                await asyncio.sleep(0.005)
+            service._woken = asyncio.get_running_loop().time()
+            for number in range(3):
+                body = entry(f"127.0.0.1:{number + 1}")
+                async with http.put(f"http://{at}/v1/servers/s{number}", json=body) as answer:
+                    assert answer.status == 200
+            async with await watch as answer:
+                told = await answer.json()
+            assert len(told["endpoints"]) == 3, "all of them at once"
+
+    run(scenario())
+
+
 def test_a_rewound_entry_and_a_lost_version_are_found(tmp_path: Path) -> None:
     path = tmp_path / "list.sqlite"
     store = Store(path)
