Make the watch of the list a core of its own, and play it at size in virtual time

Need: what the client decides stood beside its sockets, and nothing showed a list service with a thousand balancers.

Change: `watching/` holds whom to ask for what and when (Watch, Sources, Witnesses) without I/O; net/discovery.py hosts it on sockets, world/watches.py in virtual time with the real catalogs, exchanges and the module's pauses.

--- a/basaltspindle/directory/service.py
+++ b/basaltspindle/directory/service.py
@@ -22,11 +22,10 @@
 from basaltspindle.directory.catalog import Catalog, Change, Refused, first_index
 from basaltspindle.directory.entries import Entry, Name, Registration, Rules
 from basaltspindle.directory.exchange import MOST_INSTANCES, Exchange, Message, Mismatch
+from basaltspindle.directory.pace import Pace
 from basaltspindle.directory.store import Store, StoreError
 
 BATCH_S = 0.005  # writes that come within it share a transaction, and watches are told of them at once
-ANSWER_S = 30e-6  # that it takes to answer a watch with shared bytes (benchmarks/directory.py)
-WAKES_PART = 0.5  # of our time that may go into answering watches
 LAPSE_S = 0.25
 WAIT_MOST_MS = 60_000.0
 BODY_MOST = 64 * 1024
@@ -79,7 +78,7 @@
         self._flushing: asyncio.TimerHandle | None = None
         self._news = asyncio.Event()
         self._waking: asyncio.TimerHandle | None = None
-        self._woken = float("-inf")
+        self._pace = Pace()
         self._answers: dict[tuple[str, int, int], bytes | None] = {}
         self.serialized = self.told = self.watching = 0
 
@@ -269,21 +268,19 @@
             self._moved.set()
 
     def _wake(self) -> None:
-        """Wake all watches, but not before they can have been answered since they were woken last.
-
-        Under a stream of changes each watch then gets several at once, and the service has time for writes.
-        """
+        """Wake all watches, at their pace."""
         if self._waking is not None:
             return
         loop = asyncio.get_running_loop()
-        due = self._woken + ANSWER_S * self.watching / WAKES_PART
+        due = self._pace.due(self.watching)
         if due > loop.time():
             self._waking = loop.call_at(due, self._wake_all)
         else:
             self._wake_all()
 
     def _wake_all(self) -> None:
-        self._waking, self._woken = None, asyncio.get_running_loop().time()
+        self._waking = None
+        self._pace.woke(asyncio.get_running_loop().time())
         news, self._news = self._news, asyncio.Event()
         news.set()
 
--- a/basaltspindle/drill/plants.py
+++ b/basaltspindle/drill/plants.py
@@ -214,7 +214,7 @@
 
 def stays_with_one() -> None:
     """The instance that is asked first is asked for ever."""
-    from basaltspindle.net.sources import Sources
+    from basaltspindle.watching.sources import Sources
 
     Sources.failed = lambda self: False  # type: ignore[method-assign]
 
--- a/basaltspindle/net/discovery.py
+++ b/basaltspindle/net/discovery.py
@@ -5,27 +5,18 @@
 import asyncio
 import json
 import math
-import random
 from collections.abc import Callable
 from dataclasses import replace
 from typing import cast
 
 from basaltspindle.interface import Readiness
 from basaltspindle.net.config import Address, Config, Endpoint, ServerList, read_list
-from basaltspindle.net.sources import Look, Sources, Witnesses
 from basaltspindle.net.upstreams import UNREADABLE, Answer, ResponseReader
+from basaltspindle.watching import Ask, Look, Watch, Witnesses
+from basaltspindle.watching.watch import WHOLE, WHOLE_S
 
-WAIT_MS = 30_000  # of one watch call at the most: each costs discovery work, and news ends it at once
-CALL_MS = 50  # of wait for each balancer of the tier: all together call about once in so long
-SPREAD = 0.2  # part by which waits differ, so that balancers that started together do not call together
-ANSWER_S = 5.0  # a call that is not answered by then has failed; discovery itself gives up sooner
-OVERDUE_S = 1.5  # so long past its wait a watch has failed: 2 s past it, all changes count as told
 PUSH_PAUSE_S = 0.5  # before the agent on this machine is called again, where lists are pushed
-WHOLE_S = 2.0  # the same, where another instance can be asked instead
-FAILOVER_MS = 5.0  # for each balancer of the tier: the watches of an instance that dies go on within so long
-DOUBT_S = 1.0  # before a list that is not believed is asked for again, or CALL_MS for each balancer
-COMPARE_S, COMPARE_MS = 30.0, 100.0  # between looks at another instance, and for each balancer of the tier
-LOOK_S = 1.0
+LOOK_S = 1.0  # between looks whether another instance is to be looked at
 LIST_MAX = 4 * 1024 * 1024
 
 
@@ -90,12 +81,7 @@
 
 
 class Discovery:
-    """Watches the list from `subscribe` on until a call fails.
-
-    Where the list is a service of one's own (`config.lists`), a failed call goes on to the service's next
-    instance, and only when all have failed in turn has the list failed. Versions of instances do not compare:
-    whoever changes asks for the whole list.
-    """
+    """Watches the list from `subscribe` on until a call fails: the host of `basaltspindle.watching`."""
 
     def __init__(
         self,
@@ -110,30 +96,22 @@
         """
         self._on_news, self._on_failed = on_news, on_failed
         self._asked = config.settings.list_is_asked
-        self._own, self._number = config.lists, config.settings.number
-        self._index = config.known.index if config.known.endpoints and not fresh else -1
-        # A watch can fall silent, and only its overdue answer tells: news is then as late as its wait
-        # is long.
-        afforded = CALL_MS * config.settings.balancers
-        self._wait_ms = min(max(config.drain_grace_ms or WAIT_MS, afforded), WAIT_MS)
-        self._spread_s = min(FAILOVER_MS * config.settings.balancers / 1_000, ANSWER_S)
-        self._doubt_s = max(DOUBT_S, CALL_MS * config.settings.balancers / 1_000)
-        self._compare_s = max(COMPARE_S, COMPARE_MS * config.settings.balancers / 1_000)
-        self._random = random.Random(config.seed)
-        self._home = config.discovery
-        self._sources = self._make_sources(config.discovery)
+        self._own, self._home = config.lists, config.discovery
+        self._watch = Watch(
+            self._addresses(config.discovery), number=config.settings.number,
+            balancers=config.settings.balancers, grace_ms=config.drain_grace_ms, own=self._own is not None,
+            seed=config.seed, index=config.known.index if config.known.endpoints and not fresh else WHOLE,
+        )  # fmt: skip
         self._task: asyncio.Task[None] | None = None
         self._comparing: asyncio.Task[None] | None = None
         self._link: _Link | None = None
         self._content: dict[str, tuple[object, ...]] = {}
         self._heard = self._changed = -math.inf
-        self._rewound = self._doubted_watch = self._stood_still = 0
         self.witnesses = Witnesses()
 
-    def _make_sources(self, address: Address) -> Sources:
+    def _addresses(self, first: Address) -> tuple[Address, ...]:
         others = self._own.others if self._own else ()
-        addresses = (address, *(other for other in others if other != address))
-        return Sources(addresses, self._number, self._random)
+        return (first, *(other for other in others if other != first))
 
     def start(self) -> None:
         """Where lists are pushed, listen from the start: nobody subscribes there."""
@@ -144,8 +122,8 @@
         """Begin the watch; a second subscription while one stands changes nothing."""
         loop = asyncio.get_running_loop()
         if self._task is None or self._task.done():
-            self._task = loop.create_task(self._watch())
-        if self._sources.others and self._comparing is None:
+            self._task = loop.create_task(self._follow())
+        if self._own is not None and self._comparing is None:
             self._comparing = loop.create_task(self._compare())
 
     def move(self, address: Address) -> None:
@@ -153,74 +131,67 @@
         if address == self._home:
             return
         self._home = address
-        self._sources = self._make_sources(address)
+        self._watch.move(self._addresses(address))
         self._start_anew()
 
     def _start_anew(self) -> None:
-        self._index = -1
         if self._task is not None:
             self._task.cancel()
-        if self._link is not None:
-            self._link.close()
-        self._task = self._link = None
+        self._close_link()
+        self._task = None
         self.subscribe()
 
     def report(self) -> dict[str, object]:
         """Where the list is from and how old it is, for operators; times in ms, None for never."""
-        now, (host, port) = asyncio.get_running_loop().time(), self._sources.address
+        now, watch = asyncio.get_running_loop().time(), self._watch
+        host, port = watch.sources.address
         return {
             "from": f"{host}:{port}",
-            "index": self._index,
+            "index": watch.index,
             "heard_ms_ago": _ms(now - self._heard),
             "changed_ms_ago": _ms(now - self._changed),
-            "moves": self._sources.moves,
-            "rewound": self._rewound,
-            "stood_still": self._stood_still,
+            "moves": watch.sources.moves,
+            "rewound": watch.rewound,
+            "stood_still": watch.stood_still,
             "contradicted": self.witnesses.against(now),
         }
 
-    async def _watch(self) -> None:
-        loop = asyncio.get_running_loop()
+    async def _follow(self) -> None:
+        loop, watch = asyncio.get_running_loop(), self._watch
         while True:
             try:
-                news = await self._call()
+                news = await self._call(watch.ask())
             except Exception:
                 # Guards against a watch that ends unseen: whatever was wrong with a call, it has failed.
-                if self._link is not None:
-                    self._link.close()
-                if self._own is not None:
-                    at, goes_on = self._sources.address, self._sources.failed()
-                    if self._sources.address != at or self._doubted_watch:
-                        self._index = -1
-                    if goes_on:
-                        await asyncio.sleep(self._spread_s * self._random.random())
-                        continue
-                if self._asked:
+                self._close_link()
+                pause_s = watch.failed()
+                if pause_s is None and self._asked:
                     self._task = None
                     self._on_failed()  # when to ask again is the module's to say
                     return
-                await asyncio.sleep(PUSH_PAUSE_S)
+                await asyncio.sleep(PUSH_PAUSE_S if pause_s is None else pause_s)
                 continue
-            if not self._take(news, loop.time()):
-                self._index = -1  # what comes after it would not tell whom it has left out
-                self._sources.failed()  # a second opinion, where there is another instance
+            if not self._on_news(news):
                 self._close_link()
-                await asyncio.sleep(self._doubt_s * (0.5 + self._random.random()))
-            elif self._own is not None and self._sources.may_go_home(loop.time()):
-                self._index = -1
+                await asyncio.sleep(watch.disbelieved())
+            elif watch.went_home(loop.time()):
                 self._close_link()
 
-    def _take(self, news: ServerList, now: float) -> bool:
-        """Pass news on; whether they are believed."""
-        if self._sources.answered(news.index, now, self._index >= 0) and self._own is not None:
-            self._rewound += 1
+    async def _call(self, ask: Ask) -> ServerList:
+        async with asyncio.timeout(ask.limit_s):
+            if self._link is None or self._link.closed:
+                self._link = await _connect(ask.address)
+            news = await _ask(self._link, ask, self._own.tier if self._own else "")
+        now = asyncio.get_running_loop().time()
+        if self._watch.answered(news.index, now):
             news = replace(news, rewound=True)
-        self._index, self._heard, self._doubted_watch = news.index, now, 0
+        self._heard = now
         if self._own is not None:
             self._note(news, now)
-        return self._on_news(news)
+        return news
 
     def _note(self, news: ServerList, now: float) -> None:
+        """What the list holds, to be held against another instance's."""
         before = dict(self._content)
         if news.whole:
             self._content.clear()
@@ -233,60 +204,32 @@
         if self._content != before:
             self._changed = now
 
-    async def _call(self) -> ServerList:
-        if self._link is None or self._link.closed:
-            self._link = None
-        query = []
-        limit_s = WHOLE_S if self._sources.others else ANSWER_S
-        if self._own is not None and self._own.tier:
-            query.append(f"tier={self._own.tier}")
-        if self._index >= 0:
-            wait_s = self._wait_ms / 1000 * (1 - SPREAD * self._random.random())
-            limit_s = wait_s + OVERDUE_S
-            query.append(f"after={self._index}&wait_ms={wait_s * 1000:.0f}")
-        async with asyncio.timeout(limit_s):
-            if self._link is None:
-                self._link = await _connect(self._sources.address)
-            news = await _ask(self._link, self._sources.address, query)
-        if news.index < self._index:
-            self._doubted_watch = 1
-            raise ValueError(f"list {news.index} is older than the one we hold")
-        return news
-
     def _close_link(self) -> None:
         if self._link is not None:
             self._link.close()
         self._link = None
 
-    # ---- a service that answers and never changes ------------------------------------------------
-
     async def _compare(self) -> None:
-        """Look now and then at another instance's list, sooner when servers contradict ours."""
-        loop = asyncio.get_running_loop()
-        due = loop.time() + self._compare_s * (0.5 + self._random.random())
+        """Look now and then at another instance's list."""
+        loop, watch = asyncio.get_running_loop(), self._watch
         while True:
-            await asyncio.sleep(LOOK_S * (0.5 + self._random.random()))
+            await asyncio.sleep(LOOK_S)
             contradicted = bool(self.witnesses.against(loop.time()))
-            is_due = loop.time() >= due or contradicted
-            if self._index < 0 or not self._sources.others or not is_due:
-                continue
-            due = loop.time() + self._compare_s * (0.5 + self._random.random())
-            other = await self._look(self._sources.any_other())
-            ours = Look(self._sources.address, self._index, frozenset(self._content.values()))
-            if other is None or other.address == ours.address:
+            if (address := watch.look_at(loop.time(), contradicted)) is None:
                 continue
-            if self._sources.stands_still(ours, other, contradicted):
-                self._stood_still += 1
+            other = await self._look(address)
+            ours = Look(watch.sources.address, watch.index, frozenset(self._content.values()))
+            if other is not None and watch.looked(ours, other, contradicted):
                 self._start_anew()
 
     async def _look(self, address: Address) -> Look | None:
         """Another instance's list; None if it does not tell."""
-        query = [f"tier={self._own.tier}"] if self._own and self._own.tier else []
         link: _Link | None = None
         try:
             async with asyncio.timeout(WHOLE_S):
                 link = await _connect(address)
-                news = await _ask(link, address, query)
+                ask = Ask(address, WHOLE, 0.0, WHOLE_S)
+                news = await _ask(link, ask, self._own.tier if self._own else "")
         except (OSError, ValueError, TimeoutError):
             return None
         finally:
@@ -300,9 +243,12 @@
     return link
 
 
-async def _ask(link: _Link, address: Address, query: list[str]) -> ServerList:
+async def _ask(link: _Link, ask: Ask, tier: str) -> ServerList:
     """One call; ValueError if its answer is no list."""
-    path, (host, port) = "/v1/servers" + ("?" + "&".join(query) if query else ""), address
+    query = [f"tier={tier}"] if tier else []
+    if ask.after >= 0:
+        query.append(f"after={ask.after}&wait_ms={ask.wait_ms:.0f}")
+    path, (host, port) = "/v1/servers" + ("?" + "&".join(query) if query else ""), ask.address
     answer = await link.call(f"GET {path} HTTP/1.1\r\nHost: {host}:{port}\r\n\r\n".encode())
     if answer.status != 200:
         raise ValueError(f"discovery answered {answer.status}")
--- a/basaltspindle/net/sources.py
+++ b/basaltspindle/watching/sources.py
@@ -15,8 +15,8 @@
 from dataclasses import dataclass
 
 from basaltspindle.interface import Outcome
-from basaltspindle.net.config import Address
 
+Address = tuple[str, int]
 HOME_S = 60.0  # after so long, spread by half, the first choice is tried again
 ANSWERS = frozenset({Outcome.SERVED, Outcome.ERROR, Outcome.REJECTED})
 SILENCE = frozenset({Outcome.CONNECT_FAILED, Outcome.RESET, Outcome.TIMED_OUT})
--- /dev/null
+++ b/basaltspindle/watching/watch.py
@@ -0,0 +1,135 @@
+"""The watch of a list: which instance is asked for what, and when again."""
+
+from __future__ import annotations
+
+import random
+from dataclasses import dataclass
+
+from basaltspindle.watching.sources import Address, Look, Sources
+
+WAIT_MS = 30_000  # of one watch call at the most: each costs discovery work, and news ends it at once
+CALL_MS = 50  # of wait for each balancer of the tier: all together call about once in so long
+SPREAD = 0.2  # part by which waits differ, so that balancers that started together do not call together
+ANSWER_S = 5.0  # a call that is not answered by then has failed; discovery itself gives up sooner
+OVERDUE_S = 1.5  # so long past its wait a watch has failed: 2 s past it, all changes count as told
+WHOLE_S = 2.0  # as ANSWER_S, where another instance can be asked instead
+FAILOVER_MS = 5.0  # for each balancer of the tier: the watches of an instance that dies go on within so long
+DOUBT_S = 1.0  # before a list that is not believed is asked for again, or CALL_MS for each balancer
+COMPARE_S, COMPARE_MS = 30.0, 100.0  # between looks at another instance, and for each balancer of the tier
+WHOLE = -1  # in place of a version: the whole list
+
+
+@dataclass(frozen=True, slots=True)
+class Ask:
+    """One call for the list."""
+
+    address: Address
+    after: int
+    """The version that is known, or WHOLE."""
+    wait_ms: float
+    """How long the service may wait for news."""
+    limit_s: float
+    """By when the call has failed."""
+
+
+class Watch:
+    """One balancer's watch, of the platform's list or of a service of one's own (`own`).
+
+    Where the service is one's own, a failed call goes on to its next instance, and only when all have failed
+    in turn has the list failed. Versions of instances do not compare: whoever changes asks for the whole
+    list.
+    """
+
+    def __init__(
+        self, addresses: tuple[Address, ...], *, number: int, balancers: int, grace_ms: float, own: bool,
+        seed: int, index: int = WHOLE,
+    ) -> None:  # fmt: skip
+        """`grace_ms` is what servers that drain are left; `index` the version of the list at hand."""
+        self._number, self._own, self.index = number, own, index
+        self._random = random.Random(seed)
+        # A watch can fall silent, and only its overdue answer tells: news is then as late as its wait
+        # is long.
+        self._wait_ms = min(max(grace_ms or WAIT_MS, CALL_MS * balancers), WAIT_MS)
+        self._spread_s = min(FAILOVER_MS * balancers / 1_000, ANSWER_S)
+        self._doubt_s = max(DOUBT_S, CALL_MS * balancers / 1_000)
+        self._compare_s = max(COMPARE_S, COMPARE_MS * balancers / 1_000)
+        self._went_back = False
+        self._look_at = 0.0
+        self.rewound = self.stood_still = 0
+        self._begin(addresses)
+
+    def _begin(self, addresses: tuple[Address, ...]) -> None:
+        self.sources = Sources(addresses, self._number, self._random)
+
+    def move(self, addresses: tuple[Address, ...]) -> None:
+        """The service is elsewhere from now on."""
+        self._begin(addresses)
+        self.index = WHOLE
+
+    def ask(self) -> Ask:
+        """The next call."""
+        address = self.sources.address
+        if self.index < 0:
+            return Ask(address, WHOLE, 0.0, WHOLE_S if self.sources.others else ANSWER_S)
+        wait_s = self._wait_ms / 1000 * (1 - SPREAD * self._random.random())
+        return Ask(address, self.index, wait_s * 1_000, wait_s + OVERDUE_S)
+
+    def answered(self, index: int, now: float) -> bool:
+        """A list of some version has come; whether its service has gone back to an older state.
+
+        ValueError if it is older than the one at hand: the call has failed. If the whole list, asked for
+        next, is no newer, that is a new beginning.
+        """
+        if index < self.index:
+            self._went_back = True
+            raise ValueError(f"list {index} is older than the one we hold")
+        is_rewound = self.sources.answered(index, now, self.index >= 0) and self._own
+        self.rewound += is_rewound
+        self.index, self._went_back = index, False
+        return is_rewound
+
+    def failed(self) -> float | None:
+        """A call has failed: seconds until the next; None if the list has, and others say when to ask."""
+        if not self._own:
+            return None
+        at, goes_on = self.sources.address, self.sources.failed()
+        if self.sources.address != at or self._went_back:
+            self.index = WHOLE
+        return self._spread_s * self._random.random() if goes_on else None
+
+    def disbelieved(self) -> float:
+        """The list that came is not believed: seconds until it is asked for again, elsewhere if there is one.
+
+        What comes after its version would not tell whom it has left out.
+        """
+        self.index = WHOLE
+        self.sources.failed()
+        return self._doubt_s * (0.5 + self._random.random())
+
+    def went_home(self, now: float) -> bool:
+        """Whether the first choice is asked again from now on."""
+        if not self._own or not self.sources.may_go_home(now):
+            return False
+        self.index = WHOLE
+        return True
+
+    # ---- a service that answers and never changes ------------------------------------------------
+
+    def look_at(self, now: float, contradicted: bool) -> Address | None:
+        """Another instance whose whole list is to be looked at now: every so often, or if servers say so."""
+        if not self.sources.others or self.index < 0:
+            return None
+        first = not self._look_at
+        if first or now >= self._look_at or contradicted:
+            self._look_at = now + self._compare_s * (0.5 + self._random.random())
+        elif now < self._look_at:
+            return None
+        return None if first and not contradicted else self.sources.any_other()
+
+    def looked(self, ours: Look, other: Look, contradicted: bool) -> bool:
+        """Whether ours has stood still; if so, the other one is asked from now on."""
+        if other.address == ours.address or not self.sources.stands_still(ours, other, contradicted):
+            return False
+        self.stood_still += 1
+        self.index = WHOLE
+        return True
--- a/tests/test_directory.py
+++ b/tests/test_directory.py
@@ -259,7 +259,7 @@
 def test_a_stream_of_changes_wakes_watches_no_more_often_than_they_can_be_answered(
     monkeypatch: pytest.MonkeyPatch,
 ) -> None:
-    monkeypatch.setattr("basaltspindle.directory.service.ANSWER_S", 0.1)
+    monkeypatch.setattr("basaltspindle.directory.pace.ANSWER_S", 0.1)
 
     async def scenario() -> None:
         async with serving() as (service, at), aiohttp.ClientSession() as http:
@@ -267,7 +267,7 @@
             watch = asyncio.create_task(http.get(url))
             while not service.watching:
                 await asyncio.sleep(0.005)
-            service._woken = asyncio.get_running_loop().time()
+            service._pace.woke(asyncio.get_running_loop().time())
             for number in range(3):
                 body = entry(f"127.0.0.1:{number + 1}")
                 async with http.put(f"http://{at}/v1/servers/s{number}", json=body) as answer:
--- a/tests/test_house.py
+++ b/tests/test_house.py
@@ -17,12 +17,13 @@
     "peers": set(),
     "state": set(),
     "directory": set(),
-    "world": {"interface", "peers", "policy"},
+    "world": {"directory", "interface", "peers", "policy", "watching"},
     "lab": {"interface", "policy", "world"},
-    "net": {"interface", "peers", "policy", "state", "wire"},
+    "watching": {"interface"},
+    "net": {"interface", "peers", "policy", "state", "watching", "wire"},
     "conf": {"net"},
     # The plants of a drill are the program itself, made worse.
-    "drill": {"interface", "world", "net", "peers", "state", "directory", "__main__"},
+    "drill": {"interface", "world", "net", "policy", "watching", "peers", "state", "directory", "__main__"},
 }
 
 
--- a/tests/test_net.py
+++ b/tests/test_net.py
@@ -13,8 +13,9 @@
 
 from basaltspindle import interface as face
 from basaltspindle.interface import ListKind, Outcome
-from basaltspindle.net import callers, discovery
+from basaltspindle.net import callers
 from basaltspindle.policy import roster
+from basaltspindle.watching import watch
 from tests.loopback import (
     PATIENCE_S,
     Asked,
@@ -598,9 +599,9 @@
 
 def test_a_watch_with_no_answer_fails_before_its_news_counts_as_told(monkeypatch: pytest.MonkeyPatch) -> None:
     """All changes count as told 2 s after a watch's wait, and a silent one was kept for 5 s."""
-    assert discovery.OVERDUE_S < 2.0
-    monkeypatch.setattr(discovery, "WAIT_MS", 10)
-    monkeypatch.setattr(discovery, "OVERDUE_S", 0.01)
+    assert watch.OVERDUE_S < 2.0
+    monkeypatch.setattr(watch, "WAIT_MS", 10)
+    monkeypatch.setattr(watch, "OVERDUE_S", 0.01)
 
     async def scenario() -> None:
         async with Rig(Upstream()) as rig:
@@ -621,8 +622,8 @@
         async with Rig(Upstream(), balancers=balancers, contract=contract) as rig:
             line = await rig.discovery.calls.get()
             waits = float(line.partition("wait_ms=")[2].split()[0])
-            assert waits <= max(3_000, discovery.CALL_MS * balancers)
-            assert balancers / waits < 1.3 / discovery.CALL_MS, "all together call too often"
+            assert waits <= max(3_000, watch.CALL_MS * balancers)
+            assert balancers / waits < 1.3 / watch.CALL_MS, "all together call too often"
 
     run(scenario())
 
--- a/tests/test_sources.py
+++ b/tests/test_sources.py
@@ -14,8 +14,9 @@
 from basaltspindle.interface import ListKind, Outcome
 from basaltspindle.net import discovery
 from basaltspindle.net.config import read_config
-from basaltspindle.net.sources import HOME_S, SILENT_S, Look, Sources, Witnesses
 from basaltspindle.policy import roster
+from basaltspindle.watching import watch
+from basaltspindle.watching.sources import HOME_S, SILENT_S, Look, Sources, Witnesses
 from tests.loopback import ListServer, Rig, Upstream, config_text, entry, response, run, status
 from tests.test_net import listen_to
 
@@ -195,7 +196,7 @@
     monkeypatch: pytest.MonkeyPatch,
 ) -> None:
     """What follows a halved list by its version does not tell whom that had left out."""
-    monkeypatch.setattr(discovery, "DOUBT_S", 0.01)
+    monkeypatch.setattr(watch, "DOUBT_S", 0.01)
 
     async def scenario() -> None:
         two = Two(upstreams=4)
@@ -214,8 +215,8 @@
 def test_a_watch_moves_on_from_an_instance_that_answers_and_never_changes(
     monkeypatch: pytest.MonkeyPatch,
 ) -> None:
-    monkeypatch.setattr(discovery, "COMPARE_S", 0.0)
-    monkeypatch.setattr(discovery, "COMPARE_MS", 0.0)
+    monkeypatch.setattr(watch, "COMPARE_S", 0.0)
+    monkeypatch.setattr(watch, "COMPARE_MS", 0.0)
     monkeypatch.setattr(discovery, "LOOK_S", 0.01)
 
     async def scenario() -> None:
--- /dev/null
+++ b/tests/test_watches.py
@@ -0,0 +1,44 @@
+"""The list service and its balancers at size, in virtual time: who knows what when, and what it costs."""
+
+from __future__ import annotations
+
+import pytest
+
+from basaltspindle.world.watches import GRACE_MS, Watched
+
+
+def test_all_balancers_hear_of_a_release_long_before_its_servers_end() -> None:
+    fleet = Watched(balancers=30, servers=100, instances=2, seed=1)
+    fleet.run(5_000.0)
+    fleet.release(20_000.0)
+    fleet.run(40_000.0)
+    figures = fleet.figures()
+    assert figures["changes"] == 100 and figures["not_heard"] == 0
+    assert figures["heard_most_ms"] < GRACE_MS / 5
+    assert figures["wrong_draws_most"] == 0.0
+    assert figures["failed_calls"] == 0
+    assert figures["whole_lists"] == 30, "each balancer's first, and none after"
+
+
+def test_after_an_outage_balancers_come_back_spread_and_with_no_whole_list() -> None:
+    fleet = Watched(balancers=200, servers=50, instances=1, seed=1)
+    fleet.run(5_000.0)
+    fleet.outage(20_000.0)
+    fleet.run(10_000.0)
+    during = sum(fleet.calls[second] for second in range(7, 15)) / 8
+    assert during < 200, "all together ask less than once a second each"
+    fleet.run(15_000.0)
+    assert fleet.figures()["whole_lists"] == 200
+    assert max(fleet.calls[second] for second in range(25, 30)) < 200
+
+
+def test_a_play_is_the_same_again() -> None:
+    def figures() -> dict[str, float]:
+        fleet = Watched(balancers=10, servers=20, instances=2, seed=3)
+        fleet.release(5_000.0)
+        fleet.run(6_000.0)
+        fleet.outage(2_000.0)
+        fleet.run(10_000.0)
+        return fleet.figures()
+
+    assert figures() == pytest.approx(figures())
