Leave a zone by hand in steps, and come back to it, over restarts

Need: nothing could take a zone out; operators cordoned its servers one by one.

Change: `policy/zones.py` holds what part of each zone is drawn from, and the rule on zones that stood in the sampler. `irondrum zone leave|return|status` and the console's calls have balancers draw less and less of a zone over the time given, and tell who did not take it; the others' room for calls bounds what they get, and what does not fit waits and is refused by worth, as ever. A call is refused, with figures, if the calls that are out on average (usual worth) have no room elsewhere, or if there is no elsewhere; `force` goes on. Where nothing but zones that were left is there, they serve on.

Near servers of inner balancers and first calls of servers put back give way while a zone is being left.

Ruled out: leaving as cordons of all its servers (at once, and new ones of the zone would serve).

--- a/basaltspindle/cli/main.py
+++ b/basaltspindle/cli/main.py
@@ -8,7 +8,7 @@
 
 import typer
 
-from basaltspindle.cli import demo, directory, drill, lab, operate, serve
+from basaltspindle.cli import demo, directory, drill, lab, operate, serve, zone
 from basaltspindle.cli.misuse import Misuse
 from basaltspindle.conf import Unusable
 from basaltspindle.directory.caller import CallError
@@ -24,6 +24,7 @@
 app.add_typer(lab.app, name="lab")
 app.add_typer(drill.app, name="drill")
 app.add_typer(directory.app, name="directory")
+app.add_typer(zone.app, name="zone")
 for command in (
     serve.serve, serve.check, operate.health, operate.stats, operate.cordon, operate.uncordon, operate.top,
     operate.peers, operate.lists, demo.demo,
--- a/basaltspindle/cli/operate.py
+++ b/basaltspindle/cli/operate.py
@@ -60,7 +60,7 @@
         return list(pool.map(lambda console: ask(console, method, path, body), consoles))
 
 
-def _tell(answers: list[Answer]) -> None:
+def tell(answers: list[Answer]) -> None:
     """Print who said what; exit 1 if one did not say yes."""
     for answer in answers:
         typer.echo(f"{answer.console}  {answer.text}", err=not answer.is_yes)
@@ -75,7 +75,7 @@
 
     Example: irondrum health --console 127.0.0.1:9901 --console 127.0.0.1:9902
     """
-    _tell(ask_all(console, "GET", "/admin/health"))
+    tell(ask_all(console, "GET", "/admin/health"))
 
 
 def stats(console: Consoles) -> None:
@@ -86,7 +86,7 @@
     answers = ask_all(console, "GET", "/admin/stats")
     typer.echo(json.dumps({a.console: json.loads(a.text) for a in answers if a.is_yes}, indent=1))
     if missing := [answer for answer in answers if not answer.is_yes]:
-        _tell(missing)
+        tell(missing)
 
 
 def cordon(server: Annotated[str, typer.Argument(help="The server's ID.")], console: Consoles) -> None:
@@ -94,7 +94,7 @@
 
     Example: irondrum cordon s-5be2a07c --console 127.0.0.1:9901 --console 127.0.0.1:9902
     """
-    _tell(ask_all(console, "POST", "/admin/cordon", server))
+    tell(ask_all(console, "POST", "/admin/cordon", server))
 
 
 def uncordon(server: Annotated[str, typer.Argument(help="The server's ID.")], console: Consoles) -> None:
@@ -102,7 +102,7 @@
 
     Example: irondrum uncordon s-5be2a07c --console 127.0.0.1:9901
     """
-    _tell(ask_all(console, "POST", "/admin/uncordon", server))
+    tell(ask_all(console, "POST", "/admin/uncordon", server))
 
 
 def top(
@@ -167,7 +167,7 @@
     table, agreed = views_of(views)
     screen().print(table)
     if missing := [answer for answer in answers if not answer.is_yes]:
-        _tell(missing)
+        tell(missing)
     if not agreed:
         typer.echo("irondrum: they disagree", err=True)
         raise typer.Exit(NOT_TAKEN)
@@ -195,7 +195,7 @@
     answers = ask_all(console, "GET", "/admin/list")
     screen().print(lists_of({a.console: json.loads(a.text) for a in answers if a.is_yes}))
     if missing := [answer for answer in answers if not answer.is_yes]:
-        _tell(missing)
+        tell(missing)
 
 
 def lists_of(told: dict[str, dict[str, Any]]) -> Table:
--- a/basaltspindle/interface.py
+++ b/basaltspindle/interface.py
@@ -260,6 +260,18 @@
     """When it was put back: it counts as started no sooner, for it is restarted while it is out."""
 
 
+@dataclass(frozen=True, slots=True)
+class ZoneHeld:
+    """Operators have us leave a zone, or come back to it, in steps from `since_ms` on."""
+
+    zone: str
+    out: bool
+    since_ms: float
+    over_ms: float = 0.0
+    share: float = 1.0
+    """The part of it that was drawn from at `since_ms`."""
+
+
 @dataclass(frozen=True, slots=True)
 class Succession:
     """Whether another process of this balancer has taken over: this one only serves what it still gets."""
@@ -277,6 +289,7 @@
     | ProbeEnded
     | TimerDue
     | Cordoned
+    | ZoneHeld
     | Succession
 )
 
--- a/basaltspindle/net/console.py
+++ b/basaltspindle/net/console.py
@@ -21,6 +21,7 @@
 CALL_S = 3.0  # a call that is not whole by then is turned away
 LINGER_S = 0.5  # how long we wait for the caller to close first, so that no reset overtakes the answer
 ACCEPT_PAUSE_S = 0.05  # after an accept that failed
+OVER_MOST_MS = 3_600_000.0  # that leaving a zone may take
 CALL_MAX = 8_192  # bytes of a whole call
 _METHODS = {
     "/admin/health": "GET",
@@ -28,6 +29,9 @@
     "/admin/peers": "GET",
     "/admin/list": "GET",
     "/metrics": "GET",
+    "/admin/zones": "GET",
+    "/admin/zone/leave": "POST",
+    "/admin/zone/return": "POST",
     "/admin/cordon": "POST",
     "/admin/uncordon": "POST",
 }
@@ -53,6 +57,12 @@
     def list_report(self) -> dict[str, object]:
         """Where the list of servers is from, and how old it is."""
 
+    def zones(self) -> dict[str, dict[str, float]]:
+        """How it stands with each zone."""
+
+    def move_zone(self, zone: str, out: bool, over_ms: float, force: bool) -> tuple[int, str]:
+        """Leave a zone, or come back to it; the answer's status and text."""
+
     def cordon(self, server: str, out: bool) -> bool:
         """Leave a server out from now on, or let it serve again; False if nobody has that ID."""
 
@@ -177,6 +187,11 @@
         """A caller has gone."""
         self._calls.pop(call, None)
 
+    def _move_zone(self, out: bool, body: bytes) -> tuple[int, str]:
+        if (told := _read_move(body)) is None:
+            return 400, "the body must be a zone, then over=SECONDS and force at will"
+        return self._office.move_zone(told[0], out, *told[1:])
+
     def answer(self, method: str, target: bytes, body: bytes) -> tuple[int, str, Headers]:
         """Status, text and headers for one call."""
         path = target.partition(b"?")[0].decode("latin-1")
@@ -196,6 +211,10 @@
             return 200, self._office.metrics(), [(b"Content-Type", CONTENT_TYPE)]
         if path == "/admin/health":
             return (200, "ok", _TEXT) if self._office.is_serving() else (503, "not serving", _TEXT)
+        if path == "/admin/zones":
+            return 200, json.dumps(self._office.zones()), _JSON
+        if path.startswith("/admin/zone/"):
+            return *self._move_zone(path.endswith("leave"), body), _TEXT
         server = _read_id(body)
         if not server:
             return 400, "the body must be the ID of one upstream", _TEXT
@@ -204,6 +223,24 @@
         return 200, "ok", _TEXT
 
 
+def _read_move(body: bytes) -> tuple[str, float, bool] | None:
+    """A zone, `over=SECONDS` and `force`, the last two at will; None if the body is anything else."""
+    try:
+        zone, *options = body.decode().split()
+        over_ms, force = 0.0, False
+        for option in options:
+            name, _, value = option.partition("=")
+            if name == "over":
+                over_ms = float(value) * 1_000
+            elif option == "force":
+                force = True
+            else:
+                return None
+    except ValueError:
+        return None
+    return (zone, over_ms, force) if 0 <= over_ms <= OVER_MOST_MS else None
+
+
 def _read_id(body: bytes) -> str:
     """The ID that is the whole body, white space round it aside; empty if it is none."""
     try:
--- a/basaltspindle/net/driver.py
+++ b/basaltspindle/net/driver.py
@@ -147,6 +147,7 @@
         self.console = Console(config.console, loop, self) if config.console else None
         self._cordons = CordonFile(folder if config.console else None)
         self._back: dict[str, float] = {}  # the returns that the module has been told
+        self._zones: dict[str, face.ZoneHeld] = {}  # what the module has been told of zones
         self._ids: dict[str, None] = {}  # that lists have named, the newest last
         self._figures = Figures(c.name for c in config.settings.classes)
         self._keeper = self._make_keeper(config)
@@ -295,11 +296,11 @@
 
     def figures(self) -> dict[str, object]:
         """What operators read."""
-        return self._figures.report(len(self._list), len(self.balancer.avoided()))
+        return self._figures.report(len(self._list), len(self.balancer.avoided(self.clock.now())))
 
     def metrics(self) -> str:
         """The same figures in Prometheus' form."""
-        avoided = len(self.balancer.avoided())
+        avoided = len(self.balancer.avoided(self.clock.now()))
         members = self.peers.by_state() if self.peers else {}
         return metrics.write(self._figures, len(self._list), avoided, self.log.left_out, members)
 
@@ -345,6 +346,28 @@
             if self._back.get(server, 0.0) < at:
                 self._tell(face.Cordoned(server, out=False, back_at_ms=at))
         self._back = cordons.back
+        for name, word in cordons.zones.items():
+            if self._zones.get(name) != word:
+                self._tell(word)
+        self._zones = dict(cordons.zones)
+
+    def zones(self) -> dict[str, dict[str, float]]:
+        """How it stands with each zone."""
+        return self.balancer.zones(self.clock.now())
+
+    def move_zone(self, zone: str, out: bool, over_ms: float, force: bool) -> tuple[int, str]:
+        """Leave a zone, or come back to it, over a time: status and text of the answer."""
+        zones, now = self.zones(), self.clock.now()
+        if zone not in zones and zone not in self._zones:
+            return 404, f"no server is of that zone; there are {', '.join(zones) or 'none'}"
+        if out and not force and (trouble := _no_room(zone, zones)):
+            return 409, trouble
+        share = self.balancer.zone_share(zone, now)
+        if trouble := self._cordons.move(face.ZoneHeld(zone, out, now, over_ms, share)):
+            self.log.event("cordons_not_kept", trouble)
+        self._apply_cordons()
+        self.log.event("zone", "operators have us leave it" if out else "operators have us back", zone=zone)
+        return 200, "ok"
 
     def replace(self, config: Config) -> tuple[list[str], list[str]]:
         """Follow a configuration that the platform has replaced: what was taken, and what needs a restart."""
@@ -606,3 +629,14 @@
     def _probe(self, server: str) -> None:
         if self.upstreams.attempt(server, PROBE_MS / 1000, _HealthCheck(self, server)) is None:
             self._tell(face.ProbeEnded(server, Outcome.NOT_SENT))
+
+
+def _no_room(zone: str, zones: dict[str, dict[str, float]]) -> str:
+    """Why the calls that are out do not fit without a zone, in figures; empty if they do."""
+    if not any(name != zone and one["share"] > 0 for name, one in zones.items()):
+        return f"there is no other zone to go to: {', '.join(zones)}; `force` goes on"
+    out = sum(one["out"] for one in zones.values())
+    room = sum(one["room"] * one["share"] for name, one in zones.items() if name != zone)
+    if out <= room:
+        return ""
+    return f"{out:.1f} calls are out on average, and there is room for {room:.1f} elsewhere; `force` goes on"
--- a/basaltspindle/net/handover.py
+++ b/basaltspindle/net/handover.py
@@ -19,10 +19,12 @@
 import time
 from collections.abc import Callable, Iterator
 from contextlib import contextmanager, suppress
-from dataclasses import dataclass, field
+from dataclasses import dataclass, field, replace
 from pathlib import Path
 from typing import Any, Protocol
 
+from basaltspindle.interface import ZoneHeld
+
 BACK_MS = 600_000.0  # so long a return is remembered: longer than any server stays cold
 LOCK_TRIES, LOCK_PAUSE_S = 20, 0.005  # the lock is held for one small write; we do not wait for a stuck one
 FILE_MAX = 1_000_000
@@ -38,6 +40,8 @@
 
     out: frozenset[str] = frozenset()
     back: dict[str, float] = field(default_factory=dict)
+    zones: dict[str, ZoneHeld] = field(default_factory=dict)
+    """What operators last said of each zone."""
 
     def changed(self, server: str, out: bool, now_ms: float) -> Cordons:
         """With one server taken out, or put back; what changes nothing keeps the time of its return."""
@@ -45,8 +49,16 @@
             return self
         back = {name: at for name, at in self.back.items() if name != server and at > now_ms - BACK_MS}
         if out:
-            return Cordons(self.out | {server}, back)
-        return Cordons(self.out - {server}, back | {server: now_ms})
+            return replace(self, out=self.out | {server}, back=back)
+        return replace(self, out=self.out - {server}, back=back | {server: now_ms})
+
+    def moved(self, held: ZoneHeld) -> Cordons:
+        """With a zone left, or come back to; one that has long been back in full is forgotten."""
+        kept = {
+            name: one for name, one in self.zones.items()
+            if one.out or one.since_ms + one.over_ms > held.since_ms - BACK_MS
+        }  # fmt: skip
+        return replace(self, zones=kept | {held.zone: held})
 
 
 def _read_cordons(raw: Any) -> Cordons:
@@ -58,7 +70,19 @@
         raise ValueError("not a file of cordons")
     if not all(type(at) in (int, float) and math.isfinite(at) for at in back.values()):
         raise ValueError("not the times of returns")
-    return Cordons(frozenset(raw["out"]), {name: float(at) for name, at in back.items()})
+    zones = _read_zones(raw.get("zones", {}))  # a version before this one has none
+    return Cordons(frozenset(raw["out"]), {name: float(at) for name, at in back.items()}, zones)
+
+
+def _read_zones(raw: Any) -> dict[str, ZoneHeld]:
+    try:
+        zones = {name: ZoneHeld(name, bool(out), *map(float, rest)) for name, (out, *rest) in raw.items()}
+    except (TypeError, ValueError, AttributeError):
+        raise ValueError("not what was said of zones") from None
+    for held in zones.values():
+        if not all(math.isfinite(n) for n in (held.since_ms, held.over_ms, held.share)):
+            raise ValueError("not the figures of a zone")
+    return zones
 
 
 class CordonFile:
@@ -86,13 +110,20 @@
 
     def change(self, server: str, out: bool) -> str:
         """Take a server out or put it back; a line on what went wrong with the file, if anything did."""
+        return self._change(lambda cordons: cordons.changed(server, out, time.time() * 1000))
+
+    def move(self, held: ZoneHeld) -> str:
+        """Leave a zone or come back to it; a line on what went wrong with the file, if anything did."""
+        return self._change(lambda cordons: cordons.moved(held))
+
+    def _change(self, change: Callable[[Cordons], Cordons]) -> str:
         try:
             with self._locked():
                 self.refresh()
-                self.cordons = self.cordons.changed(server, out, time.time() * 1000)
+                self.cordons = change(self.cordons)
                 self._write()
         except OSError as error:
-            self.cordons = self.cordons.changed(server, out, time.time() * 1000)
+            self.cordons = change(self.cordons)
             return f"cordons are kept in memory alone: {error}"
         return ""
 
@@ -105,7 +136,11 @@
 
     def state(self) -> dict[str, object]:
         """What stands in the file, and goes to the next process."""
-        return {"out": sorted(self.cordons.out), "back": self.cordons.back}
+        zones = {
+            name: [held.out, held.since_ms, held.over_ms, held.share]
+            for name, held in self.cordons.zones.items()
+        }
+        return {"out": sorted(self.cordons.out), "back": self.cordons.back, "zones": zones}
 
     @contextmanager
     def _locked(self) -> Iterator[None]:
--- a/basaltspindle/policy/balancer.py
+++ b/basaltspindle/policy/balancer.py
@@ -23,6 +23,7 @@
 from basaltspindle.policy.roster import Roster
 from basaltspindle.policy.sampler import Field
 from basaltspindle.policy.servers import MEMORY_MS, Capacities, Server
+from basaltspindle.policy.zones import Zones
 
 SCAN = 64  # servers that are looked at one by one, for each choice, at the most
 TRIES = 24  # draws from a larger fleet until one meets a server that may be sent to
@@ -42,6 +43,7 @@
         self._random = random.Random(seed)
         self._roster = Roster(settings, self._random)
         self._capacities = Capacities()
+        self._zones = Zones()
         self._cold = ColdStarts(settings, self._random)
         self._rooms, self._line = Rooms(settings), Line()
         self._field, self._look_from = Field(), 0  # for large fleets
@@ -74,6 +76,8 @@
             case face.Cordoned():
                 self._roster.cordoned(event, now)
                 self._take_stock(now)
+            case face.ZoneHeld():
+                self._zones.hold(event)
             case face.Succession():
                 self._leaving = event.taken_over
             case face.ClientLeft():
@@ -94,9 +98,29 @@
         """The servers in use that a list has left out, and that have not proved dead."""
         return sorted(name for name, server in self._roster.ready.items() if server.doubted)
 
-    def avoided(self) -> list[str]:
+    def avoided(self, now: float) -> list[str]:
         """The listed servers that get no new work: held by operators, or ready and not kept to."""
-        return self._roster.avoided()
+        left = {zone for zone, share in self._zones.shares(now).items() if not share}
+        ready = self._roster.ready.items() if left else ()
+        return sorted({*self._roster.avoided(), *(n for n, s in ready if s.member.zone in left)})
+
+    def zone_share(self, zone: str, now: float) -> float:
+        """The part of a zone's capacity that is drawn from, 0 to 1."""
+        return self._zones.share(zone, now)
+
+    def zones(self, now: float) -> dict[str, dict[str, float]]:
+        """Of each zone: the part drawn from, ready servers, our calls out on average, and our room there."""
+        told: dict[str, dict[str, float]] = {}
+        for server in self._roster.ready.values():
+            server.catch_up(now)
+            zone = server.member.zone
+            one = told.setdefault(
+                zone, {"share": self.zone_share(zone, now), "ready": 0, "out": 0, "room": 0}
+            )
+            one["ready"] += 1
+            one["out"] += server.busy / MEMORY_MS
+            one["room"] += self._rooms.part * server.size
+        return told
 
     def _take_stock(self, now: float) -> None:
         """The servers that may get work have changed."""
@@ -251,9 +275,10 @@
             return self._choose(request, harmless(request, roster.ready.values(), self._settings, now), now)
         for server in roster.unused.values():
             # Operators watch for its first call, and as a cold one it would seldom be drawn.
-            if roster.keeps_to(server) and self._may_get(request, server, now):
+            stays = self._zones.share(server.member.zone, now) >= 1
+            if stays and roster.keeps_to(server) and self._may_get(request, server, now):
                 return server
-        if self._settings.calling_tier:
+        if self._settings.calling_tier and not self._zones.shares(now):
             # Many call each server, and each sees its own calls alone: few others call those near us.
             free = [s for s in roster.home() if not s.in_flight and self._may_get(request, s, now)]
             if free:
@@ -286,11 +311,12 @@
         if not able:
             return None
         capacity = [self._capacities.estimate(s, cold.warmth(s, now), now) for s in able]
-        return least_loaded(draws(able, capacity, self._settings.zone, self._random), self._random)
+        shares = self._zones.shares(now)
+        return least_loaded(draws(able, capacity, self._settings.zone, shares, self._random), self._random)
 
     def _draw(self, request: Request, now: float) -> Server | None:
         """Choose from more servers than can be looked at: where draws meet none, look at some of them."""
-        drawn = self._field.draws(self._settings.zone, self._random, TRIES)
+        drawn = self._field.draws(self._settings.zone, self._zones.shares(now), self._random, TRIES)
         able = ((s, self._weigh(s, now)) for s in drawn if self._may_get(request, s, now))
         if (server := least_loaded(able, self._random)) is None:
             self._look_from = (self._look_from + SCAN) % self._roster.kept
--- a/basaltspindle/policy/draw.py
+++ b/basaltspindle/policy/draw.py
@@ -8,8 +8,8 @@
 from collections.abc import Iterable, Iterator
 from itertools import accumulate
 
-from basaltspindle.policy.sampler import totals_of, zone_parts
 from basaltspindle.policy.servers import Server
+from basaltspindle.policy.zones import totals_of, zone_parts
 
 DRAWS = 4  # the most for d of the design, while each server drawn holds a call of ours
 
@@ -30,10 +30,14 @@
 
 
 def draws(
-    able: list[Server], capacity: list[float], own_zone: str, chance: random.Random
+    able: list[Server],
+    capacity: list[float],
+    own_zone: str,
+    shares: dict[str, float],
+    chance: random.Random,
 ) -> Iterator[tuple[Server, float]]:
     """Draw without end from a short list, by capacity, with the servers of our zone preferred."""
-    parts = zone_parts(totals_of(able, capacity), own_zone)
+    parts = zone_parts(totals_of(able, capacity), own_zone, shares)
     sums = list(accumulate(parts[s.member.zone] * c for s, c in zip(able, capacity, strict=True)))
     while True:
         i = min(bisect(sums, chance.random() * sums[-1]), len(able) - 1)
--- a/basaltspindle/policy/limits.py
+++ b/basaltspindle/policy/limits.py
@@ -27,6 +27,11 @@
         self._sharers = float(settings.balancers)
         self.waiting_most = 0
 
+    @property
+    def part(self) -> float:
+        """The calls of usual worth that we may have out at a server, for each unit of its size."""
+        return CHEAP_PART * ROOM / self._sharers
+
     def share(self, ready: int, kept: int, size: float) -> None:
         """Take our part: of so many ready servers of this size in all we keep to some, as others do."""
         self._sharers = max(self._balancers * kept / max(ready, 1), 1.0)
--- a/basaltspindle/policy/sampler.py
+++ b/basaltspindle/policy/sampler.py
@@ -3,9 +3,10 @@
 from __future__ import annotations
 
 import random
-from collections.abc import Iterable, Iterator
+from collections.abc import Iterator
 
 from basaltspindle.policy.servers import Server
+from basaltspindle.policy.zones import zone_parts
 
 REBUILD_PER_SLOT = 8  # sums are added up anew after so many changes for each slot: rounding errors stay small
 
@@ -112,10 +113,12 @@
         self._trees.clear()
         self._zones.clear()
 
-    def draws(self, own_zone: str, chance: random.Random, most: int) -> Iterator[Server]:
+    def draws(
+        self, own_zone: str, shares: dict[str, float], chance: random.Random, most: int
+    ) -> Iterator[Server]:
         """Servers drawn by weight, with those of our zone preferred; the same one may come twice."""
         totals = {zone: tree.total for zone, tree in self._trees.items()}
-        parts = zone_parts(totals, own_zone)
+        parts = zone_parts(totals, own_zone, shares)
         sums = {zone: totals[zone] * part for zone, part in parts.items()}
         whole = sum(sums.values())
         for _ in range(most):
@@ -126,21 +129,3 @@
                         yield server
                     break
                 point -= weight
-
-
-def zone_parts(totals: dict[str, float], own: str) -> dict[str, float]:
-    """The part of each zone's capacity that we draw from: our own, and those with more than their part."""
-    if not own or own not in totals or len(totals) < 2:
-        return dict.fromkeys(totals, 1.0)
-    part = sum(totals.values()) / len(totals)
-    over = {zone: max(c - part, 0.0) for zone, c in totals.items()}
-    spill = max(part - totals[own], 0.0) / (sum(over.values()) or 1.0)  # all may be alike
-    return {z: (min(c, part) if z == own else spill * over[z]) / c for z, c in totals.items()}
-
-
-def totals_of(servers: Iterable[Server], capacity: Iterable[float]) -> dict[str, float]:
-    """The capacity of each zone."""
-    zones: dict[str, float] = {}
-    for server, c in zip(servers, capacity, strict=True):
-        zones[server.member.zone] = zones.get(server.member.zone, 0.0) + c
-    return zones
--- /dev/null
+++ b/basaltspindle/policy/zones.py
@@ -0,0 +1,61 @@
+"""What part of each zone is drawn from: near first, and less of one that operators have left."""
+
+from __future__ import annotations
+
+import math
+from collections.abc import Iterable
+
+from basaltspindle import interface as face
+from basaltspindle.policy.servers import Server
+
+
+class Zones:
+    """The zones that operators have us leave, or come back to: in steps, by the time they gave."""
+
+    def __init__(self) -> None:
+        self._held: dict[str, face.ZoneHeld] = {}
+        self.left = 0.0  # when the last of the moves is over; inf while a zone is left
+
+    def hold(self, event: face.ZoneHeld) -> None:
+        """Take operators' word on a zone."""
+        self._held[event.zone] = event
+        ends = [math.inf if h.out else h.since_ms + h.over_ms for h in self._held.values()]
+        self.left = max(ends)
+
+    def share(self, zone: str, now: float) -> float:
+        """The part of a zone's capacity that is drawn from, 0 to 1."""
+        if (held := self._held.get(zone)) is None:
+            return 1.0
+        moved = min((now - held.since_ms) / held.over_ms, 1.0) if held.over_ms > 0 else 1.0
+        return held.share + (float(not held.out) - held.share) * max(moved, 0.0)
+
+    def shares(self, now: float) -> dict[str, float]:
+        """The zones of which less than all is drawn from."""
+        if now >= self.left:
+            return {}
+        known = {zone: self.share(zone, now) for zone in self._held}
+        return {zone: share for zone, share in known.items() if share < 1}
+
+
+def zone_parts(totals: dict[str, float], own: str, shares: dict[str, float]) -> dict[str, float]:
+    """The part of each zone's capacity that we draw from: our own, and those with more than their part.
+
+    Of a zone that is being left only its share counts; if nothing else is there, it counts in full.
+    """
+    left = {zone: c * shares.get(zone, 1.0) for zone, c in totals.items()} if shares else totals
+    if not any(left.values()):
+        left, shares = totals, {}
+    if not own or own not in left or len(left) < 2:
+        return {zone: shares.get(zone, 1.0) for zone in left}
+    part = sum(left.values()) / len(left)
+    over = {zone: max(c - part, 0.0) for zone, c in left.items()}
+    spill = max(part - left[own], 0.0) / (sum(over.values()) or 1.0)  # all may be alike
+    return {z: (min(c, part) if z == own else spill * over[z]) / totals[z] for z, c in left.items()}
+
+
+def totals_of(servers: Iterable[Server], capacity: Iterable[float]) -> dict[str, float]:
+    """The capacity of each zone."""
+    zones: dict[str, float] = {}
+    for server, c in zip(servers, capacity, strict=True):
+        zones[server.member.zone] = zones.get(server.member.zone, 0.0) + c
+    return zones
--- a/tests/test_policy.py
+++ b/tests/test_policy.py
@@ -360,13 +360,13 @@
         desk.serve()
     desk.tell(Cordoned("s0", out=True))
     assert "s0" not in {desk.serve() for _ in range(100)}
-    assert desk.balancer.avoided() == ["s0"]
+    assert desk.balancer.avoided(desk.now) == ["s0"]
     desk.show(*members(4))  # no list lifts it
     desk.show(*members(3)[1:], kind=ListKind.FULL)
     desk.show(*members(4))
     assert "s0" not in {desk.serve() for _ in range(100)}
     desk.tell(Cordoned("s0", out=False, back_at_ms=desk.now))
-    assert desk.balancer.avoided() == []
+    assert desk.balancer.avoided(desk.now) == []
     served = [desk.serve() for _ in range(100)]  # 5 s, as a server that has just started
     assert 0 < served.count("s0") < 15
     desk.now += 10_000
@@ -393,7 +393,7 @@
     desk = Desk(2)
     desk.tell(Cordoned("new", out=True))
     desk.show(Member("new"))
-    assert desk.balancer.avoided() == ["new"]
+    assert desk.balancer.avoided(desk.now) == ["new"]
     _, actions = desk.ask()
     assert not sent(actions) and of_kind(actions, Refuse)
 
--- a/tests/test_sampler.py
+++ b/tests/test_sampler.py
@@ -44,10 +44,10 @@
     field.put(server("s1", "a"), 1.0)
     moved.member = Member("s0", zone="b")
     field.put(moved, 1.0)
-    drawn = Counter(s.member.server for s in field.draws("", random.Random(1), 400))
+    drawn = Counter(s.member.server for s in field.draws("", {}, random.Random(1), 400))
     assert len(field) == 2 and abs(drawn["s0"] - 200) < 50 < drawn["s1"]
     field.drop("s0")
-    assert {s.member.server for s in field.draws("a", random.Random(1), 50)} == {"s1"}
+    assert {s.member.server for s in field.draws("a", {}, random.Random(1), 50)} == {"s1"}
 
 
 @pytest.mark.parametrize("count", [10, 2_000])
@@ -131,12 +131,12 @@
 def test_each_of_many_balancers_keeps_to_a_part_of_a_large_fleet_as_it_changes() -> None:
     desk = Desk(0, balancers=60)
     desk.show(*members(400))
-    assert len(desk.balancer.avoided()) == 200
+    assert len(desk.balancer.avoided(desk.now)) == 200
     desk.show(*(Member(f"s{i}", Readiness.GONE) for i in range(200)), kind=ListKind.DELTA)
-    avoided = set(desk.balancer.avoided())
+    avoided = set(desk.balancer.avoided(desk.now))
     assert len(avoided) == 100
     assert not {desk.serve() for _ in range(600)} & avoided
     desk.show(*members(300))
-    avoided = set(desk.balancer.avoided())
+    avoided = set(desk.balancer.avoided(desk.now))
     assert len(avoided) == 150
     assert not {desk.serve() for _ in range(600)} & avoided
--- /dev/null
+++ b/tests/test_zones.py
@@ -0,0 +1,176 @@
+"""Zones by hand: left and come back to in steps, over restarts, and refused where the rest has no room."""
+
+from __future__ import annotations
+
+import asyncio
+import json
+from collections import Counter
+from pathlib import Path
+from typing import Any
+
+import pytest
+
+from basaltspindle.interface import AttemptEnded, Cordoned, Member, Outcome, Readiness, ZoneHeld
+from basaltspindle.net import handover
+from basaltspindle.net.handover import CordonFile
+from basaltspindle.policy.zones import Zones, zone_parts
+from tests.helpers import Desk, sent
+from tests.loopback import Rig, Upstream, read_message, run
+
+
+def drawn_zones(desk: Desk, count: int = 400) -> Counter[str]:
+    """To which zones requests go, each served after a moment."""
+    found: Counter[str] = Counter()
+    for _ in range(count):
+        for send in sent(desk.ask()[1]):
+            found[desk.balancer._roster.servers[send.server].member.zone] += 1
+            desk.now += 5.0
+            desk.tell(AttemptEnded(send.request, 0, send.server, Outcome.SERVED, True))
+    return found
+
+
+def test_a_zone_is_left_and_come_back_to_in_steps() -> None:
+    zones = Zones()
+    assert zones.shares(50.0) == {}
+    zones.hold(ZoneHeld("a", out=True, since_ms=100.0, over_ms=1_000.0))
+    assert [round(zones.share("a", at), 2) for at in (100.0, 350.0, 1_100.0, 9_999.0)] == [
+        1.0,
+        0.75,
+        0.0,
+        0.0,
+    ]
+    zones.hold(ZoneHeld("a", out=False, since_ms=350.0, over_ms=1_000.0, share=0.75))
+    assert [round(zones.share("a", at), 2) for at in (350.0, 850.0, 1_350.0)] == [0.75, 0.88, 1.0]
+    assert zones.shares(850.0).keys() == {"a"} and zones.shares(1_350.0) == {}
+
+
+def test_what_a_zone_that_is_left_held_goes_to_those_with_more_than_their_part() -> None:
+    even = {"a": 4.0, "b": 4.0, "c": 4.0}
+    half = zone_parts(even, "a", {"a": 0.5})
+    weights = {zone: even[zone] * part for zone, part in half.items()}
+    assert weights["a"] == pytest.approx(2.0)
+    assert weights["b"] == weights["c"] == pytest.approx(2 / 3)
+    gone = zone_parts(even, "a", {"a": 0.0})
+    assert gone["a"] == 0.0 and gone["b"] == gone["c"] > 0
+    assert zone_parts(even, "", {"b": 0.25}) == {"a": 1.0, "b": 0.25, "c": 1.0}
+
+
+def test_where_nothing_else_is_there_a_zone_that_was_left_serves_on() -> None:
+    assert zone_parts({"a": 4.0}, "a", {"a": 0.0}) == {"a": 1.0}
+    assert zone_parts({"a": 4.0, "b": 2.0}, "", {"a": 0.0, "b": 0.0}) == {"a": 1.0, "b": 1.0}
+
+
+@pytest.mark.parametrize("servers", [6, 300])
+def test_nothing_goes_to_a_zone_that_was_left_and_it_counts_as_avoided(servers: int) -> None:
+    desk = Desk(count=servers, zone="z0")
+    assert drawn_zones(desk)["z0"] > 300
+    desk.tell(ZoneHeld("z0", out=True, since_ms=desk.now, over_ms=1_000.0))
+    desk.now += 1_000.0
+    assert drawn_zones(desk).keys() == {"z1"}
+    in_zone = {f"s{i}" for i in range(0, servers, 2)}
+    assert in_zone <= set(desk.balancer.avoided(desk.now))
+    desk.tell(ZoneHeld("z0", out=False, since_ms=desk.now, over_ms=10_000.0, share=0.0))
+    desk.now += 10_000.0
+    assert drawn_zones(desk)["z0"] > 300
+
+
+def test_an_inner_balancer_leaves_its_own_zone_too() -> None:
+    desk = Desk(count=12, zone="z0", calling_tier=1, balancers=4)
+    desk.tell(ZoneHeld("z0", out=True, since_ms=desk.now))
+    assert drawn_zones(desk).keys() == {"z1"}
+
+
+def test_a_server_put_back_in_a_zone_that_was_left_waits_for_the_zone() -> None:
+    desk = Desk(count=4, zone="z0")
+    desk.tell(ZoneHeld("z1", out=True, since_ms=desk.now))
+    desk.show(
+        Member("new", Readiness.READY, "z1", up_since_ms=desk.now),
+        *[Member(f"s{i}", zone=f"z{i % 2}") for i in range(4)],
+    )
+    desk.tell(Cordoned("new", out=True))
+    desk.tell(Cordoned("new", out=False, back_at_ms=desk.now))
+    assert drawn_zones(desk, 50).keys() == {"z0"}
+
+
+async def call(rig: Rig, method: str, path: str, body: str = "") -> tuple[int, str]:
+    """One operators' call."""
+    assert rig.driver.console is not None
+    reader, writer = await asyncio.open_connection(*rig.driver.console.address[:2])
+    data = body.encode()
+    writer.write(
+        f"{method} {path} HTTP/1.1\r\nHost: h\r\nContent-Length: {len(data)}\r\n\r\n".encode() + data
+    )
+    answer = await read_message(reader)
+    writer.close()
+    return int(answer.line.split(" ")[1]), answer.body.decode().strip()
+
+
+def test_operators_leave_a_zone_and_are_told_what_is_wrong() -> None:
+    async def scenario() -> None:
+        async with Rig(Upstream(), Upstream()) as rig:
+            entries = [rig.entries[0], rig.entries[1] | {"zone": "b"}]
+            rig.discovery.tell(9, *entries)
+            await rig.discovery.calls.get()
+            await rig.discovery.calls.get()
+            for body, wanted in (
+                ("", 400), ("a over=x", 400), ("a later", 400), ("a over=-1", 400), ("a over=1e9", 400),
+                ("nowhere", 404),
+            ):  # fmt: skip
+                assert (await call(rig, "POST", "/admin/zone/leave", body))[0] == wanted, body
+            assert await call(rig, "POST", "/admin/zone/leave", "a") == (200, "ok")
+            before = len(rig.upstreams[0].asked)
+            for _ in range(5):
+                await rig.ask()
+            assert len(rig.upstreams[0].asked) == before
+            code, text = await call(rig, "POST", "/admin/zone/leave", "b")
+            assert code == 409 and "no other zone" in text and "force" in text
+            zones = json.loads((await call(rig, "GET", "/admin/zones"))[1])
+            assert (zones["a"]["share"], zones["b"]["share"], zones["a"]["ready"]) == (0.0, 1.0, 1)
+            stats = json.loads((await call(rig, "GET", "/admin/stats"))[1])
+            assert stats["ejected"] == 1
+            assert (await call(rig, "POST", "/admin/zone/return", "a over=0"))[0] == 200
+            assert json.loads((await call(rig, "GET", "/admin/zones"))[1])["a"]["share"] == 1.0
+
+    run(scenario())
+
+
+def test_a_zone_is_not_left_where_the_rest_has_no_room_unless_forced() -> None:
+    async def scenario() -> None:
+        async with Rig(Upstream(), Upstream()) as rig:
+            rig.discovery.tell(9, rig.entries[0], rig.entries[1] | {"zone": "b", "weight": 0.1})
+            await rig.discovery.calls.get()
+            await rig.discovery.calls.get()
+            server = rig.driver.balancer._roster.servers["s0"]
+            server.catch_up(rig.driver.clock.now())
+            server.busy = 60_000.0  # ten calls out at any time
+            code, text = await call(rig, "POST", "/admin/zone/leave", "a")
+            assert code == 409 and "calls are out on average" in text
+            assert (await call(rig, "POST", "/admin/zone/leave", "a force"))[0] == 200
+
+    run(scenario())
+
+
+def test_what_was_said_of_zones_outlasts_the_process(tmp_path: Path) -> None:
+    file, held = CordonFile(tmp_path), ZoneHeld("east", True, 1_000.0, 60_000.0, 0.5)
+    assert file.move(held) == ""
+    again = CordonFile(tmp_path)
+    assert again.refresh() and again.cordons.zones == {"east": held}
+    assert again.change("s0", out=True) == ""
+    assert again.cordons.zones == {"east": held}
+    later = held.since_ms + handover.BACK_MS + 1
+    back = ZoneHeld("east", False, 2_000.0, 0.0, 0.5)
+    assert again.cordons.moved(back).moved(ZoneHeld("west", True, later + 2_000.0)).zones.keys() == {"west"}
+
+
+@pytest.mark.parametrize(
+    "zones", [[], {"a": 1}, {"a": [True, "x"]}, {"a": [True, 1, 2, 3, 4, 5]}, {"a": [True, 1e999]}]
+)
+def test_a_file_with_zones_that_are_none_is_passed_over(tmp_path: Path, zones: Any) -> None:
+    (tmp_path / "cordons.json").write_text(json.dumps({"out": ["s0"], "back": {}, "zones": zones}))
+    assert not CordonFile(tmp_path).refresh()
+
+
+def test_a_file_of_the_version_before_has_no_zones(tmp_path: Path) -> None:
+    (tmp_path / "cordons.json").write_text(json.dumps({"out": ["s0"], "back": {}}))
+    file = CordonFile(tmp_path)
+    assert file.refresh() and file.cordons.out == {"s0"} and file.cordons.zones == {}
