--- a/basaltspindle/world/balancers.py
+++ b/basaltspindle/world/balancers.py
@@ -217,7 +217,8 @@
         timeout = min(action.timeout_ms or left, left)
         attempt.timer = world.clock.after(max(timeout, 0.0), self._over, number, index, Outcome.TIMED_OUT)
         server = world.servers[name]
-        world.ledger.attempt(self.zone != server.build.zone)
+        zone = server.build.zone
+        world.ledger.attempt(self.zone != zone, zone, self.tier == 0, world.clock.now)
         idle = self._idle.get(name)
         if idle:
             stale = world.clock.now - idle.pop() >= world.idle_ms
--- a/basaltspindle/world/scenario.py
+++ b/basaltspindle/world/scenario.py
@@ -158,6 +158,7 @@
     for_s: Range = 5.0
     part: Range = 0.1
     size: Range = 2.0
+    zone: bool = False  # whether `part` is of the last zone's servers alone
 
 
 class Goal(Part, frozen=True, forbid_unknown_fields=True):
--- a/basaltspindle/world/troubles.py
+++ b/basaltspindle/world/troubles.py
@@ -65,28 +65,30 @@
         self.log.append((self._world.clock.now, item.kind))
         begin(item, number(item.for_s) * 1_000)  # type: ignore[operator]
 
-    def _some(self, part: float) -> list[Server]:
-        """So many of the servers of both tiers, one at the least."""
+    def _some(self, item: Trouble) -> list[Server]:
+        """So many of the servers of both tiers, or of a zone's, one at the least."""
         chosen: list[Server] = []
+        part, zones = number(item.part), self._world.zones[-1:] if item.zone else self._world.zones
         for tier in (0, 1):
             up = [s for s in self._world.tiers[tier] if s.is_up and not s.is_draining]
+            up = [s for s in up if s.build.zone in zones]
             count = max(round(part * len(up)), 1 if tier == 0 else 0)
             chosen += [up[i] for i in self._rng.choice(len(up), min(count, len(up)), replace=False)]
         return chosen
 
     def _slow(self, item: Trouble, length: float) -> None:
-        for server in self._some(number(item.part)):
+        for server in self._some(item):
             self._set(server, "slow", number(item.size))
             self._world.clock.after(length, self._set, server, "slow", 1.0)
 
     def _errors(self, item: Trouble, length: float) -> None:
-        for server in self._some(number(item.part)):
+        for server in self._some(item):
             self._set(server, "failing", min(number(item.size), 1.0))
             self._world.clock.after(length, self._set, server, "failing", server.build.error_rate)
 
     def _pauses(self, item: Trouble, length: float) -> None:
         clock = self._world.clock
-        for server in self._some(number(item.part)):
+        for server in self._some(item):
             at = float(self._rng.uniform(0, PAUSE_EVERY_MS))
             while at < length:
                 clock.after(at, self._set, server, "paused", True)
@@ -99,7 +101,7 @@
 
     def _replace(self, item: Trouble, length: float) -> None:
         """Some servers drain one after another and are replaced by cold ones with new names."""
-        servers = self._some(number(item.part))
+        servers = self._some(item)
         for order, server in enumerate(servers):
             self._world.clock.after(length * order / len(servers), self._drain, server)
 
--- a/basaltspindle/world/worth.py
+++ b/basaltspindle/world/worth.py
@@ -2,7 +2,7 @@
 
 from __future__ import annotations
 
-from collections import defaultdict
+from collections import Counter, defaultdict
 from dataclasses import dataclass, field
 
 from basaltspindle.world.scenario import Day
@@ -53,6 +53,7 @@
         self._left = {name: QUOTA_BURST_MS / 1_000 * quota for name, quota in quotas.items()}
         self._seen = 0.0
         self.attempts, self.crossings, self.probes = 0, 0, 0
+        self.by_zone: dict[int, Counter[str]] = defaultdict(Counter)  # calls of front balancers, by second
 
     def open(self, at: float, cls: str, tenant: str, work: float, worth: float, aim: float) -> Wish:
         """A first try: worth little where its tenant is past its share."""
@@ -68,10 +69,12 @@
         self.wishes.append(wish)
         return wish
 
-    def attempt(self, crosses: bool) -> None:
-        """An attempt has been made; `crosses` says that it leaves its zone."""
+    def attempt(self, crosses: bool, zone: str, of_front: bool, now: float) -> None:
+        """An attempt has been made to a zone; `crosses` says that it leaves its own."""
         self.attempts += 1
         self.crossings += crosses
+        if of_front:
+            self.by_zone[int(now / 1_000)][zone] += 1
 
     def close(self, worked: float, choked: float) -> Worth:
         """The day's figure; `worked` is all work done, `choked` the part of servers that a crowd slowed."""
--- a/tests/test_world.py
+++ b/tests/test_world.py
@@ -278,6 +278,21 @@
     assert kind == "burst" or result.log == [(1_000.0, kind)], "all troubles began with the day"
 
 
+def test_a_trouble_of_a_zone_befalls_the_last_one_alone() -> None:
+    world = World(
+        day('[[trouble]]\nkind = "errors"\nat_s = 1\nfor_s = 1\npart = 1\nsize = 0.5\nzone = true\n'),
+        Balancer,
+    )
+    seen: set[str] = set()
+
+    def look() -> None:
+        seen.update(s.build.zone for s in world.servers.values() if s.failing == 0.5)
+
+    world.clock.after(1_500.0, look)
+    world.run()
+    assert seen == {world.zones[-1]}
+
+
 @pytest.mark.parametrize("name", BASELINES)
 def test_baselines_play_a_day_and_the_oracle_is_the_best(name: str) -> None:
     from basaltspindle.lab.policies import world
--- /dev/null
+++ b/tests/test_zone_plays.py
@@ -0,0 +1,24 @@
+"""What `benchmarks.zones` says of a play: the worst second, the way back, and turns."""
+
+from __future__ import annotations
+
+import pytest
+
+from benchmarks.zones import Play, judge, turns
+
+
+def test_small_moves_of_a_part_are_no_turns_and_large_ones_are() -> None:
+    assert turns([0.33, 0.36, 0.30, 0.34]) == 0
+    assert turns([0.33, 0.05, 0.04, 0.33]) == 1
+    assert turns([0.33, 0.05, 0.33, 0.05, 0.33]) == 3
+    assert turns([0.3, 0.35, 0.4, 0.45, 0.3]) == 1
+
+
+def test_the_worst_second_and_the_way_back_count_from_the_trouble_on() -> None:
+    served = {s: 1.0 for s in range(20)} | {1: 0.2, 8: 0.5, 9: 0.9, 13: 0.9}
+    done = Play("x", 1, served, {s: {"c": 0.3} for s in range(20)}, 8, 12, 0.0, 1.0)
+    judge(done, "c")
+    assert (done.worst, done.back_s, done.turns) == (0.5, 2, 0)
+    done.served = {s: 1.0 for s in range(20)} | {9: 0.9}
+    judge(done, "c")
+    assert done.back_s == pytest.approx(-2), "back before the trouble was over"
