Pace the list service's watches whether they are here or between two calls

Seen: a thousand balancers and ten thousand servers in virtual time, a release of all over 300 s: 25,800 calls a second, 0.78 of the service's core where half is meant, and after an outage, when a pile of writes came at once, up to 175 calls a second of each balancer.

Cause: the pace counted the watches that were waiting at that moment, not those that had just been answered; and a watch that came back was answered at once if there was any news, past the pace.

--- a/basaltspindle/directory/service.py
+++ b/basaltspindle/directory/service.py
@@ -78,6 +78,7 @@
         self._flushing: asyncio.TimerHandle | None = None
         self._news = asyncio.Event()
         self._waking: asyncio.TimerHandle | None = None
+        self._told_up_to = self.catalog.index  # when watches were woken last
         self._pace = Pace()
         self._answers: dict[tuple[str, int, int], bytes | None] = {}
         self.serialized = self.told = self.watching = 0
@@ -125,8 +126,9 @@
         until = loop.time() + wait_ms / 1_000
         while True:
             news = self._news
-            data = self._news_since(tier, after)
             left = until - loop.time()
+            waits = left > 0 and self._is_told(after)
+            data = None if waits else self._news_since(tier, after)
             if data is None and left <= 0:
                 data = self._serialize(after, [])
             if data is not None:
@@ -138,6 +140,13 @@
             except TimeoutError:
                 continue
 
+    def _is_told(self, after: int) -> bool:
+        """Whether who has seen a version knows all that was told at the last wake.
+
+        What came since is told at the next one: else each watch would ask again for each change.
+        """
+        return self._told_up_to <= after <= self.catalog.index and self.catalog.knows(after)
+
     def _news_since(self, tier: str, after: int) -> bytes | None:
         """What all get who have seen a version: found and written once. None if nothing has changed."""
         key = tier, after, self.catalog.index
@@ -279,8 +288,8 @@
             self._wake_all()
 
     def _wake_all(self) -> None:
-        self._waking = None
-        self._pace.woke(asyncio.get_running_loop().time())
+        self._waking, self._told_up_to = None, self.catalog.index
+        self._pace.woke(asyncio.get_running_loop().time(), self.watching)
         news, self._news = self._news, asyncio.Event()
         news.set()
 
--- a/basaltspindle/world/watches.py
+++ b/basaltspindle/world/watches.py
@@ -60,6 +60,7 @@
     waking: bool = False
     busy_ms: float = 0.0
     known: int = 0
+    told_up_to: int = 0
 
 
 class Seat:
@@ -189,14 +190,19 @@
 
     def _wake(self, site: Site) -> None:
         site.waking = False
-        site.pace.woke((self.clock.now - START_MS) / 1_000)
         held, site.held = site.held, []
+        site.told_up_to = site.catalog.index
+        site.pace.woke((self.clock.now - START_MS) / 1_000, len(held))
         for one in held:
             self._answer(site, one)
 
     def _answer(self, site: Site, held: Held) -> None:
         """Answer a watch if there is news, or hold it."""
-        changed = site.catalog.changes("first", held.ask.after, self.clock.now)
+        after = held.ask.after
+        if site.told_up_to <= after <= site.catalog.index and site.catalog.knows(after):
+            site.held.append(held)  # as the service does: what is newer is told at the next wake
+            return
+        changed = site.catalog.changes("first", after, self.clock.now)
         if changed is not None and not changed:
             site.held.append(held)
         else:
--- a/tests/test_directory.py
+++ b/tests/test_directory.py
@@ -23,6 +23,7 @@
 from basaltspindle.directory import Catalog, Change, Refused, Registration, Rules, Status, first_index
 from basaltspindle.directory.agent import Agent
 from basaltspindle.directory.caller import Caller, CallError
+from basaltspindle.directory.pace import ANSWER_S, WAKES_PART, Pace
 from basaltspindle.directory.service import Service
 from basaltspindle.directory.store import Store, StoreError
 from basaltspindle.drill.fleet import free_port
@@ -256,6 +257,15 @@
     assert list(store.verify()) == []
 
 
+def test_watches_that_are_between_two_calls_count_for_the_pace() -> None:
+    """Who had just been answered did not count: a thousand watches took 0.78 of a core in place of half."""
+    pace = Pace()
+    assert pace.due(1_000) == float("-inf")
+    pace.woke(10.0, 1_000)
+    assert pace.due(5) == pytest.approx(10.0 + 1_000 * ANSWER_S / WAKES_PART)
+    assert pace.due(2_000) == pytest.approx(10.0 + 2_000 * ANSWER_S / WAKES_PART)
+
+
 def test_a_stream_of_changes_wakes_watches_no_more_often_than_they_can_be_answered(
     monkeypatch: pytest.MonkeyPatch,
 ) -> None:
@@ -267,7 +277,7 @@
             watch = asyncio.create_task(http.get(url))
             while not service.watching:
                 await asyncio.sleep(0.005)
-            service._pace.woke(asyncio.get_running_loop().time())
+            service._pace.woke(asyncio.get_running_loop().time(), 1)
             for number in range(3):
                 body = entry(f"127.0.0.1:{number + 1}")
                 async with http.put(f"http://{at}/v1/servers/s{number}", json=body) as answer:
--- a/tests/test_watches.py
+++ b/tests/test_watches.py
@@ -32,6 +32,18 @@
     assert max(fleet.calls[second] for second in range(25, 30)) < 200
 
 
+def test_after_an_outage_a_pile_of_writes_does_not_make_each_balancer_ask_for_each() -> None:
+    """A watch that came back was answered at once if there was any news: 175 calls a second of each."""
+    fleet = Watched(balancers=50, servers=500, instances=1, seed=1)
+    fleet.run(5_000.0)
+    fleet.release(30_000.0)
+    fleet.run(10_000.0)
+    fleet.outage(10_000.0)
+    fleet.run(30_000.0)
+    assert max(fleet.calls.values()) <= 50 * 55
+    assert fleet.figures()["not_heard"] == 0
+
+
 def test_a_play_is_the_same_again() -> None:
     def figures() -> dict[str, float]:
         fleet = Watched(balancers=10, servers=20, instances=2, seed=3)
