Drill zones: by hand, lost, half, one way, slow, flapping, everything bad

Need: zones were shown in the lab alone, and leaving by hand not at all with several processes.

Change: the step `zone`, `@east` for whoever is of a zone in patterns of links, seven drills, and checks: `left` (nothing strays to a zone that was left, and its calls come back), `ramps` (a move is done in steps), `swings` (how often a zone's part turns).

--- a/basaltspindle/drill/checks.py
+++ b/basaltspindle/drill/checks.py
@@ -14,6 +14,7 @@
 from basaltspindle.drill.listchecks import asked, heard, kept, undone, versions
 from basaltspindle.drill.script import Script
 from basaltspindle.drill.story import SECOND, Check, Story, most
+from basaltspindle.drill.zonechecks import left, ramps, swings
 
 LEAST_IN_SECOND = 5  # first tries, below which a second's share says nothing
 BLAMELESS = ("kill", "stop")  # what is done to a balancer that excuses the loss of what it held
@@ -267,5 +268,5 @@
 
 CHECKS: tuple[Callable[[Story, Script], Check], ...] = (
     answered, from_servers, once, drains, named, cold, late, served, back, attempts, crossed,
-    views, versions, asked, heard, kept, undone, standing, whole,
+    views, versions, asked, heard, kept, undone, left, ramps, swings, standing, whole,
 )  # fmt: skip
--- a/basaltspindle/drill/deeds.py
+++ b/basaltspindle/drill/deeds.py
@@ -70,6 +70,8 @@
                 self._change_list(state, who)
             case steps.Cordon(who=who, out=out):
                 await self._cordon(who, out)
+            case steps.Zone():
+                await self._move_zone(step)
             case steps.Pin(who=who, at=at):
                 await self._crew.listing.pin(self._fleet.spots[at], who)
             case steps.Replace():
@@ -187,6 +189,12 @@
         for spot in self._fleet.balancers(self._fleet.spots[who].tier):
             await self._crew.call(spot.console, "POST", call, who)
 
+    async def _move_zone(self, step: steps.Zone) -> None:
+        self._fault("zone", step.out, [step.zone], zone=step.zone, over_s=step.over_s)
+        call = "zone/leave" if step.out else "zone/return"
+        for spot in self._fleet.balancers(FIRST):
+            await self._crew.call(spot.console, "POST", call, f"{step.zone} over={step.over_s:g}")
+
     async def _replace(self, step: steps.Replace) -> None:
         """The console's way: start the new process beside the old one, see it healthy, end the old one."""
         spot, old = self._fleet.spots[step.who], self._crew[step.who]
--- a/basaltspindle/drill/fleet.py
+++ b/basaltspindle/drill/fleet.py
@@ -169,9 +169,22 @@
         return [link for link in self.links.values() if link.name.endswith(f">{name}")]
 
     def matching(self, pattern: str) -> list[Link | DatagramLink]:
-        """The links, and ways of notes, of a pattern such as `b*>s1`."""
+        """The links, and ways of notes, of a pattern such as `b*>s1`; `@east` is whoever is of that zone."""
         every: dict[str, Link | DatagramLink] = {**self.links, **self.ways}
-        return [link for name, link in every.items() if fnmatchcase(name, pattern)]
+        one, _, other = pattern.partition(">")
+        return [
+            link
+            for name, link in every.items()
+            if fnmatchcase(name, pattern) or (other and self._is_of(name, one, other))
+        ]
+
+    def _is_of(self, link: str, one: str, other: str) -> bool:
+        """Whether a link leads from somebody of one pattern to somebody of another."""
+        ends = zip(link.split(">"), (one, other), strict=True)
+        return all(
+            self.spots[name].zone == pattern[1:] if pattern.startswith("@") else fnmatchcase(name, pattern)
+            for name, pattern in ends
+        )
 
     def reached(self, name: str, address: Address) -> None:
         """A process listens there now."""
--- a/basaltspindle/drill/plants.py
+++ b/basaltspindle/drill/plants.py
@@ -247,6 +247,29 @@
     obeys_lists()
 
 
+def moves_at_once() -> None:
+    """A zone is left, and come back to, at once, whatever time operators gave."""
+    from basaltspindle.policy.zones import Zones
+
+    real = Zones.hold
+    Zones.hold = lambda self, event: real(self, replace(event, over_ms=0.0))  # type: ignore[method-assign]
+
+
+def never_returns() -> None:
+    """A zone that was left stays so."""
+    from basaltspindle.policy.zones import Zones
+
+    real = Zones.hold
+    Zones.hold = lambda self, event: real(self, replace(event, out=True))  # type: ignore[method-assign]
+
+
+def forgets_zones() -> None:
+    """What operators said of zones is lost when the process is replaced."""
+    from basaltspindle.net.handover import CordonFile
+
+    vars(sys.modules[CordonFile.__module__])["_read_zones"] = lambda raw: {}
+
+
 DEFECTS: dict[str, Callable[[], None]] = {
     "sends-twice": sends_twice,
     "forgets-drain": forgets_drain,
@@ -267,6 +290,9 @@
     "never-compares": never_compares,
     "asks-without-pause": asks_without_pause,
     "forgets-list": forgets_list,
+    "moves-at-once": moves_at_once,
+    "never-returns": never_returns,
+    "forgets-zones": forgets_zones,
 }
 
 
--- a/basaltspindle/drill/script.py
+++ b/basaltspindle/drill/script.py
@@ -199,6 +199,14 @@
     out: bool = True
 
 
+class Zone(Step, frozen=True, forbid_unknown_fields=True, kw_only=True, tag="zone"):
+    """Operators have all first-tier balancers leave a zone, or come back to it, over a time."""
+
+    zone: str
+    out: bool = True
+    over_s: float = 2.0
+
+
 class Replace(Step, frozen=True, forbid_unknown_fields=True, kw_only=True, tag="replace"):
     """Replace a balancer's process under load, by the console's way; from another folder if told."""
 
@@ -242,6 +250,7 @@
     | List
     | Cordon
     | Pin
+    | Zone
     | Replace
     | Surge
     | Expect
@@ -258,6 +267,7 @@
     lost: int = 0  # requests with no whole answer, beyond those of balancers that were killed or stopped
     late: float = 0.02  # at most this share of answers past the caller's time
     attempts: float = 1.5  # for each request that a balancer took
+    turns: int = 100  # of any zone's part of all calls, by the second
     asked: int = 20  # calls of one balancer for the list within a second, at most
     heard_s: float = 0.0  # every drain and removal is told to all balancers within so long; 0: not looked at
     drain_s: float = 1.0  # after which nothing is sent to a server that drains; the balancers' grace
@@ -344,6 +354,8 @@
             return f"step[{number}].direction: {step.direction!r}; allowed: {', '.join(DIRECTIONS)}"
         if isinstance(step, List) and step.state not in LIST_STATES:
             return f"step[{number}].state: {step.state!r}; allowed: {', '.join(LIST_STATES)}"
+        if isinstance(step, Zone) and step.zone not in fleet.zones:
+            return f"step[{number}].zone: {step.zone!r}; allowed: {', '.join(fleet.zones)}"
         if isinstance(step, Pin) and step.at not in services(fleet):
             return f"step[{number}].at: {step.at!r}; allowed: {', '.join(services(fleet))}"
         if isinstance(step, Expect | Stranger) and not fleet.peers:
--- a/benchmarks/zones.py
+++ b/benchmarks/zones.py
@@ -24,6 +24,7 @@
 from basaltspindle.lab import policies
 from basaltspindle.world.fleet import START_MS, World
 from basaltspindle.world.scenario import draw, load
+from basaltspindle.world.turns import turns
 
 SCENARIOS = (
     "zone-errors", "zone-slow", "zone-half", "zone-returns-cold", "zone-flaps", "own-link-down",
@@ -103,19 +104,7 @@
     done.worst = min(after.values(), default=1.0)
     bad = [s for s, share in after.items() if share < before - BACK_PART]
     done.back_s = max(bad) + 1 - done.ended_s if bad else 0
-    done.turns = turns([part.get(zone, 0.0) for s, part in done.parts.items() if s >= done.began_s - 2])
-
-
-def turns(parts: list[float]) -> int:
-    """How often a line of figures changes its direction by more than `SWING`."""
-    count, way, low, high = 0, 0, parts[0], parts[0]
-    for part in parts:
-        low, high = min(low, part), max(high, part)
-        if way >= 0 and part < high - SWING:
-            count, way, low = count + (way > 0), -1, part
-        elif way <= 0 and part > low + SWING:
-            count, way, high = count + (way < 0), 1, part
-    return count
+    done.turns = turns([p.get(zone, 0.0) for s, p in done.parts.items() if s >= done.began_s - 2], SWING)
 
 
 def draw_plays(plays: list[Play]) -> Figure:
--- a/tests/test_drill.py
+++ b/tests/test_drill.py
@@ -38,6 +38,7 @@
     "lapses-unheard": ("list-split", "kept"),
     "obeys-lists": ("list-empty", "served"),
     "stays-with-one": ("list-one-down", "heard"),
+    "moves-at-once": ("zone-hand", "ramps"),
 }
 
 
--- a/tests/test_drill_checks.py
+++ b/tests/test_drill_checks.py
@@ -13,7 +13,7 @@
 from basaltspindle.drill.history import Event
 from basaltspindle.drill.script import Bounds, Load, Script
 
-SCRIPT = Script(load=Load(requests=20), bounds=Bounds(served=0.95, back_s=1.0))
+SCRIPT = Script(load=Load(requests=20), bounds=Bounds(served=0.95, back_s=1.0, asked=5, heard_s=1.0, turns=2))
 START = 1_000_000.0
 
 
@@ -146,6 +146,73 @@
     return [*events, event(1, "driver", "process", name="b0", state="ended", code=1, wanted=False)]
 
 
+def told(at_s: float, to: str, **entries: str) -> Event:
+    return event(at_s, "list", "told", to=to, index=2, snapshot=False, entries=entries)
+
+
+def unheard(events: list[Event]) -> list[Event]:
+    word = event(0.5, "driver", "fault", kind="list", on=True, targets=["s1"], status="terminating")
+    return [*events, word, told(0.6, "h0", s1="terminating")]
+
+
+def storm(events: list[Event]) -> list[Event]:
+    return [*events, *(told(0.1 + n / 100, "h0") for n in range(10))]
+
+
+def storm_of_failures(events: list[Event]) -> list[Event]:
+    return [*events, *(event(0.1 + n / 100, "list", "turned_away", to="h0") for n in range(10))]
+
+
+def taken_off(events: list[Event]) -> list[Event]:
+    return [*events, told(1.5, "h0", s1="terminated")]
+
+
+def taken_back(events: list[Event]) -> list[Event]:
+    return [*events, told(1.5, "h0", s1="terminating"), told(1.7, "h0", s1="in_service")]
+
+
+def strayed(events: list[Event]) -> list[Event]:
+    return [
+        *events,
+        event(-0.9, "driver", "fault", kind="zone", on=True, targets=["a"], zone="a", over_s=0.0),
+    ]
+
+
+def more_calls(count: int, at_s: float, who: str) -> list[Event]:
+    """Calls of b0 at a server, in a tenth of a second."""
+    call = {"cls": "map", "work": 1.0, "from": "h0"}
+    return [event(at_s + n / count / 10, who, "arrived", id=f"m{at_s}{n}", **call) for n in range(count)]
+
+
+def two_zones(events: list[Event]) -> list[Event]:
+    return [e | {"zone": "b"} if e["what"] == "place" and e["name"] == "s1" else e for e in events]
+
+
+def at_once(events: list[Event]) -> list[Event]:
+    move = event(1.0, "driver", "fault", kind="zone", on=True, targets=["b"], zone="b", over_s=4.0)
+    before = more_calls(20, 0.0, "s1") + more_calls(20, 0.5, "s0")
+    return [*two_zones(without_calls(events)), *before, move, *more_calls(30, 1.2, "s0")]
+
+
+def never_back(events: list[Event]) -> list[Event]:
+    moves = [
+        event(at, "driver", "fault", kind="zone", on=on, targets=["b"], zone="b", over_s=0.0)
+        for at, on in ((0.6, True), (0.8, False))
+    ]
+    before = more_calls(20, 0.0, "s1") + more_calls(20, 0.3, "s0")
+    return [*two_zones(without_calls(events)), *before, *moves, *more_calls(30, 1.5, "s0")]
+
+
+def swinging(events: list[Event]) -> list[Event]:
+    last = event(8.0, "clients", "done", wish=1, cls="map", ending="served", took=1.0, tries=1, first=START)
+    calls = [c for n in range(8) for c in more_calls(30, n + 0.2, f"s{n % 2}")]
+    return [*two_zones(without_calls(events)), *calls, last]
+
+
+def without_calls(events: list[Event]) -> list[Event]:
+    return [e for e in events if e["what"] != "arrived"]
+
+
 def cut_off(events: list[Event]) -> list[Event]:
     return [*events, event(1, "clients", "left_out", lines=3)]
 
@@ -162,6 +229,9 @@
         (drained_then_stale, "drains"), (cordoned, "drains"), (knocked, "drains"), (unnamed, "named"),
         (pushed, "cold"), (slow, "late"), (refused, "served"), (not_back, "back"), (repeated, "attempts"),
         (crashed, "standing"), (rewound, "versions"), (misjudged, "views"), (cut_off, "whole"),
+        (unheard, "heard"), (storm, "asked"), (storm_of_failures, "asked"), (taken_off, "kept"),
+        (taken_back, "undone"), (strayed, "left"), (never_back, "left"), (at_once, "ramps"),
+        (swinging, "swings"),
     ],
 )  # fmt: skip
 def test_a_broken_history_fails_the_check_meant_for_it(
@@ -170,6 +240,15 @@
     assert not judged(broken(sound()))[name]
 
 
+def test_what_was_done_to_a_server_excuses_that_it_left_the_list() -> None:
+    kill = event(1.0, "driver", "fault", kind="kill", on=True, targets=["s1"])
+    assert judged([*taken_off(sound()), kill])["kept"]
+    started = [kill, event(1.6, "driver", "fault", kind="kill", on=False, targets=["s1"], memory="kept")]
+    assert judged([*taken_back(sound()), *started])["undone"], "a new start serves again"
+    lie = event(1.4, "driver", "fault", kind="odd list", on=True, targets=["list"], state="stale")
+    assert judged([*taken_back(sound()), lie])["undone"]
+
+
 def test_an_empty_history_holds_nothing_of_what_it_should_show() -> None:
     verdict = judged([])
     assert not any(verdict[name] for name in ("late", "served", "back", "attempts", "crossed", "whole"))
--- a/tests/test_zone_plays.py
+++ b/tests/test_zone_plays.py
@@ -4,14 +4,16 @@
 
 import pytest
 
-from benchmarks.zones import Play, judge, turns
+from basaltspindle.world.turns import turns
+from benchmarks.zones import SWING, Play, judge
 
 
 def test_small_moves_of_a_part_are_no_turns_and_large_ones_are() -> None:
-    assert turns([0.33, 0.36, 0.30, 0.34]) == 0
-    assert turns([0.33, 0.05, 0.04, 0.33]) == 1
-    assert turns([0.33, 0.05, 0.33, 0.05, 0.33]) == 3
-    assert turns([0.3, 0.35, 0.4, 0.45, 0.3]) == 1
+    assert turns([], SWING) == 0
+    assert turns([0.33, 0.36, 0.30, 0.34], SWING) == 0
+    assert turns([0.33, 0.05, 0.04, 0.33], SWING) == 1
+    assert turns([0.33, 0.05, 0.33, 0.05, 0.33], SWING) == 3
+    assert turns([0.3, 0.35, 0.4, 0.45, 0.3], SWING) == 1
 
 
 def test_the_worst_second_and_the_way_back_count_from_the_trouble_on() -> None:
