Send nothing to a zone that was left, however full the others are

Change: of what may go anywhere nothing goes to zones that were left in full, if there is another zone at all; it waits, and is refused by worth. A repeat that must stay in a zone still may.

--- a/basaltspindle/policy/balancer.py
+++ b/basaltspindle/policy/balancer.py
@@ -100,7 +100,7 @@
 
     def avoided(self, now: float) -> list[str]:
         """The listed servers that get no new work: held by operators, or ready and not kept to."""
-        left = {zone for zone, share in self._zones.shares(now).items() if not share}
+        left = self._zones.left_in_full(self._roster.rings, now)
         ready = self._roster.ready.items() if left else ()
         return sorted({*self._roster.avoided(), *(n for n, s in ready if s.member.zone in left)})
 
@@ -305,6 +305,8 @@
             # Two processes have one budget for cold servers between them: the one that leaves uses it last.
             warm = [s for s in able if cold.warmth(s, now) >= 1] if self._leaving else []
             able = warm or [s for s in able if self._has_cold_room(s, now)]
+        if may_go_anywhere(request) and (left := self._zones.left_in_full(self._roster.rings, now)):
+            able = [s for s in able if s.member.zone not in left]
         if request.attempts:
             able = [s for s in able if all(a.server is not s for a in request.attempts)] or able
         able = [s for s in able if self._rooms.has(request, s)]
--- a/basaltspindle/policy/roster.py
+++ b/basaltspindle/policy/roster.py
@@ -38,7 +38,7 @@
         self.kept, self.size, self.last_started = 0, 0.0, 0.0
         self._ranked: list[tuple[float, str]] = []
         self._names: list[str] = []
-        self._rings: dict[str, list[str]] = {}
+        self.rings: dict[str, list[str]] = {}
         self._held: set[str] = set()  # out by operators' hand
         self._back: dict[str, float] = {}  # when operators put servers back
         self._failures = 0
@@ -74,7 +74,7 @@
 
         Each server is near few balancers: their own calls there are then most of what it holds.
         """
-        ring = self._rings.get(self._settings.zone) or self._names
+        ring = self.rings.get(self._settings.zone) or self._names
         place = len(ring) * (self._settings.number + 0.5) / self._settings.balancers
         first = round(place - HOMES / 2)
         return [self.ready[ring[i % len(ring)]] for i in range(first, first + min(HOMES, len(ring)))]
@@ -207,7 +207,7 @@
             self.ready[name], self._all_near = server, None
             insort(self._ranked, (server.rank, name))
             insort(self._names, name)
-            insort(self._rings.setdefault(member.zone, []), name)
+            insort(self.rings.setdefault(member.zone, []), name)
         # A balancer of hundreds calls each of all too seldom to learn it, or to use a connection twice.
         keep = math.ceil(len(self._ranked) * SUBSET_COVER / self._settings.balancers)
         self.kept = min(max(SUBSET_MIN, keep), len(self._ranked))
@@ -217,8 +217,8 @@
         del self.ready[name]
         del self._ranked[bisect_left(self._ranked, (server.rank, name))]
         del self._names[bisect_left(self._names, name)]
-        ring = self._rings[server.member.zone]
+        ring = self.rings[server.member.zone]
         del ring[bisect_left(ring, name)]
         if not ring:
-            del self._rings[server.member.zone]
+            del self.rings[server.member.zone]
         self.size -= server.size
--- a/basaltspindle/policy/zones.py
+++ b/basaltspindle/policy/zones.py
@@ -36,6 +36,11 @@
         known = {zone: self.share(zone, now) for zone in self._held}
         return {zone: share for zone, share in known.items() if share < 1}
 
+    def left_in_full(self, there: Iterable[str], now: float) -> set[str]:
+        """The zones that nothing goes to, however full the others are; none if no other is there."""
+        left = {zone for zone, share in self.shares(now).items() if not share}
+        return left if set(there) - left else set()
+
 
 def zone_parts(totals: dict[str, float], own: str, shares: dict[str, float]) -> dict[str, float]:
     """The part of each zone's capacity that we draw from: our own, and those with more than their part.
--- a/tests/test_zones.py
+++ b/tests/test_zones.py
@@ -74,6 +74,16 @@
     assert drawn_zones(desk)["z0"] > 300
 
 
+@pytest.mark.parametrize("servers", [4, 200])
+def test_nothing_goes_to_a_zone_that_was_left_though_the_others_are_full(servers: int) -> None:
+    """In a crowd only servers of the zone that was left had room, and the calls went there."""
+    desk = Desk(count=servers, zone="z0")
+    desk.tell(ZoneHeld("z0", out=True, since_ms=desk.now))
+    sends = [send for _ in range(8 * servers) for send in sent(desk.ask()[1])]
+    assert {desk.balancer._roster.servers[send.server].member.zone for send in sends} == {"z1"}
+    assert len(sends) < 8 * servers, "the others are full"
+
+
 def test_an_inner_balancer_leaves_its_own_zone_too() -> None:
     desk = Desk(count=12, zone="z0", calling_tier=1, balancers=4)
     desk.tell(ZoneHeld("z0", out=True, since_ms=desk.now))
