Keep the list's order of versions over a failed write, and a freed server's lease everywhere

Seen on reading the change again; each shown by a test that fails without this.

A write that met a full disk was undone, but its entry went to the end of the order of changes with its old version: the look for what is new begins there and stops at the first old version, so a watch heard nothing of what had come before. Undoing now puts the order of versions right. Letting go of a pinned server began its lease anew at the instance that was told alone; the others took the server off at once, and that spread. It is now a renewal as any other.

The example in exchange.py named a method that is not there.

--- a/basaltspindle/directory/catalog.py
+++ b/basaltspindle/directory/catalog.py
@@ -73,9 +73,8 @@
         self.refused: Counter[str] = Counter()
         self.disagreed: Counter[str] = Counter()  # by server: accounts that were lost in a join
         self.moved = 0  # grows with each change, renewals included
-        self._order: dict[str, None] = {}  # entries by their versions
         self._moves: dict[str, int] = {}  # when each entry moved last, in that order
-        self._changed: dict[str, int] = {}  # and when in more than its beats
+        self._changed: dict[str, int] = {}  # and when in more than its beats, in the order of versions
         self._prints: dict[str, int] = {}
         self.fingerprint = 0  # of all entries but for their beats: alike where instances agree
 
@@ -175,7 +174,8 @@
     def pin(self, name: str, pinned: bool, now: float, *, who: str = "", why: str = "") -> Change:
         """Operators hold a server on the list, or let go of it; balancers see no difference."""
         entry = self._listed(name)
-        entry.pinned, entry.renewed_ms = pinned, now
+        entry.pinned = pinned
+        self._beat(entry, now)
         return self._put(entry, now, "pinned" if pinned else "unpinned", who, why)
 
     # ---- leases ---------------------------------------------------------------------------------
@@ -259,7 +259,7 @@
         if foreign or not self.knows(after):
             return None
         changed = []
-        for name in reversed(self._order):
+        for name in reversed(self._changed):
             entry = self.entries[name]
             if entry.index <= after:
                 break
@@ -334,8 +334,7 @@
     def _touch(self, entry: Entry) -> None:
         """An entry has changed in more than its beats."""
         self._move(entry.name)
-        self._order.pop(entry.name, None)
-        self._order[entry.name] = None
+        self._changed.pop(entry.name, None)
         self._changed[entry.name] = self.moved
         plain = msgspec.structs.replace(share(entry), beats=entry.by_lapse)
         new = xxhash.xxh3_64_intdigest(msgspec.json.encode(plain))
@@ -343,7 +342,7 @@
         self._prints[entry.name] = new
 
     def _forget(self, name: str) -> None:
-        for known in (self.entries, self._kept, self._order, self._moves, self._changed):
+        for known in (self.entries, self._kept, self._moves, self._changed):
             del known[name]
         self.fingerprint ^= self._prints.pop(name)
 
@@ -369,6 +368,8 @@
                 self._touch(before)
             elif change.name in self.entries:
                 self._forget(change.name)
+        by_version = sorted(self._changed, key=lambda name: self.entries[name].index)
+        self._changed = {name: self._changed[name] for name in by_version}  # old versions are back
 
     def _bury(self) -> None:
         """Forget the removed that are too many; who has not heard of them gets the whole list."""
--- a/basaltspindle/directory/exchange.py
+++ b/basaltspindle/directory/exchange.py
@@ -2,7 +2,7 @@
 
     exchange = Exchange(catalog, number=0, count=3, life=1)
     question = exchange.question(2)                       # to instance 2, every so often and after a change
-    answer, changes = other.heard(question, now)          # there; `changes` go to the disk before the answer
+    answer, changes = other.heard_from(question, now)      # there; `changes` go to the disk before the answer
     changes = exchange.answered(2, answer, asked_at, now)  # here, before anybody sees them
 
 Anti-entropy, after Demers et al. (1987): each message carries what has moved since the other one's last word,
--- a/tests/test_directory.py
+++ b/tests/test_directory.py
@@ -179,6 +179,17 @@
     assert change is not None and change.index == index + 3  # a version is never used twice
 
 
+def test_after_a_write_that_could_not_be_kept_watches_still_hear_what_came_before_it() -> None:
+    """The entry went to the end of the order with its old version, and hid all that had come since."""
+    one = catalog("s0", "s1", "s2")
+    seen = one.index - 2
+    change = one.drain("s0", 1.0)
+    assert change is not None
+    one.undo([change])
+    changed = one.changes("first", seen, 1.0)
+    assert changed is not None and sorted(e.name for e in changed) == ["s1", "s2"]
+
+
 def test_a_watcher_from_before_a_lost_memory_gets_the_whole_list_at_a_higher_version() -> None:
     one = Catalog(RULES, first_index(0, 1_000_000.0))
     one.register("s0", told(), 1_000_000.0)
--- a/tests/test_directory_instances.py
+++ b/tests/test_directory_instances.py
@@ -163,6 +163,18 @@
     assert made.listed(0) == made.listed(1) == {"s0": "in_service"}
 
 
+def test_letting_go_of_a_pinned_server_gives_it_a_lease_at_every_instance() -> None:
+    """Only the instance that was told let its lease run anew; the others took the server off at once."""
+    made = two("s0")
+    made.catalogs[0].pin("s0", True, 0.0)
+    made.pass_by(5 * LEASE_MS)
+    made.catalogs[0].pin("s0", False, made.now)
+    made.pass_by(LEASE_MS / 2)
+    assert made.listed(0) == made.listed(1) == {"s0": "in_service"}
+    made.pass_by(LEASE_MS)
+    assert made.listed(0) == made.listed(1) == {}
+
+
 def test_a_lapse_does_not_stand_against_a_renewal_that_it_had_not_heard_of() -> None:
     made = two("s0")
     made.now = 2 * LEASE_MS
