Read consoles, lists and calls to zones once, each by one piece of code

- `operate.reports` is what stats, top, peers, lists, zone status and the demo each did for themselves: ask consoles, read their JSON, keep who did not say.
- `story.states` and `newer` serve the check on drains as well as those of the list, which worked out by themselves what a whole list leaves out.
- `swings` looks at the calls once for each second, not once more for each zone.
- The model of the list service resets a roster's pauses by telling it news, not by reaching into it.
- The configuration for people takes its default of `lists.doubt` from net's.

--- a/basaltspindle/cli/demo.py
+++ b/basaltspindle/cli/demo.py
@@ -16,7 +16,7 @@
 from rich.table import Table
 from rich.text import Text
 
-from basaltspindle.cli.operate import ask_all, table_of
+from basaltspindle.cli.operate import reports, table_of
 from basaltspindle.cli.screen import screen
 from basaltspindle.drill import checks, history, load, script
 from basaltspindle.drill.drive import Drive
@@ -93,8 +93,8 @@
 
     async def _look(self, drive: Drive, drill: script.Script) -> Group:
         names = {spot.console: spot.name for spot in drive.fleet.balancers(FIRST)}
-        answers = await asyncio.to_thread(ask_all, list(names), "GET", "/admin/stats")
-        found = {names[a.console]: json.loads(a.text) for a in answers if a.is_yes}
+        told, _ = await asyncio.to_thread(reports, list(names), "/admin/stats")
+        found = {names[console]: figures for console, figures in told.items()}
         table = table_of(list(names.values()), found, self._before, LOOK_S)
         self._before = found
         return Group(
--- a/basaltspindle/cli/operate.py
+++ b/basaltspindle/cli/operate.py
@@ -70,6 +70,13 @@
         raise typer.Exit(NOT_TAKEN)
 
 
+def reports(consoles: list[str], path: str) -> tuple[dict[str, Any], list[Answer]]:
+    """What consoles tell at a path, by console, and the answers of those that did not."""
+    answers = ask_all(consoles, "GET", path)
+    told = {answer.console: json.loads(answer.text) for answer in answers if answer.is_yes}
+    return told, [answer for answer in answers if not answer.is_yes]
+
+
 def health(console: Consoles) -> None:
     """Whether balancers take clients; exit 1 if one does not.
 
@@ -83,10 +90,9 @@
 
     Example: irondrum stats --console 127.0.0.1:9901
     """
-    answers = ask_all(console, "GET", "/admin/stats")
-    typer.echo(json.dumps({a.console: json.loads(a.text) for a in answers if a.is_yes}, indent=1))
-    if missing := [answer for answer in answers if not answer.is_yes]:
-        tell(missing)
+    told, missing = reports(console, "/admin/stats")
+    typer.echo(json.dumps(told, indent=1))
+    tell(missing)
 
 
 def cordon(server: Annotated[str, typer.Argument(help="The server's ID.")], console: Consoles) -> None:
@@ -126,9 +132,8 @@
     before: dict[str, dict[str, Any]] = {}
     then = time.monotonic()
     while True:
-        answers = ask_all(consoles, "GET", "/admin/stats")
+        found, _ = reports(consoles, "/admin/stats")
         now = time.monotonic()
-        found = {a.console: json.loads(a.text) for a in answers if a.is_yes}
         yield table_of(consoles, found, before, max(now - then, 1e-9))
         before, then = found, now
         time.sleep(every)
@@ -162,12 +167,10 @@
 
     Example: irondrum peers --console 127.0.0.1:9901 --console 127.0.0.1:9902
     """
-    answers = ask_all(console, "GET", "/admin/peers")
-    views = {a.console: json.loads(a.text) for a in answers if a.is_yes}
+    views, missing = reports(console, "/admin/peers")
     table, agreed = views_of(views)
     screen().print(table)
-    if missing := [answer for answer in answers if not answer.is_yes]:
-        tell(missing)
+    tell(missing)
     if not agreed:
         typer.echo("irondrum: they disagree", err=True)
         raise typer.Exit(NOT_TAKEN)
@@ -192,10 +195,9 @@
 
     Example: irondrum lists --console 127.0.0.1:9901 --console 127.0.0.1:9902
     """
-    answers = ask_all(console, "GET", "/admin/list")
-    screen().print(lists_of({a.console: json.loads(a.text) for a in answers if a.is_yes}))
-    if missing := [answer for answer in answers if not answer.is_yes]:
-        tell(missing)
+    told, missing = reports(console, "/admin/list")
+    screen().print(lists_of(told))
+    tell(missing)
 
 
 def lists_of(told: dict[str, dict[str, Any]]) -> Table:
--- a/basaltspindle/cli/zone.py
+++ b/basaltspindle/cli/zone.py
@@ -9,7 +9,7 @@
 from rich.table import Table
 
 from basaltspindle.cli.misuse import Misuse
-from basaltspindle.cli.operate import Consoles, ask_all, tell
+from basaltspindle.cli.operate import Consoles, ask_all, reports, tell
 from basaltspindle.cli.screen import screen
 from basaltspindle.conf.reading import duration_ms
 
@@ -53,14 +53,12 @@
 
     Example: irondrum zone status --console 127.0.0.1:9901 --console 127.0.0.1:9902
     """
-    answers = ask_all(console, "GET", "/admin/zones")
-    told = {a.console: json.loads(a.text) for a in answers if a.is_yes}
+    told, missing = reports(console, "/admin/zones")
     if as_json:
         typer.echo(json.dumps(told, indent=1))
     else:
         screen().print(table_of(told))
-    if missing := [answer for answer in answers if not answer.is_yes]:
-        tell(missing)
+    tell(missing)
 
 
 def table_of(told: dict[str, dict[str, Any]]) -> Table:
--- a/basaltspindle/conf/model.py
+++ b/basaltspindle/conf/model.py
@@ -10,6 +10,8 @@
 import msgspec
 from msgspec import Meta
 
+from basaltspindle.net.config import LIST_DOUBT
+
 DURATION = r"^[0-9]+(\.[0-9]+)?(ms|s|m)$"
 Duration = Annotated[float, Meta(ge=0)] | Annotated[str, Meta(pattern=DURATION)]
 ADDRESS = r"(\[[0-9a-fA-F:.]+\]|[0-9]{1,3}(\.[0-9]{1,3}){3}):[0-9]{1,5}"
@@ -137,7 +139,7 @@
     """Further instances that hold the same list."""
     tier: str = ""
     """The tier that is asked for; empty for the service's first."""
-    doubt: Annotated[float, Meta(gt=0, le=1)] = 0.3
+    doubt: Annotated[float, Meta(gt=0, le=1)] = LIST_DOUBT
     """A whole list that leaves out more than this part of the ready servers is doubted."""
 
 
--- a/basaltspindle/drill/checks.py
+++ b/basaltspindle/drill/checks.py
@@ -13,7 +13,7 @@
 from basaltspindle.drill.history import Event
 from basaltspindle.drill.listchecks import asked, heard, kept, undone, versions
 from basaltspindle.drill.script import Script
-from basaltspindle.drill.story import SECOND, Check, Story, most
+from basaltspindle.drill.story import SECOND, Check, Story, most, newer, states
 from basaltspindle.drill.zonechecks import left, ramps, swings
 
 LEAST_IN_SECOND = 5  # first tries, below which a second's share says nothing
@@ -92,16 +92,11 @@
     """
     changes: dict[tuple[str, str], list[tuple[float, bool]]] = defaultdict(list)
     for balancer, lists in story.told.items():
-        newest, listed = dict[str, int](), dict[str, str]()
-        for when, by, index, whole, entries in lists:
-            if index < newest.get(by, -1):
-                continue
-            newest[by] = index
-            gone = dict.fromkeys(set(listed) - set(entries), "terminated") if whole else {}
-            for server, status in (entries | gone).items():
-                if listed.get(server) != status:
-                    changes[balancer, server].append((when, status != "in_service"))
-            listed |= entries | gone
+        last: dict[str, str] = {}
+        for when, _, server, status in states(newer(lists)):
+            if last.get(server) != status:
+                changes[balancer, server].append((when, status != "in_service"))
+            last[server] = status
     for event in story.by_kind["call"]:
         if event["status"] == 200 and event["call"] in ("cordon", "uncordon"):
             place = story.by_host[event["to"]]
--- a/basaltspindle/drill/listchecks.py
+++ b/basaltspindle/drill/listchecks.py
@@ -3,11 +3,10 @@
 from __future__ import annotations
 
 from collections import defaultdict
-from collections.abc import Iterator
 
 from basaltspindle.drill.history import Event
 from basaltspindle.drill.script import Script
-from basaltspindle.drill.story import SECOND, Check, Story, Told, most
+from basaltspindle.drill.story import SECOND, Check, Story, most, states
 
 ODD = "odd list"  # the fault of a service that tells what is not so
 EXCUSED = ("kill", "stop", "term", "list")  # what is done to a server that may end its place on the list
@@ -32,16 +31,6 @@
     return any(start <= when for start, _ in story.spans([ODD], by))
 
 
-def _states(lists: list[Told]) -> Iterator[tuple[float, str, str, str]]:
-    """When a balancer was told what of whom, and by whom; what a whole list leaves out is `terminated`."""
-    listed: set[str] = set()
-    for when, by, _, whole, entries in lists:
-        gone = dict.fromkeys(listed - set(entries), "terminated") if whole else {}
-        for server, status in (entries | gone).items():
-            yield when, by, server, status
-            (listed.discard if status == "terminated" else listed.add)(server)
-
-
 def heard(story: Story, script: Script) -> Check:
     """Every drain and removal that operators told was told to each balancer of the tier in time."""
     bound = script.bounds.heard_s
@@ -54,7 +43,7 @@
         for place in (p for p in fronts if p.tier == story.by_name[server].tier):
             times = [
                 when - event["t"]
-                for when, _, name, status in _states(story.told[place.name])
+                for when, _, name, status in states(story.told[place.name])
                 if name == server and status in wanted and when >= event["t"]
             ]
             took = min(times, default=over - event["t"]) / SECOND
@@ -94,7 +83,7 @@
     wrong = []
     grace = (script.fleet.lease_s + EXCUSED_S) * SECOND
     for balancer, lists in story.told.items():
-        for when, by, server, status in _states(lists):
+        for when, by, server, status in states(lists):
             if status != "terminated" or _was_odd(story, by, when):
                 continue
             if not any(start <= when <= end + grace for start, end in story.spans(EXCUSED, server)):
@@ -108,7 +97,7 @@
     wrong = []
     for balancer, lists in story.told.items():
         draining: set[str] = set()
-        for when, by, server, status in _states(lists):
+        for when, by, server, status in states(lists):
             if status == "terminating":
                 draining.add(server)
             elif status == "in_service" and server in draining:
--- a/basaltspindle/drill/story.py
+++ b/basaltspindle/drill/story.py
@@ -87,3 +87,23 @@
 def most(name: str, found: list[str], bound: float = 0) -> Check:
     """A check on a count of events, none of which should be."""
     return Check(name, len(found) <= bound, len(found), bound, found[0] if found else "")
+
+
+def states(lists: Iterable[Told]) -> Iterator[tuple[float, str, str, str]]:
+    """When a balancer was told what of whom, and by whom; what a whole list leaves out is `terminated`."""
+    listed: set[str] = set()
+    for when, by, _, whole, entries in lists:
+        gone = dict.fromkeys(listed - set(entries), "terminated") if whole else {}
+        for server, status in (entries | gone).items():
+            yield when, by, server, status
+            (listed.discard if status == "terminated" else listed.add)(server)
+
+
+def newer(lists: Iterable[Told]) -> Iterator[Told]:
+    """The lists but for those that are older than one that the same service told before."""
+    newest: dict[str, int] = {}
+    for told in lists:
+        _, by, index, _, _ = told
+        if index >= newest.get(by, index):
+            newest[by] = index
+            yield told
--- a/basaltspindle/drill/zonechecks.py
+++ b/basaltspindle/drill/zonechecks.py
@@ -13,7 +13,6 @@
 LEAST = 15  # calls in a span, below which a zone's part says nothing
 SETTLE_S = 0.5  # between an operators' call and the first calls that follow it
 SWING = 0.15  # a turn of a zone's part within a second that is smaller is chance
-BEFORE_S = 3.0
 
 
 def _parts(story: Story, since: float, until: float) -> Counter[str]:
@@ -83,10 +82,10 @@
     """No zone's part of all calls turns more often than the drill allows."""
     worst, first = 0, ""
     last = max((e["t"] for e in story.by_kind["done"]), default=story.start)
-    seconds = range(int((last - story.start) / SECOND))
+    seconds = [story.start + s * SECOND for s in range(int((last - story.start) / SECOND))]
+    calls = [counts for at in seconds if (counts := _parts(story, at, at + SECOND)).total() >= LEAST]
     for zone in sorted({p.zone for p in story.by_name.values() if p.zone}):
-        spans = [story.start + s * SECOND for s in seconds]
-        parts = [p for at in spans if (p := _part(story, zone, at, at + SECOND)) is not None]
+        parts = [counts[zone] / counts.total() for counts in calls]
         count = turns(parts, SWING)
         if count > worst:
             worst, first = count, f"{zone}: {' '.join(f'{p:.2f}' for p in parts)}"
--- a/basaltspindle/world/watches.py
+++ b/basaltspindle/world/watches.py
@@ -23,7 +23,7 @@
 from basaltspindle.directory import Catalog, Entry, Registration, Rules, first_index
 from basaltspindle.directory.exchange import MOST_INSTANCES, Exchange
 from basaltspindle.directory.pace import Pace
-from basaltspindle.interface import Effect, RequestClass, SetTimer, Settings
+from basaltspindle.interface import Effect, ListKind, ListUpdate, RequestClass, SetTimer, Settings
 from basaltspindle.policy.roster import Roster
 from basaltspindle.watching import Address, Ask, Watch
 from basaltspindle.world.clock import Clock
@@ -35,6 +35,7 @@
 BATCH_MS = 5.0
 GRACE_MS = 5_000.0  # between a server's drain and its end
 LOOK_MS = 500.0  # between looks at how true the balancers' lists are
+BACK = ListUpdate(ListKind.DELTA)  # news of the list, whatever they are
 CLASSES = (RequestClass("any", 1_000.0, 3_000.0, Effect.SAFE),)
 
 
@@ -270,7 +271,7 @@
             if not self._waiting_for[change]:
                 self.heard_ms[change] = now - self.drained[change][0]
         seat.knows = max(seat.knows, known)
-        seat.roster._failures = 0
+        seat.roster.listed(BACK, now)  # the pauses begin anew
         seat.watch.went_home((now - START_MS) / 1_000)
         self._ask(number)
 
