--- a/deploy/sites/lay_out.py
+++ b/deploy/sites/lay_out.py
@@ -3,7 +3,7 @@
     python deploy/sites/lay_out.py PATH/TO/GIVEN-SITE.toml
 
 Each `*.toml` beside this script holds what is other in a variant. The copies go to `laid-out/`, which git
-ignores; `real.json`, `wire.json` and `unlock.txt` come from beside the given file. Nothing given is committed.
+ignores; `real.json`, `wire.json` and `unlock.txt` come from beside the given file.
 """
 
 from __future__ import annotations
