Write nothing for a request that is over, nor a repeat after its window

Causes, all one: what was decided was held when it was decided, not when its last byte leaves. - A client that left, or an answer that came, ended the request, but where the settings forbid cancelling its dial went on and was written when it came up (Driver._close called off nothing), and half a body held its upstream until nothing had moved for 20 s. - A repeat was checked against its window in policy/repeats.py alone; a dial of up to the connect time-out, or a long body, came between. - A dial for a server that was dropped or had started anew could begin within the drain grace, at the new process, which remembers nothing (Pool.may_begin). - A connection counted as open when its task first ran: a burst in one turn went over the bound.

Change: an attempt whose last byte has not left is withdrawn when its request ends (NOT_SENT, as a send for a request that is over), and when its time to write is over (CONNECT_FAILED: it never ran); Send.within_ms carries the window from the module. A connection counts from its dial on, and a dial for a pool that is no longer current begins nothing.

--- a/basaltspindle/interface.py
+++ b/basaltspindle/interface.py
@@ -304,6 +304,8 @@
     request: int
     server: str
     timeout_ms: float
+    within_ms: float = math.inf
+    """Its last byte has to leave within this, or never: then it would no longer be harmless."""
 
 
 @dataclass(frozen=True, slots=True)
--- a/basaltspindle/net/driver.py
+++ b/basaltspindle/net/driver.py
@@ -68,6 +68,12 @@
         self.net: asyncio.TimerHandle | None = None
         self.passed_on: Attempt | None = None  # whose answer goes out piece by piece
 
+    def withdraw(self) -> None:
+        """Nobody waits for it: what has not been written never will be, as nothing is sent for it."""
+        for attempt in self.attempts:
+            if attempt is not None:
+                attempt.withdraw()
+
 
 class _Call(Errand):
     """One attempt of a request."""
@@ -414,6 +420,8 @@
         request = self._requests.get(number) if number is not None else None
         if request is not None:
             request.queued -= 1
+            if not request.open:
+                request.withdraw()
             self._forget_if_over(request)
 
     def _forget_if_over(self, request: _Request) -> None:
@@ -620,7 +628,7 @@
         outcome = Outcome.NOT_SENT  # for a send whose request is over, or whose body is
         if request.open and not request.taken.body.dropped:
             call = _Call(self, request, action, index)
-            attempt = self.upstreams.attempt(server, call.timeout_ms / 1000, call)
+            attempt = self.upstreams.attempt(server, call.timeout_ms / 1000, call, action.within_ms / 1000)
             outcome = Outcome.CONNECT_FAILED  # for a server that no list names any more
         request.attempts.append(attempt)
         if attempt is None:
--- a/basaltspindle/net/upstreams.py
+++ b/basaltspindle/net/upstreams.py
@@ -7,6 +7,7 @@
 from __future__ import annotations
 
 import asyncio
+import math
 import time
 from collections.abc import Callable
 from typing import Protocol, cast
@@ -172,8 +173,8 @@
     """One attempt at a server; its errand hears of its end exactly once, whatever crosses what."""
 
     __slots__ = (
-        *"_caller _coming _connection _errand _moved".split(),
-        *"_over _pool _task _timeout_s _timer".split(),
+        *"_caller _coming _connection _dialled _errand _limit _moved".split(),
+        *"_over _pool _task _timeout_s _timer _write_by".split(),
     )
 
     def __init__(self, pool: Pool, errand: Errand) -> None:
@@ -181,18 +182,25 @@
         self._over = False
         self._coming = errand.body is not None  # whether its body was not whole at the start
         self._connection: Connection | None = None
+        self._dialled: Connection | None = None  # that is coming up
         self._task: asyncio.Task[None] | None = None
         self._timer: asyncio.TimerHandle | None = None
+        self._limit: asyncio.TimerHandle | None = None
         self._timeout_s = self._moved = 0.0
+        self._write_by = math.inf
         self._caller: Caller | None = None
 
-    def start(self, timeout_s: float) -> None:
+    def start(self, timeout_s: float, within_s: float = math.inf) -> None:
         """Begin on an idle connection, or open one; nothing is reported before this returns.
 
-        The time runs from here, or, where the body is still coming, from its last byte on.
+        The time runs from here, or, where the body is still coming, from its last byte on. That byte leaves
+        within `within_s`, or never.
         """
         loop = self._pool.upstreams.loop
         self._timeout_s = timeout_s
+        if within_s < math.inf:
+            self._write_by = time.monotonic() + within_s
+            self._limit = loop.call_later(within_s, self.withdraw, Outcome.CONNECT_FAILED)
         if not self._coming:
             self._timer = loop.call_later(timeout_s, self._timed_out)
         else:
@@ -201,7 +209,8 @@
         if connection is not None:
             self._begin(connection)
         elif self._pool.upstreams.has_room():
-            self._task = loop.create_task(self._connect())
+            self._dialled = Connection(self._pool)
+            self._task = loop.create_task(self._connect(self._dialled))
         else:
             loop.call_soon(self._finish, Outcome.CONNECT_FAILED)
 
@@ -209,6 +218,14 @@
         """Stop waiting: the connection is closed, which tells the upstream."""
         self._finish(Outcome.CANCELLED)
 
+    def withdraw(self, outcome: Outcome = Outcome.NOT_SENT) -> None:
+        """End it unless its last byte has left: then it can't have begun, and never will."""
+        if not self._is_written():
+            self._finish(outcome)
+
+    def _is_written(self) -> bool:
+        return self._connection is not None and self._connection.is_written()
+
     # ---- what its connection tells ----------------------------------------------------------
 
     def written(self) -> None:
@@ -282,11 +299,10 @@
         else:
             self._finish(Outcome.TIMED_OUT)
 
-    async def _connect(self) -> None:
-        upstreams = self._pool.upstreams
+    async def _connect(self, connection: Connection) -> None:
         try:
-            async with asyncio.timeout(upstreams.config.connect_timeout_ms / 1000):
-                connection = await self._pool.connect()
+            async with asyncio.timeout(self._pool.upstreams.config.connect_timeout_ms / 1000):
+                await self._pool.connect(connection)
         except (OSError, TimeoutError):
             self._task = None
             self._finish(Outcome.CONNECT_FAILED)
@@ -294,8 +310,9 @@
         self._task = None
         if self._over:  # cancelled while the connection came up
             connection.close()
-        elif not self._pool.may_begin():
-            # Guards against a send that begins late: the server was told to drain while we connected.
+        elif not self._pool.may_begin() or time.monotonic() >= self._write_by:
+            # Guards against a send that begins late: while we connected the server was told to drain, or
+            # started anew, or what it remembers of an earlier attempt ran out.
             connection.close()
             self._finish(Outcome.CONNECT_FAILED)
         else:
@@ -313,10 +330,13 @@
         if self._over:
             return
         self._over = True
-        if self._timer is not None:
-            self._timer.cancel()
+        for timer in (self._timer, self._limit):
+            if timer is not None:
+                timer.cancel()
         if self._task is not None:
             self._task.cancel()
+        if self._dialled is not None and self._connection is None:
+            self._dialled.close()
         if self._connection is not None:
             unwritten = not self._connection.is_written()
             if unwritten and outcome in (Outcome.RESET, Outcome.TIMED_OUT, Outcome.ERROR):
@@ -329,7 +349,9 @@
     """One connection to an upstream, in its pool for as long as it is idle."""
 
     def __init__(self, pool: Pool) -> None:
+        """It counts as open from now on, until it is closed."""
         self.pool = pool
+        pool.upstreams.open += 1
         self.idle_since = 0.0
         self._buffers = pool.upstreams.buffers
         self._unsent, self._unread = Holding(self._buffers), Holding(self._buffers)
@@ -526,8 +548,8 @@
         self.current = True
 
     def may_begin(self) -> bool:
-        """Whether operators, and the drain grace if it runs, leave room for a send that is only now ready."""
-        if self.name in self.upstreams.held:
+        """Whether the list, operators and the drain grace if it runs leave room for a send only now ready."""
+        if not self.current or self.name in self.upstreams.held:
             return False
         grace_s = DRAIN_PART * self.upstreams.config.drain_grace_ms / 1000
         return self.drains_since is None or time.monotonic() < self.drains_since + grace_s
@@ -541,16 +563,13 @@
             connection.close()
         return None
 
-    async def connect(self) -> Connection:
-        """Open one more connection."""
-        self.upstreams.open += 1
-        connection = Connection(self)
+    async def connect(self, connection: Connection) -> None:
+        """Open a connection; one that does not come up is closed."""
         try:
             await self.upstreams.loop.create_connection(lambda: connection, *self.address)
         except BaseException:
             connection.close()
             raise
-        return connection
 
     def keep(self, connection: Connection) -> None:
         """Back to the idle ones, unless the server has changed meanwhile."""
@@ -614,13 +633,15 @@
             pool.drains_since = pool.drains_since or time.monotonic()
             pool.close_idle()
 
-    def attempt(self, server: str, timeout_s: float, errand: Errand) -> Attempt | None:
-        """Start an attempt, or None for a server that no list names any more."""
+    def attempt(
+        self, server: str, timeout_s: float, errand: Errand, within_s: float = math.inf
+    ) -> Attempt | None:
+        """Start an attempt, or None for a server that no list names any more; see `Attempt.start`."""
         pool = self._pools.get(server)
         if pool is None:
             return None
         attempt = Attempt(pool, errand)
-        attempt.start(timeout_s)
+        attempt.start(timeout_s, within_s)
         return attempt
 
     def hold(self, server: str) -> None:
--- a/basaltspindle/policy/balancer.py
+++ b/basaltspindle/policy/balancer.py
@@ -14,11 +14,11 @@
 
 from basaltspindle import interface as face
 from basaltspindle.interface import Effect, ListKind, Outcome
+from basaltspindle.policy import repeats
 from basaltspindle.policy.admission import OFFER_CALLS, Admission, Pressure, Times, plain
 from basaltspindle.policy.cold import ColdStarts
 from basaltspindle.policy.draw import draws, least_loaded
 from basaltspindle.policy.limits import Line, Rooms
-from basaltspindle.policy.repeats import IdleConnections, RetryBudget, harmless, may_go_anywhere, patience
 from basaltspindle.policy.requests import Attempt, Request
 from basaltspindle.policy.roster import Roster
 from basaltspindle.policy.sampler import Field
@@ -51,7 +51,7 @@
         self._times = Times(settings)
         self._pressure = Pressure(self._times)
         self._admission = Admission(settings, self._times, self._random)
-        self._budget, self._idle = RetryBudget(), IdleConnections()
+        self._budget, self._idle = repeats.RetryBudget(), repeats.IdleConnections()
         self._requests: dict[int, Request] = {}
         self._leaving = False  # another process has taken over
         self._shedding_until, self._hint = -math.inf, 0.0
@@ -253,7 +253,7 @@
             self._actions.append(face.CloseIdle(server.member.server))  # what is unused so long may be dead
             idle = 0.0
         if self._settings.max_attempts > 1:
-            copy_after = patience(request, self._times.work[request.cls.name], timeout)
+            copy_after = repeats.patience(request, self._times.work[request.cls.name], timeout)
             if copy_after and self._settings.may_duplicate:
                 self._actions.append(face.SetTimer(now + copy_after, f"hedge:{request.id}"))
             elif copy_after:
@@ -261,9 +261,10 @@
         server.catch_up(now)
         self._roster.unused.pop(server.member.server, None)
         server.in_flight += 1
+        within = repeats.harmless_until(request, self._settings) - now
         request.attempts.append(Attempt(server, idle, now, timeout))
         self._cold.sent(server, now)
-        self._actions.append(face.Send(request.id, server.member.server, timeout))
+        self._actions.append(face.Send(request.id, server.member.server, timeout, within))
         return True
 
     def _pick(self, request: Request, now: float) -> Server | None:
@@ -271,8 +272,8 @@
         roster = self._roster
         if self._capacities.is_due(now):
             self._learn(now)
-        if not may_go_anywhere(request):
-            return self._choose(request, harmless(request, roster.ready.values(), self._settings, now), now)
+        if not repeats.may_go_anywhere(request):
+            return self._choose(request, repeats.harmless(request, roster.ready, self._settings, now), now)
         for server in roster.unused.values():
             # Operators watch for its first call, and as a cold one it would seldom be drawn.
             stays = self._zones.share(server.member.zone, now) >= 1
@@ -305,7 +306,7 @@
             # Two processes have one budget for cold servers between them: the one that leaves uses it last.
             warm = [s for s in able if cold.warmth(s, now) >= 1] if self._leaving else []
             able = warm or [s for s in able if self._has_cold_room(s, now)]
-        if may_go_anywhere(request) and (left := self._zones.left_in_full(self._roster.rings, now)):
+        if repeats.may_go_anywhere(request) and (left := self._zones.left_in_full(self._roster.rings, now)):
             able = [s for s in able if s.member.zone not in left]
         if request.attempts:
             able = [s for s in able if all(a.server is not s for a in request.attempts)] or able
@@ -398,12 +399,7 @@
     def _try_again(self, request: Request, now: float, body_is_gone: bool = False) -> bool:
         """Make a further attempt if the retry budget has one left; it is free if no earlier one ever ran."""
         cost = self._budget.cost(request)
-        if (
-            body_is_gone
-            or not self._budget.has(cost)
-            or request.streaming
-            or not self._try_send(request, now)
-        ):
+        if body_is_gone or request.streaming or not (self._budget.has(cost) and self._try_send(request, now)):
             return False
         self._budget.spend(cost)
         return True
--- a/basaltspindle/policy/repeats.py
+++ b/basaltspindle/policy/repeats.py
@@ -4,7 +4,7 @@
 
 import math
 from collections import deque
-from collections.abc import Iterable
+from collections.abc import Mapping
 
 from basaltspindle.interface import Effect, RepeatGroup, Settings
 from basaltspindle.policy.requests import Attempt, Request
@@ -76,14 +76,22 @@
     return request.cls.effect is Effect.SAFE or not any(a.ran for a in request.attempts)
 
 
-def harmless(request: Request, ready: Iterable[Server], settings: Settings, now: float) -> list[Server]:
+def harmless_until(request: Request, settings: Settings) -> float:
+    """Until when the servers of its group drop a repeat of what may have run; inf if it may go anywhere."""
+    if may_go_anywhere(request):
+        return math.inf
+    ran = next(a for a in request.attempts if a.ran)
+    return ran.sent + request.cls.repeat_window_ms - settings.tick_ms
+
+
+def harmless(request: Request, ready: Mapping[str, Server], settings: Settings, now: float) -> list[Server]:
     """The servers that drop a repeat of what may have run; none for a class that must not run twice."""
     cls = request.cls
     ran = next(a for a in request.attempts if a.ran)
-    if cls.effect is Effect.UNSAFE or now >= ran.sent + cls.repeat_window_ms - settings.tick_ms:
+    if cls.effect is Effect.UNSAFE or now >= harmless_until(request, settings):
         return []
     # A server that restarted since may have forgotten what it saw: not asked again.
-    able = [s for s in ready if s.started <= ran.sent]
+    able = [s for s in ready.values() if s.started <= ran.sent]
     if cls.repeat_group is RepeatGroup.ALL:
         return able
     if cls.repeat_group is RepeatGroup.ZONE:
--- a/tests/loopback.py
+++ b/tests/loopback.py
@@ -9,10 +9,12 @@
 from pathlib import Path
 from typing import Any, TypeVar
 
+import pytest
 import uvloop
 
 from basaltspindle.net.config import read_config
 from basaltspindle.net.driver import Driver
+from basaltspindle.net.upstreams import Connection, Pool
 
 T = TypeVar("T")
 PATIENCE_S = 10.0  # for what must happen; reached only when a test fails
@@ -161,6 +163,50 @@
     )
 
 
+class Dials:
+    """Connections to upstreams, or to one, come up when the test says so; then `then` is done at once."""
+
+    def __init__(self, monkeypatch: pytest.MonkeyPatch, server: str = "") -> None:
+        self.begun, self._gate = asyncio.Event(), asyncio.Event()
+        self.then: Callable[[], object] = lambda: None
+        self.count = 0
+        connect = Pool.connect
+
+        async def held(pool: Pool, connection: Connection) -> None:
+            if server in ("", pool.name):
+                self.count += 1
+                self.begun.set()
+                await self._gate.wait()
+            await connect(pool, connection)
+            self.then()
+
+        monkeypatch.setattr(Pool, "connect", held)
+
+    def let_up(self) -> None:
+        """Let them come up from now on."""
+        self._gate.set()
+
+
+async def until(condition: Callable[[], bool]) -> None:
+    """Let the loop turn until something holds; the scenario's own time bounds it."""
+    while not condition():
+        await asyncio.sleep(0)
+
+
+def left_behind(driver: Driver) -> list[str]:
+    """What a balancer that has nothing to do still holds: nothing, if all that ended let go."""
+    held = {
+        "requests": len(driver._requests),
+        "the module's requests": len(driver.balancer._requests),
+        "waiting": len(driver.balancer._line),
+        "bytes": driver.buffers.held,
+        "calls in flight": sum(s.in_flight for s in driver.balancer._roster.servers.values()),
+        "connections in use": driver.upstreams.open
+        - sum(len(p.idle) for p in driver.upstreams._pools.values()),
+    }
+    return [f"{count} {name}" for name, count in held.items() if count]
+
+
 class Rig:
     """A balancer in this process, with its upstreams and discovery."""
 
--- a/tests/streams.py
+++ b/tests/streams.py
@@ -157,7 +157,8 @@
     """A short text that stands for all that a balancer does in the world of a seed."""
     told = sha256()
     for event, actions in World(seed, requests).run():
-        told.update(f"{type(event).__name__} {actions!r}\n".encode())
+        done = repr(actions).replace(", within_ms=inf", "")  # as it was written before there was one
+        told.update(f"{type(event).__name__} {done}\n".encode())
     return told.hexdigest()[:16]
 
 
--- /dev/null
+++ b/tests/test_endings_upstreams.py
@@ -0,0 +1,304 @@
+"""What is owed in the instant in which an attempt, a dial or a connection to an upstream ends."""
+
+from __future__ import annotations
+
+import asyncio
+from collections.abc import Callable
+from typing import Any
+
+import pytest
+
+from basaltspindle import interface as face
+from basaltspindle.interface import NEVER_RAN, ListKind, Outcome
+from basaltspindle.net.upstreams import Upstreams
+from tests.loopback import (
+    Dials,
+    Rig,
+    Upstream,
+    entry,
+    left_behind,
+    reset,
+    response,
+    run,
+    silent,
+    status,
+    until,
+)
+from tests.test_upstreams import Quiet, Try, make, told_list
+
+LIMITS = {"attemptsCap": 3, "connIdle": 60_000.0, "connectTimeout": 5_000.0, "mayDuplicate": True}
+KEYED = {
+    "name": "book", "target": 2_000.0, "deadline": 5_000.0, "effect": "dedup", "keyScope": "all",
+    "repeatWindow": 300.0, "worth": 1.0,
+}  # fmt: skip
+
+
+# ---- dials --------------------------------------------------------------------------------------
+
+Ending = Callable[[Upstreams, str, Try], Any]
+ENDINGS: dict[str, tuple[Ending, Outcome]] = {
+    "cancelled": (lambda upstreams, address, attempt: attempt.attempt.cancel(), Outcome.CANCELLED),
+    "withdrawn": (lambda upstreams, address, attempt: attempt.attempt.withdraw(), Outcome.NOT_SENT),
+    "timed out": (lambda upstreams, address, attempt: attempt.attempt._timed_out(), Outcome.CONNECT_FAILED),
+    "drained": (
+        lambda upstreams, address, attempt: upstreams.listed(
+            told_list(entry("s0", address, status="terminating"))
+        ),
+        Outcome.CONNECT_FAILED,
+    ),
+    "removed": (
+        lambda upstreams, address, attempt: upstreams.listed(told_list(whole=True)),
+        Outcome.CONNECT_FAILED,
+    ),
+    "restarted": (
+        lambda upstreams, address, attempt: upstreams.listed(told_list(entry("s0", address, since_ms=9))),
+        Outcome.CONNECT_FAILED,
+    ),
+    "held": (lambda upstreams, address, attempt: upstreams.hold("s0"), Outcome.CONNECT_FAILED),
+}
+
+
+@pytest.mark.parametrize("order", ["before it is up", "right when it is up"])
+@pytest.mark.parametrize("ending", ENDINGS)
+def test_a_dial_that_comes_up_as_its_attempt_ends_leaves_no_connection_and_sends_nothing(
+    ending: str, order: str, monkeypatch: pytest.MonkeyPatch
+) -> None:
+    """A dial for a server that had started anew meanwhile went to the new process; `open` counted late."""
+    end, wanted = ENDINGS[ending]
+
+    async def scenario() -> None:
+        dials, upstream = Dials(monkeypatch), Upstream()
+        address = await upstream.start()
+        grace_ms = 0.0 if ending == "drained" else 60_000.0
+        upstreams = make(address, connectTimeout=60_000.0, contract={"drainGrace": grace_ms})
+        attempt = Try(upstreams)
+        assert upstreams.open == 1, "it counts from the dial on"
+        await dials.begun.wait()
+        if order == "before it is up":
+            end(upstreams, address, attempt)
+        else:
+            dials.then = lambda: end(upstreams, address, attempt)
+        dials.let_up()
+        assert await attempt.outcome() is wanted
+        assert wanted in NEVER_RAN or wanted is Outcome.CANCELLED
+        if upstream.connections:
+            await upstream.ended.wait()
+        assert not upstream.asked
+        assert upstreams.open == 0
+
+    run(scenario())
+
+
+def test_many_dials_at_once_keep_to_the_bound_on_connections(monkeypatch: pytest.MonkeyPatch) -> None:
+    """Each was counted when it began to connect, in a later turn of the loop: a burst went over the bound."""
+
+    async def scenario() -> None:
+        dials = Dials(monkeypatch)
+        upstreams = make(await Upstream().start())
+        upstreams.cap = 3
+        tries = [Try(upstreams) for _ in range(10)]
+        assert upstreams.open == 3
+        await until(lambda: sum(t.over.is_set() for t in tries) == 7)
+        assert dials.count == 3
+        dials.let_up()
+        for attempt in tries:
+            await attempt.outcome()
+
+    run(scenario())
+
+
+def test_a_time_out_of_the_dial_and_the_dial_in_one_turn_end_the_attempt_once(
+    monkeypatch: pytest.MonkeyPatch,
+) -> None:
+    async def scenario() -> None:
+        dials, upstream = Dials(monkeypatch), Upstream()
+        upstreams = make(await upstream.start(), connectTimeout=1.0)
+        attempt = Try(upstreams)
+        dials.then = lambda: attempt.attempt._timed_out()
+        dials.let_up()
+        assert await attempt.outcome() is Outcome.CONNECT_FAILED
+        await until(lambda: upstreams.open == 0)
+        assert not upstream.asked
+
+    run(scenario())
+
+
+# ---- clients that leave -------------------------------------------------------------------------
+
+
+@pytest.mark.parametrize("may_cancel", [True, False])
+@pytest.mark.parametrize("path", ["/read/x", "/pay/x"])
+def test_a_client_that_leaves_while_its_connection_is_dialled_is_not_sent_on(
+    may_cancel: bool, path: str, monkeypatch: pytest.MonkeyPatch
+) -> None:
+    """Where the settings forbid cancelling the dial went on, and the request was sent when it was up."""
+
+    async def scenario() -> None:
+        dials, upstream = Dials(monkeypatch), Upstream()
+        async with Rig(upstream, limits=LIMITS | {"mayCancel": may_cancel}) as rig:
+            for _ in range(20):
+                caller = await rig.caller()
+                caller.send(path, b"debit")
+                await dials.begun.wait()
+                caller.writer.close()
+            await until(lambda: rig.driver.callers.count() == 0)
+            assert not left_behind(rig.driver)
+            dials.let_up()
+            assert status(await rig.ask()) == 200
+            assert [asked.line for asked in upstream.asked] == ["GET /read/x?y=1 HTTP/1.1"]
+
+    run(scenario())
+
+
+@pytest.mark.parametrize("may_cancel", [True, False])
+def test_a_client_that_leaves_behind_half_a_body_frees_the_upstream_at_once(may_cancel: bool) -> None:
+    """Where the settings forbid cancelling, the attempt stayed out until nothing had moved for 20 s."""
+
+    async def scenario() -> None:
+        arrived, ended = asyncio.Event(), asyncio.Event()
+
+        async def take(reader: asyncio.StreamReader, writer: asyncio.StreamWriter) -> None:
+            await reader.readuntil(b"\r\n\r\n")
+            await reader.readexactly(50_000)
+            arrived.set()
+            with pytest.raises(asyncio.IncompleteReadError):
+                await reader.readexactly(200_000)
+            ended.set()
+            writer.close()
+
+        server = await asyncio.start_server(take, "127.0.0.1", 0)
+        async with Rig(Upstream(), limits=LIMITS | {"mayCancel": may_cancel}) as rig:
+            port = server.sockets[0].getsockname()[1]
+            rig.driver._listed(ListKind.FULL, told_list(entry("s0", f"127.0.0.1:{port}"), whole=True))
+            caller = await rig.caller()
+            caller.send("/pay/x", b"x" * 200_000)
+            await arrived.wait()
+            caller.send("/pay/x", b"")  # bytes behind it that nobody will read
+            partial = await rig.caller()
+            partial.writer.write(
+                b"POST /pay/x HTTP/1.1\r\nX-Class: pay\r\nX-Request-Id: 2\r\nX-Deadline: 900m\r\n"
+                b"Content-Length: 200000\r\n\r\n" + b"x" * 100_000
+            )
+            caller.writer.close()
+            partial.writer.transport.abort()
+            await ended.wait()
+            await until(lambda: not left_behind(rig.driver))
+
+    run(scenario())
+
+
+def test_the_copy_of_an_answered_request_is_not_written_when_its_dial_comes_up(
+    monkeypatch: pytest.MonkeyPatch,
+) -> None:
+    """Where the settings forbid cancelling, a second attempt was sent after the final answer had gone out."""
+
+    async def scenario() -> None:
+        first, second = Upstream(), Upstream()
+        async with Rig(first, second, limits=LIMITS | {"mayCancel": False}) as rig:
+            told = list[face.Event]()
+
+            def send_both(event: face.Event, now: float) -> list[face.Action]:
+                told.append(event)
+                if not isinstance(event, face.RequestArrived):
+                    return []
+                return [face.Send(event.request, name, 1_000.0) for name in ("s0", "s1")]
+
+            rig.driver.balancer.handle = send_both  # type: ignore[method-assign]
+            dials = Dials(monkeypatch, "s1")
+            assert status(await rig.ask()) == 200
+            await until(lambda: not rig.driver._requests)
+            dials.let_up()
+            ends = [(e.attempt, e.outcome, e.answered) for e in told if isinstance(e, face.AttemptEnded)]
+            assert ends == [(0, Outcome.SERVED, True), (1, Outcome.NOT_SENT, True)]
+            assert not second.asked and not second.connections
+
+    run(scenario())
+
+
+# ---- repeats that are late ----------------------------------------------------------------------
+
+
+def test_a_repeat_whose_connection_comes_up_after_its_window_is_not_written(
+    monkeypatch: pytest.MonkeyPatch,
+) -> None:
+    """It was allowed when it was decided, and was sent when the servers had forgotten the first attempt."""
+
+    async def scenario() -> None:
+        upstreams = Upstream(reset), Upstream(reset)
+        classes = [KEYED | {"repeatWindow": 150.0}]
+        async with Rig(*upstreams, classes=classes, limits=LIMITS) as rig:
+            caller = await rig.caller()
+            caller.send("/book/x", b"seat")
+            await until(lambda: any(u.asked for u in upstreams))
+            dials = Dials(monkeypatch)
+            await dials.begun.wait()  # the repeat
+            await at_least(0.2)
+            dials.let_up()
+            assert status(await caller.answer()) == 502
+            assert not left_behind(rig.driver)
+            assert sum(len(u.asked) for u in upstreams) == 1
+
+    run(scenario())
+
+
+async def at_least(span_s: float) -> None:
+    """Wait for a timer: a slow machine only makes it later, and what comes after it with it."""
+    over = asyncio.Event()
+    asyncio.get_running_loop().call_later(span_s, over.set)
+    await over.wait()
+
+
+def test_the_last_byte_of_a_repeat_leaves_within_its_window_or_never() -> None:
+    """The upstream reads nothing: most of the request is still with us when the time is over."""
+
+    async def scenario() -> None:
+        ended, begun = asyncio.Event(), asyncio.Event()
+
+        async def take(reader: asyncio.StreamReader, writer: asyncio.StreamWriter) -> None:
+            begun.set()
+            await ended.wait()
+            writer.close()
+
+        server = await asyncio.start_server(take, "127.0.0.1", 0, limit=1024)
+        upstreams = make(f"127.0.0.1:{server.sockets[0].getsockname()[1]}")
+        errand = Try.__new__(Try)
+        errand.ends, errand.over, errand._request = [], asyncio.Event(), b"x" * 50_000_000
+        attempt = upstreams.attempt("s0", 60.0, errand, within_s=0.05)
+        assert attempt is not None
+        await begun.wait()
+        assert await errand.outcome() is Outcome.CONNECT_FAILED, "it can't have run"
+        assert upstreams.open == 0
+        ended.set()
+
+    run(scenario())
+
+
+def test_a_repeat_that_was_written_in_time_is_waited_for() -> None:
+    async def scenario() -> None:
+        upstream = Upstream(silent)
+        upstreams = make(await upstream.start())
+        errand = Try.__new__(Try)
+        errand.ends, errand.over, errand._request = [], asyncio.Event(), b"GET /read HTTP/1.1\r\n\r\n"
+        assert upstreams.attempt("s0", 60.0, errand, within_s=0.02) is not None
+        await upstream.seen.wait()
+        await at_least(0.03)  # behind the limit's timer in the loop's order
+        assert not errand.ends
+        upstream.writers[0].write(response())
+        assert await errand.outcome() is Outcome.SERVED
+
+    run(scenario())
+
+
+# ---- answers that cross -------------------------------------------------------------------------
+
+
+def test_no_connection_is_left_when_attempts_are_quiet_and_the_server_goes() -> None:
+    async def scenario() -> None:
+        upstream = Upstream()
+        upstreams = make(await upstream.start())
+        assert upstreams.attempt("s0", 1.0, Quiet()) is not None
+        await until(lambda: bool(upstreams._pools["s0"].idle))
+        upstreams.listed(told_list(whole=True))
+        assert upstreams.open == 0
+
+    run(scenario())
--- a/tests/test_upstreams.py
+++ b/tests/test_upstreams.py
@@ -22,9 +22,10 @@
     return read_list({"index": 1, "snapshot": whole, "endpoints": list(entries)})
 
 
-def make(address: str, **limits: Any) -> Upstreams:
+def make(address: str, contract: dict[str, float] | None = None, **limits: Any) -> Upstreams:
     base = {"attemptsCap": 3, "connIdle": 60_000.0, "connectTimeout": 200.0}
-    text = config_text("127.0.0.1:9", [], limits=base | limits)
+    more: dict[str, Any] = {"contract": contract} if contract else {}
+    text = config_text("127.0.0.1:9", [], limits=base | limits, **more)
     upstreams = Upstreams(
         read_config(text, lambda note: None), asyncio.get_running_loop(), Buffers(1_000_000)
     )
