Take no answer that comes before the last byte of its request

Nobody begins a request before its last byte has come (PROTOCOL), so a 200 before it is for what was asked on that connection earlier; it was served to the wrong caller. Now the connection is broken and the attempt never ran. Answers of other meanings (turned away, errors) stand as they did.

Found by review; the test fails without it.

--- a/basaltspindle/net/upstreams.py
+++ b/basaltspindle/net/upstreams.py
@@ -244,6 +244,9 @@
 
     def begin_passing_on(self, reader: ResponseReader) -> None:
         """The answer is long: let whoever waits for it have it as it comes."""
+        if not self._is_written():
+            self.broken()
+            return
         self._caller = self._errand.started(self, reader.answer())
         if self._caller is None:
             self.cancel()
@@ -261,7 +264,12 @@
             self._finish(Outcome.SERVED, clean=True)
         else:
             answer = reader.answer()
-            self._finish(_meaning(answer.status, answer.headers), answer, clean=True)
+            outcome = _meaning(answer.status, answer.headers)
+            if outcome is Outcome.SERVED and not self._is_written():
+                # Guards against an answer to what was asked before: nobody begins before the last byte.
+                self.broken()
+            else:
+                self._finish(outcome, answer, clean=True)
 
     def broken(self) -> None:
         """The connection ended or carried what can't be passed on."""
--- a/tests/test_endings_upstreams.py
+++ b/tests/test_endings_upstreams.py
@@ -292,6 +292,24 @@
 # ---- answers that cross -------------------------------------------------------------------------
 
 
+def test_an_answer_before_the_last_byte_of_its_request_is_none() -> None:
+    """Nobody begins before the last byte has come: it is for what was asked on this connection before."""
+
+    async def scenario() -> None:
+        async def early(reader: asyncio.StreamReader, writer: asyncio.StreamWriter) -> None:
+            writer.write(response(200, b"another's"))
+            await reader.read()
+            writer.close()
+
+        server = await asyncio.start_server(early, "127.0.0.1", 0, limit=1024)
+        upstreams = make(f"127.0.0.1:{server.sockets[0].getsockname()[1]}")
+        attempt = Try(upstreams, b"x" * 50_000_000)
+        assert await attempt.outcome() is Outcome.CONNECT_FAILED
+        assert upstreams.open == 0
+
+    run(scenario())
+
+
 def test_no_connection_is_left_when_attempts_are_quiet_and_the_server_goes() -> None:
     async def scenario() -> None:
         upstream = Upstream()
