Let go of a caller whose end is unseen, and answer all that was taken before the process goes

- While reading was paused (a body waiting for its connection, more than 16 requests read ahead) nobody saw the caller's end: all were sent on.
Now the socket is asked (POLLRDHUP) every 0.1 s while it is paused, and once as each request is taken up: one that lay in the kernel while there was no place is dropped if its caller has gone.
- A caller that ended its sending was let go only when all that was written to it had left.
- At the end of the process the answer to one request let the next on the same connection be taken up and sent on, and the process went 0.05 s later.
Now what is read after the last answers is refused.
- Answers that were going out were cut off, and readers behind were left with part of theirs.
Now the process reads on for 0.15 s, and waits up to 5 s for whoever has still to read.
- Half-close and linger were begun again at each look; once is enough.
- The bytes of bodies that were answered without being sent on (404, 400, health) stayed counted against the bound on buffers for good.

--- a/basaltspindle/net/callers.py
+++ b/basaltspindle/net/callers.py
@@ -31,6 +31,7 @@
     body_length,
     chunk,
     end_to_end,
+    has_hung_up,
     origin_form,
     peek,
     response,
@@ -50,6 +51,9 @@
 PACE = 64_000  # as its body takes at so many bytes a second
 TERM_ACCEPT_S = 0.5  # new connections go on coming for a while after SIGTERM
 TERM_STAY_PART = 0.6  # of the time after that, callers keep the connections they have: there may be no other
+TERM_LAST_S = 0.15  # at the end answers go out, and we read on; the platform kills 0.2 s after that begins
+TERM_UNREAD_S = 5.0  # and longer for whoever has not taken its answer: only its reading, or a kill, ends that
+LOOK_S = 0.1  # between looks whether a caller from whom we do not read has gone
 DEADLINE_MAX_MS = 3_600_000.0
 _UNIT_MS = {b"m": 1.0, b"u": 0.001}
 _HOPS = (b"x-deadline", b"expect")  # said anew for each attempt, or settled with the caller
@@ -196,7 +200,7 @@
         """Hear that nobody waits for its answer any more."""
 
     def close(self) -> None:
-        """Answer all that is still open: there is no more time."""
+        """Answer all that is still open, and refuse what still comes: there is no more time."""
 
 
 class CallerConnection(asyncio.BufferedProtocol):
@@ -211,12 +215,14 @@
         self._incoming: Taken | None = None  # whose body has still to come, or to end
         self._bad: tuple[int, str] | None = None
         self._deaf = self._lost = self._advancing = self._paused = self._reading = False
+        self._half_closed = False  # by us; what still comes is read and dropped
         self._ends_with_body = False  # its answer has gone out before its body was whole
         self._in_head = self._passing = False
         self._asked = False  # whether a whole request has come
         self._unsent = Holding(self.buffers)
         self._left_unsent = 0  # when it was last looked at, after the end
         self._patience: asyncio.TimerHandle | None = None
+        self._looking: asyncio.TimerHandle | None = None
         self._paused_at = 0.0
         self.idle_since = self._since = time.monotonic()
 
@@ -400,26 +406,50 @@
             self._paused, self._paused_at = True, time.monotonic()
             self._transport.pause_reading()
             self._be_patient()
+            self._looking = self._callers.loop.call_later(LOOK_S, self._look_for_end)
         elif not full and self._paused:
             self._paused = False
             self._since += time.monotonic() - self._paused_at  # it was we who did not read
             self._transport.resume_reading()
             self._be_patient()
+            self._stop_looking()
+
+    def _look_for_end(self) -> None:
+        """Guards against a caller that goes unseen, since its end lies behind bytes that we do not read."""
+        assert self._transport is not None
+        if has_hung_up(self._transport):
+            self._leave()
+            self._transport.abort()
+        else:
+            self._looking = self._callers.loop.call_later(LOOK_S, self._look_for_end)
+
+    def _stop_looking(self) -> None:
+        if self._looking is not None:
+            self._looking.cancel()
+            self._looking = None
 
     def eof_received(self) -> None:
-        """A caller that ends its sending has gone; the transport closes by itself."""
+        """A caller that ends its sending has gone; the transport closes once what was written has left."""
+        self._leave()
 
     def connection_lost(self, exc: Exception | None) -> None:
-        """The caller has gone: nobody waits for what is still out."""
-        self._lost = self._deaf = True
-        self._be_patient()
+        """The connection is over."""
+        self._lost = True
         self._unsent.set(0)
+        self._leave()
+        self._callers.closed(self)
+
+    def _leave(self) -> None:
+        """The caller has gone: nobody waits for what is still out, and nothing more is taken up."""
+        self._deaf = True
+        self._be_patient()
+        self._stop_looking()
         for taken in (*self._waiting, self._incoming):
             if taken is not None and taken is not self._current:
                 taken.body.drop()
         self._waiting.clear()
-        self._incoming = None
-        self._callers.closed(self)
+        self._incoming = self._bad = None
+        self._passing = False
         if (taken := self._current) is not None:
             self._current = None
             taken.open = False
@@ -452,7 +482,7 @@
         return self._deaf or not peek(self._transport)
 
     def _advance(self) -> None:
-        if self._advancing or self._transport is None:
+        if self._advancing or self._transport is None or self._transport.is_closing():
             return
         self._advancing = True
         try:
@@ -473,18 +503,26 @@
         # Whoever asks for no service gets a close with the answer: such peers stay, and there are many.
         if taken.target == b"/healthz" and taken.method == b"GET":
             taken.keep_alive = False
+            taken.body.drop()
             # While it ends it says so, for whoever asks where to send.
             taken.answer(
                 503 if self._callers.ending else 200, body=b"ending\n" if self._callers.ending else b"ok\n"
             )
         elif problem := taken.check(self._callers.classes):
             taken.keep_alive = False
+            taken.body.drop()
             taken.answer(problem[0], body=problem[1].encode() + b"\n")
+        elif self._transport is not None and has_hung_up(self._transport):
+            # It lay unread until now, in the kernel or behind others: whoever sent it has gone.
+            taken.body.drop()
+            self._leave()
+            self._transport.abort()
         else:
             try:
                 self._callers.desk.arrived(taken)
             except Exception:  # whatever happens, the caller is owed an answer
                 self._callers.report("a request could not be taken up")
+                taken.body.drop()
                 taken.answer(500)
 
     def answer(self, taken: Taken, status: int, headers: Headers, body: bytes) -> None:
@@ -559,12 +597,21 @@
         Guards against a reset that overtakes our last answer, or that hits a request on its way: the
         caller sees a clean end between requests, and sends it again on another connection.
         """
-        if self._transport is None or self._lost or self._transport.is_closing():
+        if self._transport is None or self._lost or self._half_closed or self._transport.is_closing():
             return
-        self._deaf = True
+        self._deaf = self._half_closed = True
         self._transport.write_eof()
         self._callers.loop.call_later(LINGER_S, self._stop_lingering)
 
+    def end_at_last(self) -> bool:
+        """The process ends: no more is taken up. Whether an answer is still on its way to a caller."""
+        if self._transport is None or self._lost:
+            return False
+        if self._passing:
+            return True
+        self.end_softly()
+        return self._transport.get_write_buffer_size() > 0
+
     def _stop_lingering(self) -> None:
         """Close, once a slow reader has taken the whole answer; one that takes none is closed on."""
         if self._transport is None or self._lost:
@@ -713,6 +760,10 @@
                     connection.idle_since = math.inf  # ended once; then it only lingers
                     connection.end_softly()
             await asyncio.sleep(0.01)
-        if self._connections:
-            self.desk.close()
-            await asyncio.sleep(ACCEPT_PAUSE_S)
+        self.desk.close()
+        last = time.monotonic() + TERM_LAST_S
+        while self._connections and time.monotonic() < last + TERM_UNREAD_S:
+            is_unread = [connection.end_at_last() for connection in list(self._connections)]
+            if time.monotonic() >= last and not any(is_unread):
+                break
+            await asyncio.sleep(0.01)
--- a/basaltspindle/net/driver.py
+++ b/basaltspindle/net/driver.py
@@ -163,7 +163,7 @@
         self._requests: dict[int, _Request] = {}
         self._last = 0
         self._events: deque[face.Event] = deque()
-        self._busy = False
+        self._busy = self._closed = False
         self._known = config.known
         self._list: dict[str, Endpoint] = {}
         self._index = 0
@@ -431,6 +431,10 @@
 
     def arrived(self, taken: Taken) -> None:
         """A caller's request is here, whole or with the rest of its body to come."""
+        if self._closed:
+            taken.body.drop()
+            taken.answer(503)
+            return
         self._last += 1
         waited = (time.monotonic() - taken.arrived) * 1000 if taken.body.whole else 0.0
         left = taken.deadline_ms - waited
@@ -482,9 +486,11 @@
             self._tell(face.ClientLeft(request.id), request)
 
     def close(self) -> None:
-        """The time after SIGTERM is up: answer what is still open."""
-        for number in list(self._requests):
-            self._rescue(number)
+        """The time after SIGTERM is up: answer all but those whose answer is going out, refuse the rest."""
+        self._closed = True
+        for number, request in list(self._requests.items()):
+            if request.passed_on is None:
+                self._rescue(number)
 
     def _rescue(self, number: int | None) -> None:
         """The safety net: whatever went wrong, the caller gets an answer that promises no too much."""
--- a/basaltspindle/net/framing.py
+++ b/basaltspindle/net/framing.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import asyncio
+import select
 import socket
 from collections.abc import Callable
 from http import HTTPStatus
@@ -202,6 +203,16 @@
     transport.get_extra_info("socket").setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
 
 
+def has_hung_up(transport: asyncio.BaseTransport) -> bool:
+    """Whether the other side has ended its sending, though there may be bytes to read before that."""
+    look = select.poll()
+    look.register(transport.get_extra_info("socket"), select.POLLRDHUP)
+    try:
+        return bool(look.poll(0))
+    except OSError:
+        return False
+
+
 def peek(transport: asyncio.BaseTransport) -> bytes | None:
     """What the kernel holds that the loop has not read: a first byte, b"" for the end, None for nothing."""
     wrapped = transport.get_extra_info("socket")
--- a/tests/loopback.py
+++ b/tests/loopback.py
@@ -193,6 +193,13 @@
         await asyncio.sleep(0)
 
 
+async def at_least(span_s: float) -> None:
+    """Wait for a timer: a slow machine only makes it later, and what comes after it with it."""
+    over = asyncio.Event()
+    asyncio.get_running_loop().call_later(span_s, over.set)
+    await over.wait()
+
+
 def left_behind(driver: Driver) -> list[str]:
     """What a balancer that has nothing to do still holds: nothing, if all that ended let go."""
     held = {
--- /dev/null
+++ b/tests/test_endings_callers.py
@@ -0,0 +1,341 @@
+"""What is owed in the instant in which a caller leaves, or the process ends."""
+
+from __future__ import annotations
+
+import asyncio
+import json
+import os
+import signal
+import socket
+import sys
+from pathlib import Path
+
+import pytest
+
+from basaltspindle.net import callers
+from tests.loopback import (
+    Caller,
+    Dials,
+    ListServer,
+    Rig,
+    Upstream,
+    at_least,
+    config_text,
+    entry,
+    left_behind,
+    response,
+    run,
+    silent,
+    status,
+    until,
+)
+
+HEAD = b"GET /read/x HTTP/1.1\r\nX-Class: read\r\nX-Request-Id: 1\r\nX-Deadline: 4000m\r\n\r\n"
+LIMITS = {"attemptsCap": 3, "connIdle": 60_000.0, "connectTimeout": 5_000.0}
+may_cancel = pytest.mark.parametrize("cancel", [True, False])
+
+
+# ---- a caller leaves ----------------------------------------------------------------------------
+
+
+@may_cancel
+def test_a_caller_whose_end_lies_behind_a_body_that_waits_is_not_sent_on(
+    cancel: bool, monkeypatch: pytest.MonkeyPatch
+) -> None:
+    """Reading was paused, so nobody saw its end, and its request was sent when the connection was up."""
+
+    async def scenario() -> None:
+        dials, upstream = Dials(monkeypatch), Upstream()
+        async with Rig(upstream, limits=LIMITS | {"mayCancel": cancel}) as rig:
+            caller = await rig.caller()
+            caller.send("/pay/x", b"x" * 70_000)
+            await dials.begun.wait()
+            (connection,) = rig.driver.callers._connections
+            await until(lambda: connection._paused)
+            caller.writer.close()
+            await until(lambda: rig.driver.callers.count() == 0)
+            assert not left_behind(rig.driver)
+            dials.let_up()
+            assert status(await rig.ask()) == 200
+            assert len(upstream.asked) == 1
+
+    run(scenario())
+
+
+@may_cancel
+def test_requests_read_ahead_are_dropped_with_their_caller_though_reading_is_paused(
+    cancel: bool, monkeypatch: pytest.MonkeyPatch
+) -> None:
+    """Each was sent on as the one before it was answered, to a caller that had gone long ago."""
+    monkeypatch.setattr(callers, "LOOK_S", 0.005)
+
+    async def scenario() -> None:
+        upstream = Upstream(silent)
+        async with Rig(upstream, limits=LIMITS | {"mayCancel": cancel}) as rig:
+            caller = await rig.caller()
+            caller.writer.write(HEAD * 40)
+            (connection,) = rig.driver.callers._connections
+            await until(lambda: connection._paused)
+            await upstream.seen.wait()
+            await at_least(0.02)  # some looks that see a caller that is there
+            caller.writer.close()
+            await until(lambda: rig.driver.callers.count() == 0)
+            upstream.writers[0].write(response())
+            await until(lambda: not left_behind(rig.driver))
+            assert len(upstream.asked) == 1
+
+    run(scenario())
+
+
+def test_a_request_that_lay_in_the_kernel_until_its_caller_had_gone_is_not_sent_on() -> None:
+    """There was no place for its connection; it was sent on when one became free."""
+
+    async def scenario() -> None:
+        upstream = Upstream()
+        async with Rig(upstream) as rig:
+            rig.driver.callers.cap = 1
+            first, late = await rig.caller(), await rig.caller()
+            first.send()
+            assert (
+                status(await first.answer()) == 200
+            )  # its upstream connection idles: no dial delays the next
+            late.send("/pay/x", b"debit")
+            await late.writer.drain()
+            late.writer.close()
+            await late.writer.wait_closed()
+            first.writer.close()
+            last = await rig.caller()  # behind it in the kernel's queue
+            last.send("/pay/last")
+            assert status(await last.answer()) == 200
+            assert [a.line.split()[1] for a in upstream.asked] == ["/read/x?y=1", "/pay/last"]
+            last.writer.close()
+            await until(lambda: not left_behind(rig.driver))
+
+    run(scenario())
+
+
+def test_a_caller_that_ends_its_sending_and_reads_no_more_frees_all_at_once() -> None:
+    """While its answer could not leave it was not seen to have gone, and all it had asked for went on."""
+
+    async def scenario() -> None:
+        upstream = Upstream(response(200, b"x" * 30_000_000), response())
+        async with Rig(upstream) as rig:
+            with socket.socket() as deaf:
+                deaf.setsockopt(socket.SOL_SOCKET, socket.SO_RCVBUF, 4_096)
+                deaf.connect(rig.driver.callers.address)
+                deaf.sendall(HEAD * 2)
+                await upstream.seen.wait()
+                (connection,) = rig.driver.callers._connections
+                await until(lambda: connection._passing and connection._unsent.count > 0)
+                deaf.shutdown(socket.SHUT_WR)
+                await until(lambda: not rig.driver._requests)
+                assert len(upstream.asked) == 1
+            await until(lambda: rig.driver.callers.count() == 0)
+            assert not left_behind(rig.driver)
+
+    run(scenario())
+
+
+@pytest.mark.parametrize("path", ["/nosuch/x", "/healthz", "/read/x"])
+def test_a_flood_of_bodies_that_are_not_sent_on_leaves_nothing_held(path: str) -> None:
+    """The bytes of bodies that were turned away counted as held for good, till nobody might send any."""
+
+    async def scenario() -> None:
+        async with Rig(Upstream()) as rig:
+            everyone = [await rig.caller() for _ in range(50)]
+            for caller in everyone:
+                caller.send(path, b"x" * 60_000, x_class="other")
+                caller.writer.write(b"GET /read/x HTTP/1.1\r\n")  # and part of another behind it
+            for caller in everyone[:25]:
+                caller.writer.transport.abort()
+            for caller in everyone[25:]:
+                assert status(await caller.answer()) >= 400
+                caller.writer.close()
+            await until(lambda: rig.driver.callers.count() == 0)
+            assert not left_behind(rig.driver)
+
+    run(scenario())
+
+
+def test_hundreds_that_wait_for_room_and_leave_at_once_free_all_they_held() -> None:
+    async def scenario() -> None:
+        upstream = Upstream(silent)
+        patient = {
+            "name": "read",
+            "target": 90_000.0,
+            "deadline": 99_000.0,
+            "effect": "retryable",
+            "worth": 1.0,
+        }
+        async with Rig(upstream, classes=[patient]) as rig:
+            everyone = [await rig.caller() for _ in range(200)]
+            for caller in everyone:
+                caller.send(deadline="90000m")
+            await until(lambda: len(rig.driver.balancer._line) == 100)
+            for caller in everyone:
+                caller.writer.close()
+            await until(lambda: rig.driver.callers.count() == 0)
+            await until(lambda: not left_behind(rig.driver))
+            assert len(upstream.asked) <= 100
+            seen = len(upstream.asked)
+            upstream.seen.clear()
+            last = await rig.caller()
+            last.send()
+            await upstream.seen.wait()
+            assert len(upstream.asked) == seen + 1
+            last.writer.close()
+
+    run(scenario())
+
+
+# ---- the process ends ---------------------------------------------------------------------------
+
+
+def end_at_once(monkeypatch: pytest.MonkeyPatch) -> None:
+    """The time to stay is over as soon as it begins."""
+    for name in ("TERM_ACCEPT_S", "TERM_LONGEST_S", "TERM_LAST_S"):
+        monkeypatch.setattr(callers, name, 0.0)
+
+
+def test_requests_behind_one_that_hangs_get_their_answers_at_the_end(monkeypatch: pytest.MonkeyPatch) -> None:
+    """The first was answered, the next was taken up and sent on, and the process ended under it."""
+    end_at_once(monkeypatch)
+
+    async def scenario() -> None:
+        upstream = Upstream(silent)
+        async with Rig(upstream) as rig:
+            caller = await rig.caller()
+            caller.writer.write(HEAD * 3)
+            await upstream.seen.wait()
+            await rig.driver.callers.end()
+            assert [status(await caller.answer()) for _ in range(3)] == [502, 503, 503]
+            assert await caller.reader.read() == b""
+            assert len(upstream.asked) == 1
+            assert not left_behind(rig.driver)
+
+    run(scenario())
+
+
+def test_a_slow_reader_gets_the_rest_of_its_answer_before_the_process_goes(
+    monkeypatch: pytest.MonkeyPatch,
+) -> None:
+    """Whoever had not read when the time was up found its answer cut off."""
+    end_at_once(monkeypatch)
+
+    async def scenario() -> None:
+        large = b"x" * 8_000_000
+        async with Rig(Upstream(response(200, large))) as rig:
+            caller = await rig.caller()
+            caller.send()
+            (connection,) = rig.driver.callers._connections
+            await until(lambda: connection._passing)
+            ending = asyncio.ensure_future(rig.driver.callers.end())
+            await until(lambda: rig.driver._closed)
+            await at_least(0.05)
+            assert not ending.done()
+            assert (await caller.answer()).body == large
+            assert await caller.reader.read() == b""
+            caller.writer.close()
+            await ending
+            assert not left_behind(rig.driver)
+
+    run(scenario())
+
+
+@pytest.mark.parametrize("at", ["while there is time", "when the time is up"])
+@pytest.mark.parametrize("sent", [b"", HEAD[:40], HEAD])
+def test_what_crosses_our_half_close_is_read_and_dropped_and_the_end_is_clean(
+    sent: bytes, at: str, monkeypatch: pytest.MonkeyPatch
+) -> None:
+    """A close over unread bytes resets the connection, and takes the answer before them with it."""
+    end_at_once(monkeypatch)
+    monkeypatch.setattr(callers, "TERM_LAST_S", 5.0)
+    if at == "while there is time":
+        monkeypatch.setattr(callers, "TERM_LONGEST_S", 5.0)
+        monkeypatch.setattr(callers, "TERM_STAY_PART", 0.0)
+    monkeypatch.setattr(callers, "FRESH_S", 0.0)
+
+    async def scenario() -> None:
+        upstream = Upstream()
+        async with Rig(upstream) as rig:
+            caller = await rig.caller()
+            caller.send()
+            await upstream.seen.wait()
+            (connection,) = rig.driver.callers._connections
+            end_softly = connection.end_softly
+
+            def crossing() -> None:
+                end_softly()
+                caller.writer.write(
+                    sent
+                )  # written at once: in our kernel, unread, right after the half-close
+
+            monkeypatch.setattr(connection, "end_softly", crossing)
+            await until(lambda: not rig.driver._requests)
+            ending = asyncio.ensure_future(rig.driver.callers.end())
+            answer = await caller.answer()
+            assert status(answer) == 200 and answer.body == b"tile"
+            assert await caller.reader.read() == b""
+            caller.writer.close()
+            await ending
+            assert len(upstream.asked) == 1
+
+    run(scenario())
+
+
+def test_the_program_ends_with_every_answer_out_whatever_signals_come(tmp_path: Path) -> None:
+    """In flight past its deadline, half a request, idle, pipelined; a second SIGTERM and SIGHUP meanwhile."""
+
+    async def scenario() -> None:
+        upstream, lists, path = Upstream(silent), ListServer(), tmp_path / "config.json"
+        classes = [{"name": "read", "target": 200.0, "deadline": 400.0, "effect": "fragile", "worth": 1.0}]
+        port = free_port()
+        entries = [entry("s0", await upstream.start())]
+        config = json.loads(config_text(await lists.start(), entries, classes=classes))
+        path.write_text(json.dumps(config | {"listen": f"127.0.0.1:{port}", "console": ""}))
+        program = await asyncio.create_subprocess_exec(
+            sys.executable, "-m", "basaltspindle", env=os.environ | {"LB_CONFIG": str(path)}
+        )
+        try:
+            flight, half, idle = [await connected(port) for _ in range(3)]
+            flight.writer.write(HEAD.replace(b"4000m", b"60000m") * 2)
+            await upstream.seen.wait()
+            half.writer.write(HEAD[:50])
+            for number in (signal.SIGTERM, signal.SIGTERM, signal.SIGHUP):
+                program.send_signal(number)
+            half.writer.write(HEAD[50:].replace(b"4000m", b"60000m"))
+            idle_answer = await asyncio.wait_for(idle.reader.read(), None)
+            assert idle_answer == b""
+            idle.writer.write(HEAD)  # crosses the end of its connection
+            assert status(await flight.answer()) in (502, 503)
+            assert status(await flight.answer()) in (502, 503)
+            assert status(await half.answer()) in (502, 503)
+            for caller in (flight, half):
+                assert await caller.reader.read() == b"", "no reset"
+                caller.writer.close()
+            idle.writer.close()
+            assert await program.wait() == 0
+            assert all(a.headers["x-request-id"] == "1" for a in upstream.asked)
+        finally:
+            if program.returncode is None:
+                program.kill()
+                await program.wait()
+
+    run(scenario())
+
+
+def free_port() -> int:
+    with socket.socket() as probe:
+        probe.bind(("127.0.0.1", 0))
+        return int(probe.getsockname()[1])
+
+
+async def connected(port: int) -> Caller:
+    """A caller of a program that is starting."""
+    caller = Caller()
+    while True:
+        try:
+            caller.reader, caller.writer = await asyncio.open_connection("127.0.0.1", port)
+            return caller
+        except ConnectionRefusedError:
+            await asyncio.sleep(0.01)
--- a/tests/test_endings_upstreams.py
+++ b/tests/test_endings_upstreams.py
@@ -15,6 +15,7 @@
     Dials,
     Rig,
     Upstream,
+    at_least,
     entry,
     left_behind,
     reset,
@@ -241,13 +242,6 @@
     run(scenario())
 
 
-async def at_least(span_s: float) -> None:
-    """Wait for a timer: a slow machine only makes it later, and what comes after it with it."""
-    over = asyncio.Event()
-    asyncio.get_running_loop().call_later(span_s, over.set)
-    await over.wait()
-
-
 def test_the_last_byte_of_a_repeat_leaves_within_its_window_or_never() -> None:
     """The upstream reads nothing: most of the request is still with us when the time is over."""
 
