Open a watch that broke anew at once, and bound the dial to the list on its own

- A watch that fell silent failed 1.5 s past its wait, 0.5 s before its news counts as told; then the module's pause came: 25 ms for each balancer of the tier, 1.7 to 5 s in one of 160, with a drain grace of 0.5 to 3 s.
It is opened anew at once now: the waits of a tier's watches end one by one, so they do not call together.
The module still hears that the list failed.
- A pushed watch that was reset paused 0.5 s, though the agent's list counts as told all that time: opened anew at once, once between two answers.
- The dial to discovery was bounded by the whole wait of the call (up to 31.5 s); by 1 s now.

--- a/basaltspindle/net/discovery.py
+++ b/basaltspindle/net/discovery.py
@@ -17,9 +17,16 @@
 
 PUSH_PAUSE_S = 0.5  # before the agent on this machine is called again, where lists are pushed
 LOOK_S = 1.0  # between looks whether another instance is to be looked at
+CONNECT_S = (
+    1.0  # a connection that has not come up by then is tried anew: the wait of a call is for its answer
+)
 LIST_MAX = 4 * 1024 * 1024
 
 
+class SilentError(Exception):
+    """A call that was taken has had no answer in its time, nor an end."""
+
+
 class _Link(asyncio.Protocol):
     """One connection to discovery, with one call at a time."""
 
@@ -105,6 +112,7 @@
         self._task: asyncio.Task[None] | None = None
         self._comparing: asyncio.Task[None] | None = None
         self._link: _Link | None = None
+        self._reopened = False  # and no answer since
         self._content: dict[str, tuple[object, ...]] = {}
         self._heard = self._changed = -math.inf
         self.witnesses = Witnesses()
@@ -159,29 +167,47 @@
     async def _follow(self) -> None:
         loop, watch = asyncio.get_running_loop(), self._watch
         while True:
+            ask = watch.ask()
             try:
-                news = await self._call(watch.ask())
-            except Exception:
+                news = await self._call(ask)
+            except Exception as error:
                 # Guards against a watch that ends unseen: whatever was wrong with a call, it has failed.
                 self._close_link()
                 pause_s = watch.failed()
-                if pause_s is None and self._asked:
-                    self._task = None
-                    self._on_failed()  # when to ask again is the module's to say
+                if pause_s is None and (pause_s := self._pause(ask, error)) is None:
                     return
-                await asyncio.sleep(PUSH_PAUSE_S if pause_s is None else pause_s)
+                await asyncio.sleep(pause_s)
                 continue
+            self._reopened = False
             if not self._on_news(news):
                 self._close_link()
                 await asyncio.sleep(watch.disbelieved())
             elif watch.went_home(loop.time()):
                 self._close_link()
 
+    def _pause(self, ask: Ask, error: Exception) -> float | None:
+        """Seconds until a platform's list is asked again after a call has failed; None if others say when.
+
+        A watch that breaks is opened anew at once, for what it misses counts as told; but not twice with no
+        answer between. Where lists are asked that is so only for one that fell silent: after a reset all
+        balancers would call together, while the waits of watches end one by one.
+        """
+        is_broken_watch = ask.after >= 0 and (not self._asked or isinstance(error, SilentError))
+        at_once, self._reopened = is_broken_watch and not self._reopened, True
+        if self._asked:
+            self._task = self._task if at_once else None
+            self._on_failed()  # when to ask again is the module's to say, unless we do at once
+        return 0.0 if at_once else None if self._asked else PUSH_PAUSE_S
+
     async def _call(self, ask: Ask) -> ServerList:
-        async with asyncio.timeout(ask.limit_s):
-            if self._link is None or self._link.closed:
+        if self._link is None or self._link.closed:
+            async with asyncio.timeout(CONNECT_S):
                 self._link = await _connect(ask.address)
-            news = await _ask(self._link, ask, self._own.tier if self._own else "")
+        try:
+            async with asyncio.timeout(ask.limit_s):
+                news = await _ask(self._link, ask, self._own.tier if self._own else "")
+        except TimeoutError:
+            raise SilentError from None
         now = asyncio.get_running_loop().time()
         if self._watch.answered(news.index, now):
             news = replace(news, rewound=True)
--- a/tests/loopback.py
+++ b/tests/loopback.py
@@ -123,8 +123,9 @@
 
 
 def config_text(
-    discovery: str,
+    address: str,
     entries: list[dict[str, Any]],
+    /,
     console: str = "",
     lists: dict[str, Any] | None = None,
     **settings: Any,
@@ -152,7 +153,7 @@
         {
             "name": "n1",
             "listen": "127.0.0.1:0",
-            "discovery": discovery,
+            "discovery": address,
             "console": console,
             "seed": "8c1f30d27a5be964",
             "limits": {"cores": 1.0, "memory_mb": 192, "sockets": 1024},
--- /dev/null
+++ b/tests/test_endings_list.py
@@ -0,0 +1,187 @@
+"""What counts as told in the instant in which a watch of the list ends or moves."""
+
+from __future__ import annotations
+
+import asyncio
+import json
+
+import pytest
+
+from basaltspindle import interface as face
+from basaltspindle.interface import ListKind
+from basaltspindle.net import discovery
+from basaltspindle.net.config import read_config
+from basaltspindle.policy import roster
+from basaltspindle.watching import watch
+from tests.loopback import ListServer, Rig, Upstream, at_least, config_text, entry, run, status, until
+from tests.test_net import listen_to
+from tests.test_upstreams import full_backlog
+
+NEVER = 3_600.0
+
+
+def list_kinds(told: list[face.Event]) -> list[ListKind]:
+    return [e.kind for e in told if isinstance(e, face.ListUpdate)]
+
+
+@pytest.mark.parametrize("how", ["ask", "push"])
+def test_a_watch_that_fell_silent_is_opened_anew_at_once(how: str, monkeypatch: pytest.MonkeyPatch) -> None:
+    """What it missed counts as told 2 s after its wait; a large tier's balancers paused up to 5 s more."""
+    monkeypatch.setattr(roster, "LIST_RETRY_MS", NEVER * 1_000)
+    monkeypatch.setattr(discovery, "PUSH_PAUSE_S", NEVER)
+    monkeypatch.setattr(watch, "WAIT_MS", 10)
+    monkeypatch.setattr(watch, "OVERDUE_S", 0.01)
+
+    async def scenario() -> None:
+        upstream, contract = Upstream(), {"drainGrace": 500.0, "askWithin": NEVER * 1_000}
+        async with Rig(upstream, discovery=how, contract=contract) as rig:
+            assert status(await rig.ask()) == 200
+            told = listen_to(rig)
+            await rig.discovery.calls.get()  # it stays silent
+            assert "after=7&" in await rig.discovery.calls.get()
+            drains = entry("s0", rig.entries[0]["address"], status="terminating")
+            rig.discovery.tell(8, drains)  # for the silent call: nobody hears it any more
+            rig.discovery.tell(8, drains)
+            await upstream.ended.wait()
+            assert status(await rig.ask("/pay/x", b"debit")) == 503
+            assert list_kinds(told) == [ListKind.FAILED] * (how == "ask") + [ListKind.DELTA]
+
+    run(scenario())
+
+
+def test_a_pushed_watch_that_is_reset_is_opened_anew_at_once_but_not_again_and_again(
+    monkeypatch: pytest.MonkeyPatch,
+) -> None:
+    """What the agent has counts as told, watch or no watch: half a second of pause came out of the grace."""
+    monkeypatch.setattr(discovery, "PUSH_PAUSE_S", NEVER)
+
+    async def scenario() -> None:
+        calls = list[bytes]()
+
+        async def serve(reader: asyncio.StreamReader, writer: asyncio.StreamWriter) -> None:
+            calls.append(await reader.readuntil(b"\r\n\r\n"))
+            writer.transport.abort()
+
+        server = await asyncio.start_server(serve, "127.0.0.1", 0)
+        host, port = server.sockets[0].getsockname()[:2]
+        config = read_config(config_text(f"{host}:{port}", [], discovery="push"), lambda note: None)
+        failed = asyncio.Event()
+        found = discovery.Discovery(config, lambda news: True, failed.set)
+        found._watch.index = 7
+        found.start()
+        await until(lambda: len(calls) == 2)
+        await at_least(0.05)
+        assert len(calls) == 2, "the second failure in a row waits"
+        assert found._task is not None and not found._task.done()
+        found._task.cancel()
+
+    run(scenario())
+
+
+@pytest.mark.parametrize("how", ["ask", "push"])
+def test_a_connection_to_the_list_that_does_not_come_up_is_not_waited_for_as_an_answer_is(
+    how: str, monkeypatch: pytest.MonkeyPatch
+) -> None:
+    """It was bounded by the whole wait of the call, in which all news counts as told."""
+    monkeypatch.setattr(discovery, "CONNECT_S", 0.02)
+    monkeypatch.setattr(discovery, "PUSH_PAUSE_S", 0.0)
+
+    async def scenario() -> None:
+        async with full_backlog() as address:
+            contract = {"drainGrace": 3_600_000.0}
+            text = config_text(address, [], discovery=how, contract=contract)
+            failed = asyncio.Event()
+            config = read_config(text, lambda note: None)
+            found = discovery.Discovery(config, lambda news: True, failed.set)
+            found._watch.index = 7
+            dials = list[int]()
+            connect = discovery._connect
+
+            async def counted(to: tuple[str, int]) -> discovery._Link:
+                dials.append(1)
+                return await connect(to)
+
+            monkeypatch.setattr(discovery, "_connect", counted)
+            found.subscribe()
+            if how == "ask":
+                await failed.wait()
+            else:
+                await until(lambda: len(dials) > 2)
+                assert found._task is not None
+                found._task.cancel()
+
+    run(scenario())
+
+
+def test_what_the_old_address_answers_after_the_move_is_not_taken() -> None:
+    """SIGHUP came in the middle of a call; its answer, on the way already, would empty the list."""
+
+    async def scenario() -> None:
+        upstream, elsewhere = Upstream(), ListServer()
+        async with Rig(upstream) as rig:
+            await rig.discovery.calls.get()
+            told = listen_to(rig)
+            text = config_text(await elsewhere.start(), rig.entries)
+            rig.discovery.tell(99, snapshot=True)  # its answer and the signal cross
+            rig.driver.replace(read_config(text, lambda note: None))
+            assert "after" not in await elsewhere.calls.get()
+            drains = entry("s0", rig.entries[0]["address"], status="terminating")
+            elsewhere.tell(8, drains, snapshot=True)
+            assert "after=8&" in await elsewhere.calls.get()
+            assert list_kinds(told) == [ListKind.FULL]
+            assert status(await rig.ask("/pay/x", b"debit")) == 503
+
+    run(scenario())
+
+
+@pytest.mark.parametrize("first", ["drain", "loss"])
+def test_a_server_that_drains_and_is_left_out_of_a_whole_list_gets_nothing_in_either_order(
+    first: str,
+) -> None:
+    async def scenario() -> None:
+        going, staying = Upstream(), Upstream()
+        async with Rig(going, staying) as rig:
+            drains = entry("s0", rig.entries[0]["address"], status="terminating")
+            whole = rig.entries[1]
+            await rig.discovery.calls.get()
+            for index, what in enumerate(("drain", "loss") if first == "drain" else ("loss", "drain"), 8):
+                if what == "drain":
+                    rig.discovery.tell(index, drains)
+                else:
+                    rig.discovery.tell(index, whole, snapshot=True)
+                await rig.discovery.calls.get()
+            for _ in range(10):
+                assert status(await rig.ask()) == 200
+            assert not going.asked and len(staying.asked) == 10
+
+    run(scenario())
+
+
+def test_a_drain_in_the_first_answer_after_an_outage_is_heeded(monkeypatch: pytest.MonkeyPatch) -> None:
+    monkeypatch.setattr(roster, "LIST_RETRY_MS", 1.0)
+    monkeypatch.setattr(roster, "LIST_CALL_MS", 0.0)
+
+    async def scenario() -> None:
+        upstream = Upstream()
+        async with Rig(upstream) as rig:
+            assert status(await rig.ask()) == 200
+            for _ in range(3):
+                await rig.discovery.calls.get()
+                rig.discovery.answers.put_nowait(b"HTTP/1.1 503 Down\r\nContent-Length: 0\r\n\r\n")
+            line = await rig.discovery.calls.get()
+            assert "after=7&" in line
+            body = json.dumps(
+                {
+                    "index": 9,
+                    "snapshot": True,
+                    "endpoints": [entry("s0", rig.entries[0]["address"], status="terminating")],
+                },
+                indent=2,
+            )
+            head = f"HTTP/1.1 200 OK\r\nContent-Length: {len(body)}\r\n\r\n"
+            rig.discovery.answers.put_nowait(head.encode() + body.encode())
+            await upstream.ended.wait()
+            assert status(await rig.ask("/pay/x", b"debit")) == 503
+            assert len(upstream.asked) == 1
+
+    run(scenario())
