Let a connection rest for 20 ms before its next request

Found by review: a second answer that comes some milliseconds late was dropped with its connection only while that was idle, or if it lay in the kernel at the reuse. Taken again sooner, the connection carried the next request, and the late answer went to its caller: served with what was made for another.

Ruled out: telling by its time that an answer is too early (a late one can come at any time after the next request), and resting only after a first such answer (that one has gone wrong already). What it costs in connections is measured next.

--- a/basaltspindle/net/upstreams.py
+++ b/basaltspindle/net/upstreams.py
@@ -9,6 +9,7 @@
 import asyncio
 import math
 import time
+from bisect import bisect_right
 from collections.abc import Callable
 from typing import Protocol, cast
 
@@ -33,6 +34,7 @@
 )
 
 IDLE_PART = 0.8  # of the upstream's idle limit: a request that crosses its closing would end as a reset
+REST_S = 0.02  # after an answer before the next request: a second one that comes late meets nobody's
 CALLERS_PART = 0.5  # of the sockets are kept for callers
 SPARE_SOCKETS = 48  # for the event loop, the logs, discovery, the console and what is just closing
 HOLD_S = 0.05  # an answer of unknown length is waited for so long before its first bytes are passed on
@@ -563,9 +565,11 @@
         return self.drains_since is None or time.monotonic() < self.drains_since + grace_s
 
     def take(self) -> Connection | None:
-        """The newest idle connection that lives; the dead ones go."""
-        while self.idle:
-            connection = self.idle.pop()
+        """The newest idle connection that lives and has rested; the dead ones go."""
+        place = bisect_right(self.idle, time.monotonic() - REST_S, key=_idle_since)
+        while place:
+            place -= 1
+            connection = self.idle.pop(place)
             if time.monotonic() - connection.idle_since < self.upstreams.idle_s and connection.is_alive():
                 return connection
             connection.close()
--- a/tests/test_endings_upstreams.py
+++ b/tests/test_endings_upstreams.py
@@ -12,6 +12,7 @@
 from basaltspindle.interface import NEVER_RAN, ListKind, Outcome
 from basaltspindle.net.upstreams import Upstreams
 from tests.loopback import (
+    Asked,
     Dials,
     Rig,
     Upstream,
@@ -304,6 +305,45 @@
     run(scenario())
 
 
+def test_a_second_answer_that_comes_late_meets_no_request() -> None:
+    """It came when its connection had just been taken again, and was passed on as the next one's answer."""
+
+    async def scenario() -> None:
+        async def twice(asked: Asked, writer: asyncio.StreamWriter) -> None:
+            writer.write(response(200, b"mine"))
+            loop = asyncio.get_running_loop()
+            loop.call_later(0.005, writer.write, response(200, b"another's"))
+
+        upstream = Upstream(twice)
+        async with Rig(upstream) as rig:
+            for _ in range(20):
+                assert (await rig.ask()).body == b"mine"
+            assert upstream.connections == 20, "none is taken again before it has rested"
+            await until(lambda: rig.driver.upstreams.open == 0)
+
+    run(scenario())
+
+
+def test_a_rested_connection_is_taken_again_and_a_resting_one_is_kept(
+    monkeypatch: pytest.MonkeyPatch,
+) -> None:
+    async def scenario() -> None:
+        upstream = Upstream()
+        upstreams = make(await upstream.start())
+        for _ in range(3):
+            await Try(upstreams).outcome()
+        pool = upstreams._pools["s0"]
+        assert len(pool.idle) == upstream.connections == 3
+        pool.idle[0].idle_since -= 1.0
+        pool.idle[1].idle_since -= 0.5
+        rested = pool.idle[1]
+        assert pool.take() is rested
+        assert len(pool.idle) == 2
+        rested.close()
+
+    run(scenario())
+
+
 def test_no_connection_is_left_when_attempts_are_quiet_and_the_server_goes() -> None:
     async def scenario() -> None:
         upstream = Upstream()
