--- a/basaltspindle/net/config.py
+++ b/basaltspindle/net/config.py
@@ -88,6 +88,14 @@
     lists: Lists | None = None
     """None for the platform's list."""
 
+    def __post_init__(self) -> None:
+        for name in ("sockets", "memory_mb", "connect_timeout_ms", "snapshot_every_ms"):
+            if not 0 < (value := getattr(self, name)) < math.inf:
+                raise ConfigError(f"{name} is {value!r}: it must be a finite number above 0")
+        for name in ("idle_ms", "drain_grace_ms"):
+            if not 0 <= (value := getattr(self, name)) < math.inf:
+                raise ConfigError(f"{name} is {value!r}: it must be a finite number, not below 0")
+
 
 def read_address(text: object) -> Address:
     """`host:port` as a pair; the platform has no names to look up."""
--- /dev/null
+++ b/tests/test_settings.py
@@ -0,0 +1,199 @@
+"""Whose settings these are: any deployment's run as the first one's do, and bad ones are told in one line."""
+
+from __future__ import annotations
+
+import json
+import os
+import re
+import subprocess
+import sys
+import tomllib
+from dataclasses import fields
+from pathlib import Path
+from typing import Any
+
+import pytest
+from hypothesis import given, settings
+from hypothesis import strategies as st
+
+from basaltspindle.net.config import ConfigError, read_config
+from tests.loopback import config_text
+from tests.test_rules import Day
+
+ROOT = Path(__file__).parents[1]
+ABSENT = object()
+
+name = st.text("abcčž-_.0", min_size=1, max_size=8)
+one_class = st.fixed_dictionaries(
+    {
+        "name": name,
+        "target": st.sampled_from([30.0, 400.0, 3_000.0]),
+        "deadline": st.sampled_from([60.0, 1_200.0, 8_000.0]),
+        "effect": st.sampled_from(["retryable", "dedup", "fragile"]),
+    },
+    optional={
+        "keyScope": st.sampled_from(["all", "zone", "cell", "another"]),
+        "repeatWindow": st.sampled_from([0.0, 5.0, 120.0, 5_000.0]),  # some are shorter than a dial
+        "worth": st.sampled_from([0.0, 0.5, 12.0]),
+        "lateShare": st.sampled_from([0.0, 0.3, 1.0]),
+    },
+)
+flag = st.booleans()
+a_site = st.fixed_dictionaries(
+    {"classes": st.lists(one_class, min_size=1, max_size=4, unique_by=lambda c: c["name"])},
+    optional={
+        "orgs": st.lists(
+            st.fixed_dictionaries({"name": name, "quotaPerS": st.sampled_from([0.0, 3.0, 900.0])}),
+            max_size=3, unique_by=lambda o: o["name"],
+        ),
+        "balancers": st.sampled_from([1, 7, 200]),
+        "tier": st.sampled_from([0, 1]),
+        "discovery": st.sampled_from(["ask", "push"]),
+        "zone": st.sampled_from(["", "z0", "elsewhere"]),
+        "tick": st.sampled_from([0.5, 2.0, 50.0]),
+        "overShareWorth": st.sampled_from([0.0, 0.05, 1.0]),
+        "aKeyOfTomorrow": st.just(3),
+        "limits": st.fixed_dictionaries(
+            {},
+            optional={
+                "attemptsCap": st.sampled_from([1, 2, 5]),
+                "mayCancel": flag, "mayDuplicate": flag, "probes": flag, "peers": flag, "retryAfter": flag,
+                "maxRetryAfter": st.sampled_from([0.0, 2_000.0]),
+                "connIdle": st.sampled_from([0.0, 500.0, 15_000.0]),
+                "connectTimeout": st.sampled_from([20.0, 120.0]),
+            },
+        ),
+        "contract": st.fixed_dictionaries(
+            {},
+            optional={
+                "drainGrace": st.sampled_from([0.0, 500.0, 3_000.0]),
+                "askWithin": st.sampled_from([1_000.0, 10_000.0]),
+                "cold": st.sampled_from([0.0, 8_700.0]),
+                "coldFrom": st.sampled_from([0.05, 0.32, 1.0]),
+                "overloadFactor": st.sampled_from([1.0, 2.5]),
+                "tipAfter": st.sampled_from([1_000.0, 2_000.0]),
+            },
+        ),
+    },
+)  # fmt: skip
+
+
+def read(site: dict[str, Any]) -> Any:
+    raw = json.loads(config_text("127.0.0.1:9", []))
+    raw["settings"] = site
+    notes: list[str] = []
+    config = read_config(json.dumps(raw), notes.append)
+    assert [n for n in notes if "aKeyOfTomorrow" in n] == notes
+    return config
+
+
+@settings(max_examples=120, deadline=None, derandomize=True)
+@given(site=a_site, seed=st.integers(0, 3))
+def test_the_rules_hold_under_settings_of_any_deployment(site: dict[str, Any], seed: int) -> None:
+    own = read(site).settings
+    day = Day(seed, **{item.name: getattr(own, item.name) for item in fields(own)})
+    day.play(150)
+    assert day.finished > 0
+
+
+@settings(max_examples=60, deadline=None, derandomize=True)
+@given(site=a_site)
+def test_settings_of_any_deployment_are_read_as_they_stand(site: dict[str, Any]) -> None:
+    config = read(site)
+    assert [c.name for c in config.settings.classes] == [c["name"] for c in site["classes"]]
+    assert [c.repeat_window_ms for c in config.settings.classes] == [
+        c.get("repeatWindow", 0.0) for c in site["classes"]
+    ]
+    limits = site.get("limits", {})
+    assert config.settings.may_cancel is limits.get("mayCancel", False)
+    assert config.settings.may_duplicate is limits.get("mayDuplicate", False)
+    assert config.settings.max_attempts == limits.get("attemptsCap", 1)
+    assert config.drain_grace_ms == site.get("contract", {}).get("drainGrace", 0.0)
+    assert not config.peers, "no notes unless membership is asked for"
+
+
+# ---- nothing is fitted to one deployment ----------------------------------------------------------
+
+# Of deployments that we have been told of; those of our own variants are read from their files.
+TOLD = """
+romobil jadran zagreb split ulaz jezgra karta voznja otkljucaj grad
+ljubljana faculty claims parcel claim photo assess polje dolina zav
+""".split()
+OUR_OWN = {"split", "grad", "claim", "claims", "photo", "assess"}  # words that mean something else, too
+
+
+def names_of_deployments() -> set[str]:
+    names = set(TOLD)
+    for path in (ROOT / "deploy" / "sites").glob("*.toml"):
+        site = tomllib.loads(path.read_text(encoding="utf-8"))
+        told = [site["name"], *site.get("net", {}).get("zones", [])]
+        told += [item["name"] for kind in ("tier", "class", "tenant") for item in site.get(kind, [])]
+        names |= {word for text in told for word in re.split(r"[^a-z]+", text) if len(word) > 2}
+    return names - OUR_OWN
+
+
+def test_no_name_of_a_deployment_stands_in_what_the_platform_runs() -> None:
+    package = ROOT / "basaltspindle"
+    files = [package / "interface.py", package / "wire.py", ROOT / "deploy" / "balancer.toml"]
+    files += [path for part in ("policy", "net", "watching") for path in (package / part).glob("*.py")]
+    assert len(files) > 25
+    names = names_of_deployments()
+    assert len(names) > 20
+    for path in files:
+        words = set(re.split(r"[^a-z]+", path.read_text(encoding="utf-8").lower()))
+        assert not words & names, f"{path.name} names {words & names}"
+
+
+# ---- bad settings ---------------------------------------------------------------------------------
+
+
+def bad(path: str, value: Any) -> str:
+    raw = json.loads(config_text("127.0.0.1:9", []))
+    *parents, last = path.split(".")
+    place = raw
+    for step in parents:
+        place = place[int(step)] if step.isdigit() else place[step]
+    if value is ABSENT:
+        del place[last]
+    else:
+        place[last] = value
+    return json.dumps(raw)
+
+
+BAD = [
+    ("settings.classes", []), ("settings.classes", "read"), ("settings.classes.0.name", ABSENT),
+    ("settings.classes.0.deadline", -1), ("settings.classes.0.deadline", "soon"),
+    ("settings.classes.0.deadline", float("nan")), ("settings.classes.0.effect", "odd"),
+    ("settings.classes.0.repeatWindow", -5), ("settings.classes.0.worth", float("inf")),
+    ("settings.classes.1.name", "read"), ("settings.balancers", 0), ("settings.tick", 0),
+    ("settings.limits.attemptsCap", 0), ("settings.limits.connectTimeout", 0),
+    ("settings.limits.connectTimeout", -5), ("settings.limits.connectTimeout", float("nan")),
+    ("settings.limits.connIdle", -1), ("settings.contract.drainGrace", -1),
+    ("settings.contract.coldFrom", 0), ("settings.orgs", [{"name": "a", "quotaPerS": -1}]),
+    ("limits.sockets", 0), ("limits.sockets", -4), ("limits.sockets", None),
+    ("limits.memory_mb", 0), ("limits.memory_mb", -1), ("limits.memory_mb", float("nan")),
+    ("limits.memory_mb", float("inf")), ("limits", []), ("settings", []), ("settings", ABSENT),
+    ("seed", "zz"), ("listen", "0.0.0.999:1"), ("listen", "5000"), ("discovery", ABSENT),
+    ("known", {"index": 1}), ("known", [1]),
+]  # fmt: skip
+
+
+@pytest.mark.parametrize("path, value", BAD)
+def test_bad_settings_are_one_plain_line(path: str, value: Any) -> None:
+    with pytest.raises(ConfigError) as caught:
+        read_config(bad(path, value), lambda note: None)
+    assert str(caught.value) and "\n" not in str(caught.value)
+
+
+@pytest.mark.parametrize("path, value", [("limits.memory_mb", float("nan")), ("settings", [])])
+def test_a_program_with_bad_settings_ends_with_status_2_and_takes_nobody(
+    path: str, value: Any, tmp_path: Path
+) -> None:
+    file = tmp_path / "config.json"
+    file.write_text(bad(path, value))
+    done = subprocess.run(
+        [sys.executable, "-m", "basaltspindle"],
+        env=os.environ | {"LB_CONFIG": str(file)}, capture_output=True, text=True,
+    )  # fmt: skip
+    assert done.returncode == 2
+    assert len(done.stderr.splitlines()) == 1 and done.stderr.startswith("basaltspindle: configuration: ")
