--- a/tests/test_endings_core.py
+++ b/tests/test_endings_core.py
@@ -151,8 +151,8 @@
         assert not any(s.in_flight for s in self.balancer._roster.servers.values())
 
 
-STEPS = ("arrive", "arrive", "end", "end", "leave", "fire", "change", "wait")
-step = st.tuples(st.sampled_from(STEPS), st.integers(0, 5), st.integers(0, 40))
+STEPS = (*["arrive"] * 4, "end", "end", "leave", "fire", "change", "wait")
+step = st.tuples(st.sampled_from(STEPS), st.integers(0, 15), st.integers(0, 40))
 flags: Any = st.fixed_dictionaries(
     {
         "may_cancel": st.booleans(),
@@ -166,7 +166,7 @@
 
 
 @settings(max_examples=300, deadline=None, derandomize=True)
-@given(own=flags, seed=st.integers(0, 9), steps=st.lists(step, min_size=5, max_size=60))
+@given(own=flags, seed=st.integers(0, 9), steps=st.lists(step, min_size=10, max_size=80))
 def test_whatever_crosses_each_request_ends_once_and_nothing_is_kept(
     own: dict[str, Any], seed: int, steps: list[tuple[str, int, int]]
 ) -> None:
