Answer what comes in the instant of a close, and let a caller tell a part from a whole

- A peer's first request that came in the instant in which our patience with it ended lay in the kernel, and its connection was ended with no answer; what came as the process's time was up as well.
Both are read and answered now.
- A request at its deadline, or at the process's end, whose attempt had not been written was answered as failed (502), though it never ran; it is refused (503), which lets a client with a class that may not be repeated ask again.
- A long answer with no length to a caller of HTTP/1.0 that broke off ended properly, which is the end of such an answer: a part was taken for the whole.
It is reset now; also where the process goes under it.

Forced beside these, and found right as the code stood: the deadline and the answer, and a caller's leaving and the answer, in one turn, in both orders; half a status line; an answer with no length that is reset; one that never ends; bytes or an end on an idle connection, before its reuse and at it; idle time-outs on both sides at once; a body that comes in as the time is up.

--- a/basaltspindle/net/callers.py
+++ b/basaltspindle/net/callers.py
@@ -34,6 +34,7 @@
     has_hung_up,
     origin_form,
     peek,
+    reset_on_close,
     response,
     response_head,
     set_no_delay,
@@ -218,6 +219,7 @@
         self._half_closed = False  # by us; what still comes is read and dropped
         self._ends_with_body = False  # its answer has gone out before its body was whole
         self._in_head = self._passing = False
+        self._ends_with_close = False  # the answer that is passed on: nothing else tells its end
         self._asked = False  # whether a whole request has come
         self._unsent = Holding(self.buffers)
         self._left_unsent = 0  # when it was last looked at, after the end
@@ -326,6 +328,8 @@
             self._be_patient()
         elif self._reading and not self._ends_with_body:
             self._turn_away(408, "the request is not whole")
+        elif self._transport is not None and peek(self._transport):
+            self._be_patient()  # its first request has come in this very instant, and is read next
         else:
             self.end_softly()
 
@@ -561,7 +565,8 @@
         if self._lost or self._transport is None or taken is not self._current:
             return
         self._passing = True
-        close = self._is_last(taken) or (length is None and taken.version == "1.0")
+        self._ends_with_close = length is None and taken.version == "1.0"
+        close = self._is_last(taken) or self._ends_with_close
         taken.keep_alive = not close
         if length is None and taken.version == "1.1":
             headers = [*headers, (b"Transfer-Encoding", b"chunked")]
@@ -587,8 +592,10 @@
         self._advance()
 
     def abort(self) -> None:
-        """End at once, in the middle of an answer."""
+        """End at once, in the middle of an answer, so that the caller can tell."""
         if self._transport is not None:
+            if self._ends_with_close and not self._transport.is_closing():
+                reset_on_close(self._transport)  # a proper end would be the answer's
             self._transport.abort()
 
     def end_softly(self) -> None:
@@ -609,9 +616,16 @@
             return False
         if self._passing:
             return True
+        if not self._deaf and self._current is None and peek(self._transport):
+            return False  # what has come is read next, and gets its answer
         self.end_softly()
         return self._transport.get_write_buffer_size() > 0
 
+    def cut_off(self) -> None:
+        """The process goes: an answer that is still going out is not whole."""
+        if self._passing:
+            self.abort()
+
     def _stop_lingering(self) -> None:
         """Close, once a slow reader has taken the whole answer; one that takes none is closed on."""
         if self._transport is None or self._lost:
@@ -767,3 +781,6 @@
             if time.monotonic() >= last and not any(is_unread):
                 break
             await asyncio.sleep(0.01)
+        for connection in list(self._connections):
+            connection.cut_off()
+        await asyncio.sleep(0)
--- a/basaltspindle/net/driver.py
+++ b/basaltspindle/net/driver.py
@@ -68,6 +68,11 @@
         self.net: asyncio.TimerHandle | None = None
         self.passed_on: Attempt | None = None  # whose answer goes out piece by piece
 
+    def may_have_run(self) -> bool:
+        """Whether any attempt has run, or may yet."""
+        unwritten = sum(attempt.is_unwritten() for attempt in self.attempts if attempt is not None)
+        return self.ran or self.out > unwritten
+
     def withdraw(self) -> None:
         """Nobody waits for it: what has not been written never will be, as nothing is sent for it."""
         for attempt in self.attempts:
@@ -497,7 +502,7 @@
         request = self._requests.get(number) if number is not None else None
         if request is None or not request.open:
             return
-        self._end(request, 502 if request.ran or request.out else 503)
+        self._end(request, 502 if request.may_have_run() else 503)
         self._tell(face.ClientLeft(request.id), request)  # it calls off what is out
 
     def _close(self, request: _Request, status: int | None) -> None:
--- a/basaltspindle/net/framing.py
+++ b/basaltspindle/net/framing.py
@@ -3,8 +3,10 @@
 from __future__ import annotations
 
 import asyncio
+import contextlib
 import select
 import socket
+import struct
 from collections.abc import Callable
 from http import HTTPStatus
 from typing import Protocol
@@ -203,6 +205,13 @@
     transport.get_extra_info("socket").setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
 
 
+def reset_on_close(transport: asyncio.BaseTransport) -> None:
+    """Let the close of a connection be a reset, which nobody takes for the end of a message."""
+    with contextlib.suppress(OSError):
+        linger = struct.pack("ii", 1, 0)
+        transport.get_extra_info("socket").setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, linger)
+
+
 def has_hung_up(transport: asyncio.BaseTransport) -> bool:
     """Whether the other side has ended its sending, though there may be bytes to read before that."""
     look = select.poll()
--- a/basaltspindle/net/upstreams.py
+++ b/basaltspindle/net/upstreams.py
@@ -225,6 +225,10 @@
         if not self._is_written():
             self._finish(outcome)
 
+    def is_unwritten(self) -> bool:
+        """Whether it is out and its last byte has not left."""
+        return not (self._over or self._is_written())
+
     def _is_written(self) -> bool:
         return self._connection is not None and self._connection.is_written()
 
--- a/tests/test_endings_callers.py
+++ b/tests/test_endings_callers.py
@@ -9,11 +9,13 @@
 import socket
 import sys
 from pathlib import Path
+from typing import Any
 
 import pytest
 
 from basaltspindle.net import callers
 from tests.loopback import (
+    Asked,
     Caller,
     Dials,
     ListServer,
@@ -188,6 +190,108 @@
     run(scenario())
 
 
+def at_once(caller: Caller, data: bytes) -> None:
+    """Put bytes into the kernel in this very instant."""
+    os.write(caller.writer.get_extra_info("socket").fileno(), data)
+
+
+def test_a_first_request_in_the_instant_in_which_our_patience_ends_is_answered(
+    monkeypatch: pytest.MonkeyPatch,
+) -> None:
+    """It lay in the kernel, unread, when its connection was ended as one that asks for nothing."""
+    monkeypatch.setattr(callers, "REQUEST_S", 0.0)
+
+    async def scenario() -> None:
+        async with Rig(Upstream()) as rig:
+            look, crossed = callers.CallerConnection._look_for_more, list[int]()
+            caller = Caller()
+
+            def crossing(connection: callers.CallerConnection) -> None:
+                if not crossed and caller.writer is not None:
+                    crossed.append(1)
+                    at_once(caller, HEAD)
+                look(connection)
+
+            caller.writer = None  # type: ignore[assignment]
+            monkeypatch.setattr(callers.CallerConnection, "_look_for_more", crossing)
+            pending = socket.create_connection(rig.driver.callers.address)
+            caller.reader, caller.writer = await asyncio.open_connection(sock=pending)
+            answer = await caller.answer()
+            assert crossed and status(answer) == 200
+            caller.writer.close()
+
+    run(scenario())
+
+
+@pytest.mark.parametrize("first", ["deadline", "answer"])
+def test_the_deadline_and_the_answer_in_one_turn_give_one_final_answer(first: str) -> None:
+    async def scenario() -> None:
+        upstream = Upstream(silent, response(200, b"second"))
+        async with Rig(upstream) as rig:
+            caller = await rig.caller()
+            caller.writer.write(HEAD * 2)
+            await upstream.seen.wait()
+            driver = rig.driver
+            ((number, _),) = driver._requests.items()
+            ended = driver.attempt_ended
+
+            def crossing(*args: Any) -> None:
+                driver.attempt_ended = ended  # type: ignore[method-assign]
+                if first == "deadline":
+                    driver._rescue(number)
+                ended(*args)
+                if first == "answer":
+                    driver._rescue(number)
+
+            driver.attempt_ended = crossing  # type: ignore[method-assign, assignment]
+            upstream.writers[0].write(response(200, b"first"))
+            answer = await caller.answer()
+            assert (status(answer), answer.body) == ((502, b"") if first == "deadline" else (200, b"first"))
+            assert (await caller.answer()).body == b"second"
+            caller.writer.close()
+            await until(lambda: rig.driver.callers.count() == 0)
+            assert not left_behind(driver)
+
+    run(scenario())
+
+
+@pytest.mark.parametrize("first", ["leaves", "answer"])
+def test_a_caller_that_leaves_as_its_answer_comes_leaves_nothing_behind(first: str) -> None:
+    async def scenario() -> None:
+        upstream = Upstream(silent)
+        async with Rig(upstream) as rig:
+            caller = await rig.caller()
+            caller.send("/pay/x", b"debit")
+            await upstream.seen.wait()
+            if first == "leaves":
+                caller.writer.transport.abort()
+                upstream.writers[0].write(response())
+            else:
+                upstream.writers[0].write(response())
+                caller.writer.transport.abort()
+            await until(lambda: rig.driver.callers.count() == 0)
+            await until(lambda: not left_behind(rig.driver))
+
+    run(scenario())
+
+
+def test_what_was_never_written_is_refused_at_its_deadline(monkeypatch: pytest.MonkeyPatch) -> None:
+    """It was answered as failed, though its connection had never come up: nobody might ask again."""
+
+    async def scenario() -> None:
+        dials = Dials(monkeypatch)
+        async with Rig(Upstream(), limits=LIMITS) as rig:
+            caller = await rig.caller()
+            caller.send("/pay/x", b"debit", deadline="60000m")
+            await dials.begun.wait()
+            ((number, _),) = rig.driver._requests.items()
+            rig.driver._rescue(number)
+            assert status(await caller.answer()) == 503
+            await until(lambda: not left_behind(rig.driver))
+
+    run(scenario())
+
+
 # ---- the process ends ---------------------------------------------------------------------------
 
 
@@ -242,6 +346,25 @@
     run(scenario())
 
 
+def test_an_answer_that_is_cut_off_by_the_end_is_not_taken_for_whole(monkeypatch: pytest.MonkeyPatch) -> None:
+    end_at_once(monkeypatch)
+    monkeypatch.setattr(callers, "TERM_UNREAD_S", 0.0)
+
+    async def scenario() -> None:
+        async def part(asked: Asked, writer: asyncio.StreamWriter) -> None:
+            writer.write(b"HTTP/1.1 200 OK\r\n\r\npart")
+
+        async with Rig(Upstream(part)) as rig:
+            caller = await rig.caller()
+            caller.writer.write(HEAD.replace(b"HTTP/1.1", b"HTTP/1.0"))
+            assert b"part" in await caller.reader.readuntil(b"part")
+            await rig.driver.callers.end()
+            with pytest.raises(ConnectionResetError):
+                await caller.reader.read()
+
+    run(scenario())
+
+
 @pytest.mark.parametrize("at", ["while there is time", "when the time is up"])
 @pytest.mark.parametrize("sent", [b"", HEAD[:40], HEAD])
 def test_what_crosses_our_half_close_is_read_and_dropped_and_the_end_is_clean(
@@ -266,9 +389,7 @@
 
             def crossing() -> None:
                 end_softly()
-                caller.writer.write(
-                    sent
-                )  # written at once: in our kernel, unread, right after the half-close
+                at_once(caller, sent)  # in our kernel, unread, right after the half-close
 
             monkeypatch.setattr(connection, "end_softly", crossing)
             await until(lambda: not rig.driver._requests)
@@ -283,6 +404,60 @@
     run(scenario())
 
 
+def test_a_request_that_comes_as_the_time_is_up_is_refused_with_an_answer(
+    monkeypatch: pytest.MonkeyPatch,
+) -> None:
+    """It lay in the kernel when its connection was ended, and had no answer."""
+    end_at_once(monkeypatch)
+    monkeypatch.setattr(callers, "TERM_LAST_S", 5.0)
+
+    async def scenario() -> None:
+        upstream = Upstream()
+        async with Rig(upstream) as rig:
+            caller = await rig.caller()
+            caller.send()
+            assert status(await caller.answer()) == 200
+            close = rig.driver.close
+
+            def crossing() -> None:
+                at_once(caller, HEAD)
+                close()
+
+            monkeypatch.setattr(rig.driver, "close", crossing)
+            ending = asyncio.ensure_future(rig.driver.callers.end())
+            assert status(await caller.answer()) == 503
+            assert await caller.reader.read() == b""
+            caller.writer.close()
+            await ending
+            assert len(upstream.asked) == 1
+
+    run(scenario())
+
+
+def test_a_body_that_comes_in_as_the_time_is_up_is_answered_and_read_to_its_end(
+    monkeypatch: pytest.MonkeyPatch,
+) -> None:
+    end_at_once(monkeypatch)
+    monkeypatch.setattr(callers, "TERM_LAST_S", 5.0)
+
+    async def scenario() -> None:
+        async with Rig(Upstream()) as rig:
+            caller = await rig.caller()
+            whole = HEAD.replace(b"GET /read", b"POST /pay").replace(b": read", b": pay")
+            caller.writer.write(whole[:-2] + b"Content-Length: 400000\r\n\r\n" + b"x" * 100_000)
+            await until(lambda: bool(rig.driver._requests))
+            ending = asyncio.ensure_future(rig.driver.callers.end())
+            await until(lambda: rig.driver._closed)
+            caller.writer.write(b"x" * 300_000)
+            assert status(await caller.answer()) >= 500
+            assert await caller.reader.read() == b""
+            caller.writer.close()
+            await ending
+            assert not left_behind(rig.driver)
+
+    run(scenario())
+
+
 def test_the_program_ends_with_every_answer_out_whatever_signals_come(tmp_path: Path) -> None:
     """In flight past its deadline, half a request, idle, pipelined; a second SIGTERM and SIGHUP meanwhile."""
 
--- a/tests/test_endings_upstreams.py
+++ b/tests/test_endings_upstreams.py
@@ -3,6 +3,9 @@
 from __future__ import annotations
 
 import asyncio
+import os
+import socket
+import struct
 from collections.abc import Callable
 from typing import Any
 
@@ -344,6 +347,143 @@
     run(scenario())
 
 
+NO_LENGTH = b"HTTP/1.1 200 OK\r\n\r\n"
+
+
+@pytest.mark.parametrize("begun", [b"HTTP/1.1 20", b"HTTP/1.1 200 OK\r\nContent-Le"])
+def test_half_a_line_and_then_nothing_times_out_and_closes(begun: bytes) -> None:
+    async def scenario() -> None:
+        async def half(asked: Asked, writer: asyncio.StreamWriter) -> None:
+            writer.write(begun)
+
+        upstream = Upstream(half)
+        async with Rig(upstream) as rig:
+            assert status(await rig.ask("/pay/x", b"debit", deadline="150m")) == 502
+            await upstream.ended.wait()
+            assert len(upstream.asked) == 1
+            await until(lambda: not left_behind(rig.driver))
+
+    run(scenario())
+
+
+@pytest.mark.parametrize("path", ["/read/x", "/pay/x"])
+def test_an_answer_with_no_length_that_is_reset_has_no_end(path: str) -> None:
+    """A reset is no end: what is safe is asked for again, and nobody is given the part that came."""
+
+    async def scenario() -> None:
+        async def cut(asked: Asked, writer: asyncio.StreamWriter) -> None:
+            writer.write(NO_LENGTH + b"par")
+            await writer.drain()
+            end_with_reset(writer)
+
+        upstream = Upstream(cut, response(200, b"whole"))
+        async with Rig(upstream) as rig:
+            answer = await rig.ask(path, b"" if path == "/read/x" else b"debit")
+            assert (status(answer), answer.body) == ((200, b"whole") if path == "/read/x" else (502, b""))
+            await until(lambda: not left_behind(rig.driver))
+
+    run(scenario())
+
+
+@pytest.mark.parametrize("version", [b"1.0", b"1.1"])
+def test_a_caller_can_tell_that_an_answer_with_no_length_broke_off(version: bytes) -> None:
+    """To one of HTTP/1.0 a proper end of the connection is the end of the answer: it took a part for all."""
+
+    async def scenario() -> None:
+        gone_on = asyncio.Event()
+
+        async def cut(asked: Asked, writer: asyncio.StreamWriter) -> None:
+            writer.write(NO_LENGTH + b"part")
+            await gone_on.wait()
+            end_with_reset(writer)
+
+        async with Rig(Upstream(cut)) as rig:
+            caller = await rig.caller()
+            caller.writer.write(
+                b"GET /read/x HTTP/" + version + b"\r\nX-Class: read\r\nX-Request-Id: 1\r\n"
+                b"X-Deadline: 4000m\r\n\r\n"
+            )
+            assert b"200" in await caller.reader.readuntil(b"\r\n\r\n")
+            assert b"part" in await caller.reader.readuntil(b"part")
+            gone_on.set()
+            if version == b"1.0":
+                with pytest.raises(ConnectionResetError):
+                    await caller.reader.read()
+            else:
+                assert not (await caller.reader.read()).endswith(b"0\r\n\r\n")
+            await until(lambda: not left_behind(rig.driver))
+
+    run(scenario())
+
+
+def end_with_reset(writer: asyncio.StreamWriter) -> None:
+    linger = struct.pack("ii", 1, 0)
+    writer.get_extra_info("socket").setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, linger)
+    writer.transport.abort()
+
+
+def test_an_answer_that_never_ends_ends_with_its_caller() -> None:
+    async def scenario() -> None:
+        async def endless(asked: Asked, writer: asyncio.StreamWriter) -> None:
+            writer.write(NO_LENGTH)
+            while True:
+                writer.write(b"x" * 1_000)
+                await writer.drain()
+                await asyncio.sleep(0)
+
+        upstream = Upstream(endless)
+        async with Rig(upstream) as rig:
+            caller = await rig.caller()
+            caller.send()
+            await caller.reader.readexactly(100_000)
+            caller.writer.transport.abort()
+            await upstream.ended.wait()
+            await until(lambda: not left_behind(rig.driver))
+
+    run(scenario())
+
+
+@pytest.mark.parametrize("what", [b"HTTP/1.1 200 OK\r\nContent-Length: 4\r\n\r\nmore", b"\r\n", b""])
+@pytest.mark.parametrize("read", ["before its reuse", "at its reuse"])
+def test_bytes_or_an_end_that_nobody_asked_for_are_no_answer_to_the_next(what: bytes, read: str) -> None:
+    async def scenario() -> None:
+        upstream = Upstream()
+        upstreams = make(await upstream.start())
+        assert await Try(upstreams).outcome() is Outcome.SERVED
+        (connection,) = upstreams._pools["s0"].idle
+        connection.idle_since -= 1.0  # rested
+        writer = upstream.writers[0]
+        if what:
+            os.write(writer.get_extra_info("socket").fileno(), what)
+        else:
+            shut = writer.get_extra_info("socket")
+            socket.socket(fileno=os.dup(shut.fileno())).shutdown(socket.SHUT_WR)
+        if read == "before its reuse":
+            await until(lambda: upstreams.open == 0)
+        assert await Try(upstreams).outcome() is Outcome.SERVED
+        assert upstream.connections == 2
+        assert upstreams.open == 1
+
+    run(scenario())
+
+
+@pytest.mark.parametrize("first", ["we", "they"])
+def test_idle_time_outs_of_both_sides_at_once_close_a_connection_once(first: str) -> None:
+    async def scenario() -> None:
+        upstream = Upstream()
+        upstreams = make(await upstream.start(), connIdle=1_000.0)
+        assert await Try(upstreams).outcome() is Outcome.SERVED
+        upstreams._pools["s0"].idle[0].idle_since -= 10.0
+        ends: list[Callable[[], object]] = [upstreams.close_old, upstream.writers[0].transport.abort]
+        for end in ends if first == "we" else reversed(ends):
+            end()
+        assert await Try(upstreams).outcome() is Outcome.SERVED
+        await until(lambda: upstreams.open == 1)
+        assert upstream.connections == 2
+
+    run(scenario())
+
+
 def test_no_connection_is_left_when_attempts_are_quiet_and_the_server_goes() -> None:
     async def scenario() -> None:
         upstream = Upstream()
