--- a/basaltspindle/net/upstreams.py
+++ b/basaltspindle/net/upstreams.py
@@ -34,7 +34,7 @@
 )
 
 IDLE_PART = 0.8  # of the upstream's idle limit: a request that crosses its closing would end as a reset
-REST_S = 0.02  # after an answer before the next request: a second one that comes late meets nobody's
+REST_S = 0.006  # after an answer, until the next request: second answers were seen up to 4 ms late
 CALLERS_PART = 0.5  # of the sockets are kept for callers
 SPARE_SOCKETS = 48  # for the event loop, the logs, discovery, the console and what is just closing
 HOLD_S = 0.05  # an answer of unknown length is waited for so long before its first bytes are passed on
