--- a/tests/test_endings_upstreams.py
+++ b/tests/test_endings_upstreams.py
@@ -13,6 +13,7 @@
 
 from basaltspindle import interface as face
 from basaltspindle.interface import NEVER_RAN, ListKind, Outcome
+from basaltspindle.net import upstreams as upstreams_module
 from basaltspindle.net.upstreams import Upstreams
 from tests.loopback import (
     Asked,
