Flood the program itself, and look at its descriptors and memory afterwards

150 peers at once in each of four forms send much and go: whoever was there is served on, descriptors come back, memory stays within 20 MB of before.

--- a/tests/test_endings_callers.py
+++ b/tests/test_endings_callers.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import asyncio
+import contextlib
 import json
 import os
 import signal
@@ -499,6 +500,63 @@
     run(scenario())
 
 
+def test_a_flood_of_peers_that_send_much_and_go_leaves_the_program_as_it_was(tmp_path: Path) -> None:
+    """Descriptors and memory of the process itself are looked at: what is not counted shows here, too."""
+
+    async def scenario() -> None:
+        upstream, lists, path, port = Upstream(), ListServer(), tmp_path / "config.json", free_port()
+        config = json.loads(config_text(await lists.start(), [entry("s0", await upstream.start())]))
+        limits = {"cores": 1.0, "memory_mb": 64, "sockets": 256}
+        path.write_text(json.dumps(config | {"listen": f"127.0.0.1:{port}", "console": "", "limits": limits}))
+        program = await asyncio.create_subprocess_exec(
+            sys.executable, "-m", "basaltspindle", env=os.environ | {"LB_CONFIG": str(path)}
+        )
+        try:
+            first = await connected(port)
+            first.send()
+            assert status(await first.answer()) == 200
+            process = Path("/proc", str(program.pid))
+            before = len(list((process / "fd").iterdir())), resident_mb(process)
+            for kind in FLOODS:
+                await asyncio.gather(*[send_and_go(port, kind) for _ in range(150)])
+            first.send()
+            assert status(await first.answer()) == 200, "whoever was there is served on"
+            last = await connected(port)
+            last.send()
+            assert status(await last.answer()) == 200
+            last.writer.close()
+            while len(list((process / "fd").iterdir())) > before[0]:
+                await asyncio.sleep(0.01)
+            assert resident_mb(process) < before[1] + 20
+            first.writer.close()
+        finally:
+            program.kill()
+            await program.wait()
+
+    run(scenario())
+
+
+FLOODS = (
+    b"\x16\x03\x01" + b"x" * 60_000,
+    b"GET /read/x HTTP/1.1\r\n" + b"X: y\r\n" * 9_000,
+    b"POST /nosuch/x HTTP/1.1\r\nContent-Length: 60000\r\n\r\n" + b"x" * 60_000,
+    b"POST /pay/x HTTP/1.1\r\nX-Class: pay\r\nX-Request-Id: 1\r\nX-Deadline: 900m\r\n"
+    b"Content-Length: 500000\r\n\r\n" + b"x" * 200_000,
+)
+
+
+async def send_and_go(port: int, what: bytes) -> None:
+    with contextlib.suppress(ConnectionError):
+        _, writer = await asyncio.open_connection("127.0.0.1", port)
+        writer.write(what)
+        writer.transport.abort()
+
+
+def resident_mb(process: Path) -> float:
+    """Of the pages that are in memory."""
+    return int((process / "statm").read_text().split()[1]) * os.sysconf("SC_PAGE_SIZE") / 1e6
+
+
 def free_port() -> int:
     with socket.socket() as probe:
         probe.bind(("127.0.0.1", 0))
