Half-close at the end though more of an answered body is there at each look

Seen on reading the change again: a caller whose body went on after its answer always had bytes in the kernel, so its connection was not half-closed before the process went. The test fails without this.

--- a/basaltspindle/net/callers.py
+++ b/basaltspindle/net/callers.py
@@ -618,7 +618,8 @@
             return False
         if self._passing:
             return True
-        if not self._deaf and self._current is None and peek(self._transport):
+        is_answered = self._deaf or self._ends_with_body
+        if not is_answered and self._current is None and peek(self._transport):
             return False  # what has come is read next, and gets its answer
         self.half_close()
         return self._transport.get_write_buffer_size() > 0
--- a/tests/test_endings_callers.py
+++ b/tests/test_endings_callers.py
@@ -449,7 +449,11 @@
             await until(lambda: bool(rig.driver._requests))
             ending = asyncio.ensure_future(rig.driver.callers.end())
             await until(lambda: rig.driver._closed)
-            caller.writer.write(b"x" * 300_000)
+            (connection,) = rig.driver.callers._connections
+            at_once(caller, b"x" * 1_000)  # more of it is there each time we look
+            connection.end_at_last()
+            assert connection._half_closed
+            caller.writer.write(b"x" * 299_000)
             assert status(await caller.answer()) >= 500
             assert await caller.reader.read() == b""
             caller.writer.close()
