Keep the listener open at the end until its queue has been emptied

Found by review: where all places were taken as the process was told to end, what waited in the kernel's queue was reset with the listener, though the machine had accepted it. It is taken in as places come free, while there is time. The test fails without this; the fake in test_net passes on what it wraps.

--- a/basaltspindle/net/callers.py
+++ b/basaltspindle/net/callers.py
@@ -709,13 +709,13 @@
             self._accepting = False
             self.loop.remove_reader(self.listener)
 
-    def _accept(self) -> None:
-        """Take in what waits, as far as there is room: the rest waits in the kernel's queue."""
+    def _accept(self) -> bool:
+        """Take in what waits, as far as there is room; whether the kernel's queue is empty then."""
         while len(self._connections) < self.cap:
             try:
                 sock, _ = self.listener.accept()
             except BlockingIOError:
-                return
+                return True
             except OSError as error:
                 if error.errno in (errno.EMFILE, errno.ENFILE, errno.ENOBUFS, errno.ENOMEM):
                     break
@@ -730,6 +730,7 @@
         self._end_longest_idle()
         self._pause()
         self.loop.call_later(ACCEPT_PAUSE_S, self._resume)
+        return False
 
     async def _connect(self, connection: DownstreamConnection, sock: socket.socket) -> None:
         try:
@@ -754,20 +755,23 @@
     async def end(self) -> None:
         """After SIGTERM: take in what still comes, answer all of it, and close without losing any.
 
-        The listener closes when nothing new comes any more, right after its queue has been emptied: what
-        waits there would be reset. Callers go on with the connections they have while there is time, for
-        the other balancers may be restarting too; then answers ask them to go elsewhere. Where another
-        process has taken over, it accepts, and answers ask callers to go there at once.
+        The listener closes when nothing new comes any more, right after its queue has been emptied, for
+        which there may have to be room first: what waits there would be reset. Callers go on with the
+        connections they have while there is time, for the other balancers may be restarting too; then
+        answers ask them to go elsewhere. Where another process has taken over, it accepts, and answers ask
+        callers to go there at once.
         """
         self.ending = True
         started = time.monotonic()
         while not self._retired and time.monotonic() - started < TERM_ACCEPT_S:
             await asyncio.sleep(0.01)
-        if not self._retired:
-            self._accept()
+        longest_s = min(self._longest_s, TERM_LONGEST_S)
+        while not self._retired and not self._accept():
+            if time.monotonic() - started >= TERM_ACCEPT_S + longest_s:
+                break
+            await asyncio.sleep(0.01)
         self._pause()
         self.listener.close()
-        longest_s = min(self._longest_s, TERM_LONGEST_S)
         while self._connections and time.monotonic() - started < TERM_ACCEPT_S + TERM_STAY_PART * longest_s:
             await asyncio.sleep(0.01)
         self.closing = True
--- a/tests/test_endings_callers.py
+++ b/tests/test_endings_callers.py
@@ -435,6 +435,34 @@
     run(scenario())
 
 
+def test_what_waits_for_a_place_when_the_process_is_told_to_end_is_answered(
+    monkeypatch: pytest.MonkeyPatch,
+) -> None:
+    """All places were taken: it was reset with the listener, though the machine had accepted it."""
+    monkeypatch.setattr(callers, "TERM_ACCEPT_S", 0.0)
+
+    async def scenario() -> None:
+        upstream = Upstream(silent, response())
+        async with Rig(upstream) as rig:
+            rig.driver.callers.cap = 1
+            first, late = await rig.caller(), await rig.caller()
+            first.send()
+            await upstream.seen.wait()
+            late.send()
+            await late.writer.drain()
+            ending = asyncio.ensure_future(rig.driver.callers.end())
+            await until(lambda: rig.driver.callers.ending)
+            await at_least(0.05)
+            upstream.writers[0].write(response())
+            assert status(await first.answer()) == 200
+            first.writer.close()
+            assert status(await late.answer()) == 200
+            late.writer.close()
+            await ending
+
+    run(scenario())
+
+
 def test_a_body_that_comes_in_as_the_time_is_up_is_answered_and_read_to_its_end(
     monkeypatch: pytest.MonkeyPatch,
 ) -> None:
--- a/tests/test_net.py
+++ b/tests/test_net.py
@@ -441,12 +441,12 @@
             callers, clients = rig.driver.callers, list[socket.socket]()
             accept = callers._accept
 
-            def at_the_last_moment() -> None:
+            def at_the_last_moment() -> bool:
                 clients.append(socket.create_connection(callers.address))
                 clients[0].sendall(
                     b"GET /read/x HTTP/1.1\r\nX-Class: read\r\nX-Request-Id: 1\r\nX-Deadline: 900m\r\n\r\n"
                 )
-                accept()
+                return accept()
 
             monkeypatch.setattr(callers, "_accept", at_the_last_moment)
             ending = asyncio.ensure_future(callers.end())
