Take an answer that claims more than there can be for one that can't be read

A scratch copy that logged the form of each answer told which: Content-Length:, whose first 64 KiB went on, so that nobody else could be asked and the caller waited for the rest.

Cause: bodies of requests are bounded by 32 MiB, those of answers were not (ResponseReader). Now one that claims more is a failed attempt at its head, and one that grows past it is broken off.

Both tests fail without this.

--- a/basaltspindle/net/upstreams.py
+++ b/basaltspindle/net/upstreams.py
@@ -18,6 +18,7 @@
 from basaltspindle.interface import Outcome, Readiness
 from basaltspindle.net.config import Address, Config, ServerList
 from basaltspindle.net.framing import (
+    BODY_MAX,
     HEAD_MAX,
     KEPT_MAX,
     LAST_CHUNK,
@@ -67,7 +68,7 @@
         self.length: int | None = -1  # None where chunks tell it, -1 where only the end does
         self._headers: Headers = []
         self._pieces: list[bytes] = []
-        self.held = self._head = self._left = 0
+        self.held = self._head = self._left = self._size = 0
 
     def feed(self, data: bytes | memoryview) -> bool:
         """Take bytes; whether the response is whole. Raises what `UNREADABLE` names."""
@@ -121,12 +122,17 @@
         if self.whole or status < 200:
             return
         self.has_head, self.status, self.length = True, status, body_length(self._headers)
+        if (self.length or 0) > BODY_MAX:
+            raise TooLarge("it would never end")
 
     def on_body(self, data: bytes) -> None:
         """Keep a part of the body until it is taken."""
         if not self.whole:
             self._pieces.append(data)
             self.held += len(data)
+            self._size += len(data)
+            if self._size > BODY_MAX:
+                raise TooLarge("it does not end")
 
     def on_message_complete(self) -> None:
         """The message is whole."""
--- a/tests/test_endings_upstreams.py
+++ b/tests/test_endings_upstreams.py
@@ -426,6 +426,46 @@
     writer.transport.abort()
 
 
+@pytest.mark.parametrize("path", ["/read/x", "/pay/x"])
+def test_an_answer_that_claims_more_than_there_can_be_is_none(path: str) -> None:
+    """Its beginning was passed on, so nobody else could be asked, and its caller waited for the rest."""
+
+    async def scenario() -> None:
+        async def endless(asked: Asked, writer: asyncio.StreamWriter) -> None:
+            writer.write(b"HTTP/1.1 200 OK\r\nContent-Length: 3000000000\r\n\r\n" + b"x" * 100_000)
+
+        upstream = Upstream(endless, response(200, b"whole"))
+        async with Rig(upstream) as rig:
+            answer = await rig.ask(path, b"" if path == "/read/x" else b"debit")
+            assert (status(answer), answer.body) == ((200, b"whole") if path == "/read/x" else (502, b""))
+            await upstream.ended.wait()
+            await until(lambda: not left_behind(rig.driver))
+
+    run(scenario())
+
+
+def test_an_answer_that_grows_past_all_bounds_is_broken_off(monkeypatch: pytest.MonkeyPatch) -> None:
+    monkeypatch.setattr(upstreams_module, "BODY_MAX", 200_000)
+
+    async def scenario() -> None:
+        async def endless(asked: Asked, writer: asyncio.StreamWriter) -> None:
+            writer.write(b"HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n")
+            while True:
+                writer.write(b"3e8\r\n" + b"x" * 1_000 + b"\r\n")
+                await writer.drain()
+
+        upstream = Upstream(endless)
+        async with Rig(upstream) as rig:
+            caller = await rig.caller()
+            caller.send()
+            with pytest.raises((asyncio.IncompleteReadError, ConnectionError)):
+                await caller.answer()
+            await upstream.ended.wait()
+            await until(lambda: not left_behind(rig.driver))
+
+    run(scenario())
+
+
 def test_an_answer_that_never_ends_ends_with_its_caller() -> None:
     async def scenario() -> None:
         async def endless(asked: Asked, writer: asyncio.StreamWriter) -> None:
