Ask no connection that we have aborted whether its caller is there

Found on reading the change again: the look at a paused connection can fall between our abort and the loop's word that it is over; its descriptor is closed then, and may be another's. The test fails without this. Two lines of the watch are written more plainly; nothing else changes.

--- a/basaltspindle/net/discovery.py
+++ b/basaltspindle/net/discovery.py
@@ -17,9 +17,7 @@
 
 PUSH_PAUSE_S = 0.5  # before the agent on this machine is called again, where lists are pushed
 LOOK_S = 1.0  # between looks whether another instance is to be looked at
-CONNECT_S = (
-    1.0  # a connection that has not come up by then is tried anew: the wait of a call is for its answer
-)
+CONNECT_S = 1.0  # for a connection to come up: the wait of a call is for its answer
 LIST_MAX = 4 * 1024 * 1024
 
 
@@ -195,7 +193,8 @@
         is_broken_watch = ask.after >= 0 and (not self._asked or isinstance(error, SilentError))
         at_once, self._reopened = is_broken_watch and not self._reopened, True
         if self._asked:
-            self._task = self._task if at_once else None
+            if not at_once:
+                self._task = None
             self._on_failed()  # when to ask again is the module's to say, unless we do at once
         return 0.0 if at_once else None if self._asked else PUSH_PAUSE_S
 
--- a/basaltspindle/net/framing.py
+++ b/basaltspindle/net/framing.py
@@ -212,8 +212,10 @@
         transport.get_extra_info("socket").setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, linger)
 
 
-def has_hung_up(transport: asyncio.BaseTransport) -> bool:
+def has_hung_up(transport: asyncio.Transport) -> bool:
     """Whether the other side has ended its sending, though there may be bytes to read before that."""
+    if transport.is_closing():
+        return True  # by us: its descriptor may be another's by now
     look = select.poll()
     look.register(transport.get_extra_info("socket"), select.POLLRDHUP)
     try:
--- a/tests/test_endings_callers.py
+++ b/tests/test_endings_callers.py
@@ -15,6 +15,7 @@
 import pytest
 
 from basaltspindle.net import callers
+from basaltspindle.net.framing import has_hung_up
 from tests.loopback import (
     Asked,
     Caller,
@@ -160,6 +161,23 @@
     run(scenario())
 
 
+def test_a_connection_that_we_have_aborted_has_nobody_at_its_other_end() -> None:
+    """Its descriptor may be another's by now: it is not asked."""
+
+    async def scenario() -> None:
+        async with Rig(Upstream()) as rig:
+            caller = await rig.caller()
+            caller.send()
+            assert status(await caller.answer()) == 200
+            (connection,) = rig.driver.callers._connections
+            transport = connection._transport
+            assert transport is not None and not has_hung_up(transport)
+            transport.abort()
+            assert has_hung_up(transport)
+
+    run(scenario())
+
+
 def test_hundreds_that_wait_for_room_and_leave_at_once_free_all_they_held() -> None:
     async def scenario() -> None:
         upstream = Upstream(silent)
