--- a/tests/test_endings_callers.py
+++ b/tests/test_endings_callers.py
@@ -14,6 +14,7 @@
 
 import pytest
 
+from basaltspindle.interface import ListKind
 from basaltspindle.net import callers
 from basaltspindle.net.framing import has_hung_up
 from tests.loopback import (
@@ -33,9 +34,11 @@
     status,
     until,
 )
+from tests.test_upstreams import told_list
 
 HEAD = b"GET /read/x HTTP/1.1\r\nX-Class: read\r\nX-Request-Id: 1\r\nX-Deadline: 4000m\r\n\r\n"
 LIMITS = {"attemptsCap": 3, "connIdle": 60_000.0, "connectTimeout": 5_000.0}
+PATIENT = {"name": "read", "target": 90_000.0, "deadline": 99_000.0, "effect": "retryable", "worth": 1.0}
 may_cancel = pytest.mark.parametrize("cancel", [True, False])
 
 
@@ -181,14 +184,7 @@
 def test_hundreds_that_wait_for_room_and_leave_at_once_free_all_they_held() -> None:
     async def scenario() -> None:
         upstream = Upstream(silent)
-        patient = {
-            "name": "read",
-            "target": 90_000.0,
-            "deadline": 99_000.0,
-            "effect": "retryable",
-            "worth": 1.0,
-        }
-        async with Rig(upstream, classes=[patient]) as rig:
+        async with Rig(upstream, classes=[PATIENT]) as rig:
             everyone = [await rig.caller() for _ in range(200)]
             for caller in everyone:
                 caller.send(deadline="90000m")
@@ -209,6 +205,30 @@
     run(scenario())
 
 
+@may_cancel
+def test_a_thousand_whose_connections_are_dialled_leave_at_once_and_none_is_sent_on(
+    cancel: bool, monkeypatch: pytest.MonkeyPatch
+) -> None:
+    async def scenario() -> None:
+        dials, upstream = Dials(monkeypatch), Upstream()
+        async with Rig(upstream, classes=[PATIENT], limits=LIMITS | {"mayCancel": cancel}) as rig:
+            rig.driver.callers.cap = rig.driver.upstreams.cap = 1_100
+            rig.driver._listed(ListKind.FULL, told_list(rig.entries[0] | {"weight": 1_000.0}, whole=True))
+            everyone = [await rig.caller() for _ in range(1_000)]
+            for caller in everyone:
+                caller.send(deadline="90000m")
+            await until(lambda: dials.count == 1_000)
+            for caller in everyone:
+                caller.writer.close()
+            await until(lambda: rig.driver.callers.count() == 0)
+            assert not left_behind(rig.driver)
+            dials.let_up()
+            assert status(await rig.ask()) == 200
+            assert len(upstream.asked) == 1
+
+    run(scenario())
+
+
 def at_once(caller: Caller, data: bytes) -> None:
     """Put bytes into the kernel in this very instant."""
     os.write(caller.writer.get_extra_info("socket").fileno(), data)
