Let go of a caller that has gone by one piece of code, and close a dial that begins nothing once

The look at a paused connection and the one at the taking of a request did the same three things. Finishing an attempt closes its dial, so _connect need not.

--- a/basaltspindle/net/callers.py
+++ b/basaltspindle/net/callers.py
@@ -422,13 +422,17 @@
 
     def _look_for_end(self) -> None:
         """Guards against a caller that goes unseen, since its end lies behind bytes that we do not read."""
-        assert self._transport is not None
-        if has_hung_up(self._transport):
-            self._leave()
-            self._transport.abort()
-        else:
+        if not self._let_go_if_gone():
             self._looking = self._callers.loop.call_later(LOOK_S, self._look_for_end)
 
+    def _let_go_if_gone(self) -> bool:
+        """Ask the socket whether the caller has gone, though there may be bytes to read before its end."""
+        if self._transport is None or not has_hung_up(self._transport):
+            return False
+        self._leave()
+        self._transport.abort()
+        return True
+
     def _stop_looking(self) -> None:
         if self._looking is not None:
             self._looking.cancel()
@@ -518,11 +522,8 @@
             taken.keep_alive = False
             taken.body.drop()
             taken.answer(problem[0], body=problem[1].encode() + b"\n")
-        elif self._transport is not None and has_hung_up(self._transport):
-            # It lay unread until now, in the kernel or behind others: whoever sent it has gone.
-            taken.body.drop()
-            self._leave()
-            self._transport.abort()
+        elif self._let_go_if_gone():
+            taken.body.drop()  # it lay unread until now, in the kernel or behind others
         else:
             try:
                 self._callers.handler.arrived(taken)
--- a/basaltspindle/net/upstreams.py
+++ b/basaltspindle/net/upstreams.py
@@ -333,7 +333,6 @@
         elif not self._pool.may_begin() or time.monotonic() >= self._write_by:
             # Guards against a send that begins late: while we connected the server was told to drain, or
             # started anew, or what it remembers of an earlier attempt ran out.
-            connection.close()
             self._finish(Outcome.CONNECT_FAILED)
         else:
             self._begin(connection)
