Start the program in tests by one piece of code, and let a crossing request be told by its ID

The test of the program's end looked for a request that had crossed it among IDs that were all the same: it could not fail on that. The crossing one has an ID of its own now. Attempts with a limit are made as others are, not round their constructor.

--- a/tests/loopback.py
+++ b/tests/loopback.py
@@ -4,7 +4,10 @@
 
 import asyncio
 import json
-from collections.abc import Awaitable, Callable, Coroutine
+import os
+import sys
+from collections.abc import AsyncIterator, Awaitable, Callable, Coroutine
+from contextlib import asynccontextmanager
 from dataclasses import replace
 from pathlib import Path
 from typing import Any, TypeVar
@@ -281,6 +284,20 @@
         return await read_message(self.reader)
 
 
+@asynccontextmanager
+async def program(config: Path) -> AsyncIterator[asyncio.subprocess.Process]:
+    """The program itself, as the platform starts it; it is killed if it has not ended by then."""
+    started = await asyncio.create_subprocess_exec(
+        sys.executable, "-m", "basaltspindle", env=os.environ | {"LB_CONFIG": str(config)}
+    )
+    try:
+        yield started
+    finally:
+        if started.returncode is None:
+            started.kill()
+            await started.wait()
+
+
 def run(scenario: Coroutine[Any, Any, T]) -> T:
     """Run a scenario on the loop that the program uses."""
 
--- a/tests/test_endings_callers.py
+++ b/tests/test_endings_callers.py
@@ -8,7 +8,6 @@
 import os
 import signal
 import socket
-import sys
 from pathlib import Path
 from typing import Any
 
@@ -28,6 +27,7 @@
     config_text,
     entry,
     left_behind,
+    program,
     response,
     run,
     silent,
@@ -539,20 +539,16 @@
         entries = [entry("s0", await upstream.start())]
         config = json.loads(config_text(await lists.start(), entries, classes=classes))
         path.write_text(json.dumps(config | {"listen": f"127.0.0.1:{port}", "console": ""}))
-        program = await asyncio.create_subprocess_exec(
-            sys.executable, "-m", "basaltspindle", env=os.environ | {"LB_CONFIG": str(path)}
-        )
-        try:
+        async with program(path) as process:
             flight, half, idle = [await connected(port) for _ in range(3)]
             flight.writer.write(HEAD.replace(b"4000m", b"60000m") * 2)
             await upstream.seen.wait()
             half.writer.write(HEAD[:50])
             for number in (signal.SIGTERM, signal.SIGTERM, signal.SIGHUP):
-                program.send_signal(number)
+                process.send_signal(number)
             half.writer.write(HEAD[50:].replace(b"4000m", b"60000m"))
-            idle_answer = await asyncio.wait_for(idle.reader.read(), None)
-            assert idle_answer == b""
-            idle.writer.write(HEAD)  # crosses the end of its connection
+            assert await idle.reader.read() == b""
+            idle.writer.write(HEAD.replace(b"Id: 1", b"Id: 9"))  # crosses the end of its connection
             assert status(await flight.answer()) in (502, 503)
             assert status(await flight.answer()) in (502, 503)
             assert status(await half.answer()) in (502, 503)
@@ -560,12 +556,8 @@
                 assert await caller.reader.read() == b"", "no reset"
                 caller.writer.close()
             idle.writer.close()
-            assert await program.wait() == 0
-            assert all(a.headers["x-request-id"] == "1" for a in upstream.asked)
-        finally:
-            if program.returncode is None:
-                program.kill()
-                await program.wait()
+            assert await process.wait() == 0
+            assert {a.headers["x-request-id"] for a in upstream.asked} == {"1"}, "nothing that crossed"
 
     run(scenario())
 
@@ -578,28 +570,22 @@
         config = json.loads(config_text(await lists.start(), [entry("s0", await upstream.start())]))
         limits = {"cores": 1.0, "memory_mb": 64, "sockets": 256}
         path.write_text(json.dumps(config | {"listen": f"127.0.0.1:{port}", "console": "", "limits": limits}))
-        program = await asyncio.create_subprocess_exec(
-            sys.executable, "-m", "basaltspindle", env=os.environ | {"LB_CONFIG": str(path)}
-        )
-        try:
+        async with program(path) as process:
             first = await connected(port)
             first.send()
             assert status(await first.answer()) == 200
             first.writer.close()
-            process = Path("/proc", str(program.pid))
-            before = len(list((process / "fd").iterdir())), resident_mb(process)
+            status_files = Path("/proc", str(process.pid))
+            before = len(list((status_files / "fd").iterdir())), resident_mb(status_files)
             for kind in FLOODS:
                 await asyncio.gather(*[send_and_go(port, kind) for _ in range(150)])
             last = await connected(port)
             last.send()
             assert status(await last.answer()) == 200
             last.writer.close()
-            while len(list((process / "fd").iterdir())) > before[0]:
+            while len(list((status_files / "fd").iterdir())) > before[0]:
                 await asyncio.sleep(0.01)
-            assert resident_mb(process) < before[1] + 20
-        finally:
-            program.kill()
-            await program.wait()
+            assert resident_mb(status_files) < before[1] + 20
 
     run(scenario())
 
--- a/tests/test_endings_upstreams.py
+++ b/tests/test_endings_upstreams.py
@@ -260,12 +260,9 @@
 
         server = await asyncio.start_server(take, "127.0.0.1", 0, limit=1024)
         upstreams = make(f"127.0.0.1:{server.sockets[0].getsockname()[1]}")
-        exchange = Try.__new__(Try)
-        exchange.ends, exchange.over, exchange._request = [], asyncio.Event(), b"x" * 50_000_000
-        attempt = upstreams.attempt("s0", 60.0, exchange, within_s=0.05)
-        assert attempt is not None
+        attempt = Try(upstreams, b"x" * 50_000_000, timeout_s=60.0, within_s=0.05)
         await begun.wait()
-        assert await exchange.outcome() is Outcome.CONNECT_FAILED, "it can't have run"
+        assert await attempt.outcome() is Outcome.CONNECT_FAILED, "it can't have run"
         assert upstreams.open == 0
         ended.set()
 
@@ -276,14 +273,12 @@
     async def scenario() -> None:
         upstream = Upstream(silent)
         upstreams = make(await upstream.start())
-        exchange = Try.__new__(Try)
-        exchange.ends, exchange.over, exchange._request = [], asyncio.Event(), b"GET /read HTTP/1.1\r\n\r\n"
-        assert upstreams.attempt("s0", 60.0, exchange, within_s=0.02) is not None
+        attempt = Try(upstreams, timeout_s=60.0, within_s=0.02)
         await upstream.seen.wait()
         await at_least(0.03)  # behind the limit's timer in the loop's order
-        assert not exchange.ends
+        assert not attempt.ends
         upstream.writers[0].write(response())
-        assert await exchange.outcome() is Outcome.SERVED
+        assert await attempt.outcome() is Outcome.SERVED
 
     run(scenario())
 
--- a/tests/test_net.py
+++ b/tests/test_net.py
@@ -24,6 +24,7 @@
     Upstream,
     config_text,
     entry,
+    program,
     reset,
     response,
     run,
@@ -415,9 +416,7 @@
 
 
 def test_config_errors_are_one_line_and_an_exit_code(tmp_path: Any) -> None:
-    import os
     import subprocess
-    import sys
 
     path = tmp_path / "config.json"
     environment = {n: v for n, v in os.environ.items() if not n.startswith("LB_")}
@@ -500,11 +499,9 @@
 def test_running_out_of_sockets_is_survived(tmp_path: Any) -> None:
     """With fewer descriptors than the configuration says, accepting fails; it must go on later."""
     import http.client
-    import os
     import resource
     import signal
     import subprocess
-    import sys
     import time
 
     with socket.socket() as probe:
@@ -581,20 +578,14 @@
     async def scenario() -> None:
         old, new, path = ListServer(), ListServer(), tmp_path / "config.json"
         path.write_text(config_text(await old.start(), []))
-        program = await asyncio.create_subprocess_exec(
-            sys.executable, "-m", "basaltspindle", env=os.environ | {"LB_CONFIG": str(path)}
-        )
-        try:
+        async with program(path) as process:
             await old.calls.get()
             for text in ("no configuration", config_text(await new.start(), [])):
                 path.write_text(text)
-                program.send_signal(signal.SIGHUP)
+                process.send_signal(signal.SIGHUP)
             assert await new.calls.get() == "GET /v1/servers HTTP/1.1"
             new.tell(9, snapshot=True)
             assert (await new.calls.get()).startswith("GET /v1/servers?after=9&")
-        finally:
-            program.kill()
-            await program.wait()
 
     run(scenario())
 
--- a/tests/test_upstreams.py
+++ b/tests/test_upstreams.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import asyncio
+import math
 import socket
 from collections.abc import AsyncIterator
 from contextlib import asynccontextmanager
@@ -43,11 +44,17 @@
 class Try(Exchange):
     """One attempt and all that was told of its end."""
 
-    def __init__(self, upstreams: Upstreams, request: bytes = REQUEST, timeout_s: float = 5.0) -> None:
+    def __init__(
+        self,
+        upstreams: Upstreams,
+        request: bytes = REQUEST,
+        timeout_s: float = 5.0,
+        within_s: float = math.inf,
+    ) -> None:
         self.ends: list[Outcome] = []
         self.over = asyncio.Event()
         self._request = request
-        attempt = upstreams.attempt("s0", timeout_s, self)
+        attempt = upstreams.attempt("s0", timeout_s, self, within_s)
         assert attempt is not None
         self.attempt: Attempt = attempt
 
