--- a/basaltspindle/interface.py
+++ b/basaltspindle/interface.py
@@ -8,6 +8,7 @@
 
 import enum
 import math
+from collections.abc import Mapping
 from dataclasses import dataclass, fields
 
 
@@ -366,3 +367,23 @@
 
 
 Action = Send | Cancel | Refuse | Fail | SetTimer | Probe | CloseIdle | Subscribe | Log
+
+
+# ---- from one process to the next ---------------------------------------------------------------
+
+
+@dataclass(frozen=True, slots=True)
+class Learned:
+    """What one process has learned, for the one that takes over from it."""
+
+    servers: Mapping[str, tuple[float, ...]]
+    """By name: when it started (Unix ms), the calls served and our time in flight there, both faded, then
+    when calls were sent to it while it was cold."""
+    work: Mapping[str, float]
+    """By class: how long its calls take, in ms, and how long where nothing crowds."""
+    easy: Mapping[str, float]
+    usual: Mapping[str, float]
+    """By zone: what a unit of size serves for us at its best, in calls a ms."""
+    crowding: tuple[float, float, float]
+    """Answers by their lateness, answers, and when they were weighed last."""
+    median: float
--- a/basaltspindle/net/driver.py
+++ b/basaltspindle/net/driver.py
@@ -21,6 +21,7 @@
 from basaltspindle.net.figures import Figures
 from basaltspindle.net.framing import Buffers, end_to_end
 from basaltspindle.net.handover import CordonFile, Handover, Legacy
+from basaltspindle.net.learned import from_plain, to_plain
 from basaltspindle.net.log import Log, Sink, write_text
 from basaltspindle.net.upstreams import Answer, Attempt, Exchange, Upstreams
 from basaltspindle.policy import Balancer
@@ -254,7 +255,8 @@
             known = read_list(state["list"])
             if known.endpoints and known.index >= self._known.index:
                 self._listed(ListKind.CACHED, known)
-            self.balancer.inherit(state["learned"], self.clock.now(), age_ms)
+            learned = from_plain(state["learned"], {c.name for c in self._config.settings.classes})
+            self.balancer.inherit(learned, self.clock.now(), age_ms)
         except (KeyError, ValueError) as error:
             self.log.event("nothing_learned", f"we start without what was learned: {error}")
 
@@ -280,7 +282,7 @@
     def state(self) -> dict[str, object]:
         """What the next process should know."""
         known = ServerList(self._index, True, tuple(self._list.values()))
-        learned = self.balancer.legacy(self.clock.now())
+        learned = to_plain(self.balancer.learned(self.clock.now()))
         return {"list": write_list(known), "learned": learned, "cordons": self._cordons.state()}
 
     def retire(self) -> None:
--- a/basaltspindle/policy/admission.py
+++ b/basaltspindle/policy/admission.py
@@ -5,7 +5,6 @@
 import math
 import random
 from collections.abc import Iterable
-from typing import Any
 
 from basaltspindle import interface as face
 from basaltspindle.policy.requests import Request
@@ -106,11 +105,3 @@
         level = min(QUOTA_BURST_MS * rate, level + (now - seen) * rate)
         self._share[tenant] = (level - 1 if level >= 1 and not event.is_repeat else level, now)
         return level < 1
-
-
-def plain(figures: Iterable[Any]) -> list[float]:
-    """The figures, if they are such; else ValueError."""
-    known = [float(figure) for figure in figures]
-    if not all(0 <= figure < math.inf for figure in known):
-        raise ValueError("no legacy: it holds figures that are none")
-    return known
--- a/basaltspindle/policy/balancer.py
+++ b/basaltspindle/policy/balancer.py
@@ -10,12 +10,11 @@
 import math
 import random
 from collections import deque
-from typing import Any
 
 from basaltspindle import interface as face
 from basaltspindle.interface import Effect, ListKind, Outcome
 from basaltspindle.policy import repeats
-from basaltspindle.policy.admission import OFFER_CALLS, Admission, Pressure, Times, plain
+from basaltspindle.policy.admission import OFFER_CALLS, Admission, Pressure, Times
 from basaltspindle.policy.cold import ColdStarts
 from basaltspindle.policy.draw import draws, least_loaded
 from basaltspindle.policy.limits import ConcurrencyLimits, WaitQueue
@@ -142,47 +141,26 @@
 
     # ---- from one process to the next -----------------------------------------------------------
 
-    def legacy(self, now: float) -> dict[str, Any]:
-        """What was learned, as plain figures, for the process that takes over."""
+    def learned(self, now: float) -> face.Learned:
+        """What was learned, for the process that takes over."""
         for server in self._roster.servers.values():
             server.catch_up(now)
-        return {
-            "servers": {
-                name: [s.member.up_since_ms, s.served, s.busy, *s.sends]
-                for name, s in self._roster.servers.items()
-                if s.listed
-            },
-            "work": self._times.work,
-            "easy": self._times.easy,
-            "usual": self._capacities.usual,
-            "pressure": [self._pressure.late, self._pressure.answers, self._pressure.weighed],
-            "median": self._capacities.median,
-        }
-
-    def inherit(self, legacy: dict[str, Any], now: float, age_ms: float = 0.0) -> None:
-        """Go on with what another process has learned; ValueError, and nothing is taken, if it is no such.
-
-        `age_ms` is how old that is: evidence fades by it.
-        """
-        try:
-            servers = {str(name): plain(known) for name, known in legacy["servers"].items()}
-            work, easy, usual = (
-                dict(zip(legacy[part], plain(legacy[part].values()), strict=True))
-                for part in ("work", "easy", "usual")
-            )
-            (late, answers, weighed), (median,) = plain(legacy["pressure"]), plain([legacy["median"]])
-        except (KeyError, TypeError, AttributeError) as error:
-            raise ValueError(f"no legacy: {error!r}") from None
-        if any(len(known) < 3 for known in servers.values()) or {*work, *easy} != {*self._classes}:
-            raise ValueError("no legacy: it is of other classes, or too short")
-        for name, (since, served, busy, *sends) in servers.items():
+        listed = ((name, s) for name, s in self._roster.servers.items() if s.listed)
+        servers = {name: (s.member.up_since_ms, s.served, s.busy, *s.sends) for name, s in listed}
+        pressure, times, rates = self._pressure, self._times, self._capacities
+        crowding = (pressure.late, pressure.answers, pressure.weighed)
+        return face.Learned(servers, times.work, times.easy, rates.usual, crowding, rates.median)
+
+    def inherit(self, known: face.Learned, now: float, age_ms: float = 0.0) -> None:
+        """Go on with what another process learned so long ago: evidence fades by it."""
+        for name, (since, served, busy, *sends) in known.servers.items():
             server = self._roster.servers.get(name)
             if server is not None and server.member.up_since_ms == since:
                 server.served, server.busy, server.sends = served, busy, deque(sends)
                 server.seen = now - age_ms
-        self._times.work, self._times.easy = work, easy
-        self._capacities.usual, self._capacities.median = usual, median
-        self._pressure.late, self._pressure.answers = late, answers
+        self._times.work, self._times.easy = dict(known.work), dict(known.easy)
+        self._capacities.usual, self._capacities.median = dict(known.usual), known.median
+        self._pressure.late, self._pressure.answers, weighed = known.crowding
         self._pressure.weighed = min(weighed, now)
 
     # ---- a request's path -----------------------------------------------------------------------
--- a/tests/test_policy.py
+++ b/tests/test_policy.py
@@ -331,8 +331,8 @@
         desk.end(request, 0, "s0", Outcome.SERVED)
         quick.serve(takes=20)
         quick.now += 2_000
-    assert desk.balancer.legacy(desk.now)["servers"] == quick.balancer.legacy(quick.now)["servers"]
-    assert desk.balancer.legacy(desk.now)["work"] == quick.balancer.legacy(quick.now)["work"]
+    assert desk.balancer.learned(desk.now).servers == quick.balancer.learned(quick.now).servers
+    assert desk.balancer.learned(desk.now).work == quick.balancer.learned(quick.now).work
 
 
 def test_the_times_of_a_request_run_from_its_last_byte() -> None:
--- a/tests/test_state.py
+++ b/tests/test_state.py
@@ -130,13 +130,13 @@
     old = Desk(2)
     for _ in range(40):
         old.serve(takes={"s0": 50.0, "s1": 400.0})
-    learned = old.balancer.legacy(old.now)
+    learned = old.balancer.learned(old.now)
 
     def served(age_ms: float, *entries: Member) -> dict[str, float]:
         new = Desk(0)
         new.show(*entries)
         new.balancer.inherit(learned, new.now, age_ms)
-        found = new.balancer.legacy(new.now)["servers"]
+        found = new.balancer.learned(new.now).servers
         return {name: figures[1] for name, figures in found.items()}
 
     same = (Member("s0", zone="z0", cell=0), Member("s1", zone="z1", cell=0))
--- a/tests/test_upgrade.py
+++ b/tests/test_upgrade.py
@@ -18,7 +18,8 @@
 from basaltspindle.drill.fleet import free_port
 from basaltspindle.interface import Member, Succession
 from basaltspindle.net import handover
-from tests.helpers import Desk
+from basaltspindle.net.learned import from_plain, to_plain
+from tests.helpers import Desk, settings
 from tests.loopback import (
     Asked,
     Caller,
@@ -285,7 +286,8 @@
     for _ in range(300):
         old.serve(takes={"s0": 400.0, "s1": 20.0, "s2": 20.0, "s3": 20.0})
     new.now = old.now
-    new.balancer.inherit(json.loads(json.dumps(old.balancer.legacy(old.now))), new.now)
+    plain = json.loads(json.dumps(to_plain(old.balancer.learned(old.now))))
+    new.balancer.inherit(from_plain(plain, {c.name for c in settings().classes}), new.now)
     served = [new.serve(takes=20.0) for _ in range(40)]
     assert served.count("s0") <= 3
 
@@ -305,11 +307,11 @@
     old, new = Desk(4), Desk(4)
     for _ in range(50):
         old.serve()
-    legacy = old.balancer.legacy(old.now) | change
-    before = new.balancer.legacy(new.now)
+    legacy = to_plain(old.balancer.learned(old.now)) | change
+    before = to_plain(new.balancer.learned(new.now))
     with pytest.raises(ValueError):
-        new.balancer.inherit(legacy, new.now)
-    assert new.balancer.legacy(new.now) == before
+        new.balancer.inherit(from_plain(legacy, {c.name for c in settings().classes}), new.now)
+    assert to_plain(new.balancer.learned(new.now)) == before
 
 
 def test_a_process_that_leaves_sends_to_cold_servers_last() -> None:
