Ask the caller's socket in the instant in which an attempt begins

A caller that has closed or cancelled has gone, and an attempt that begins over 0.1 s later is a break. While we don't read from it (a body that waits, 16 requests read ahead) its end was looked for every 0.1 s, which was the whole allowance; a loop that is busy adds to that, and pauses shorter than the look put it off for good.

Now the kernel is asked (POLLRDHUP: bytes before the end don't hide it) as each attempt is sent, first, further, copy or out of the queue, again when its dial has come up, and before each piece of a long body goes on. Whoever has gone is let go of: what has not been written is withdrawn, what was written runs on where cancelling is forbidden. What is left to the look, bytes that leave our buffer by themselves, is looked for every 0.03 s.

A caller whose end is still in its own machine, behind more than our receive window, can't be seen by any ask here.

--- a/basaltspindle/net/callers.py
+++ b/basaltspindle/net/callers.py
@@ -54,7 +54,7 @@
 TERM_STAY_PART = 0.6  # of the time after that, callers keep the connections they have: there may be no other
 TERM_LAST_S = 0.15  # at the end answers go out, and we read on; the platform kills 0.2 s after that begins
 TERM_UNREAD_S = 5.0  # and longer for whoever has not taken its answer: only its reading, or a kill, ends that
-LOOK_S = 0.1  # between looks whether a caller from whom we do not read has gone
+LOOK_S = 0.03  # between looks whether a caller from whom we do not read has gone: nothing begins 0.1 s later
 DEADLINE_MAX_MS = 3_600_000.0
 _UNIT_MS = {b"m": 1.0, b"u": 0.001}
 _HOPS = (b"x-deadline", b"expect")  # said anew for each attempt, or settled with the caller
@@ -142,6 +142,10 @@
             self.open = False
             self._connection.abort()
 
+    def is_awaited(self) -> bool:
+        """Whether its caller is there in this very instant; one that has gone is let go of at once."""
+        return self.open and self._connection.is_there()
+
     def check(self, classes: frozenset[str]) -> tuple[int, str] | None:
         """Read what the balancer must know; a status and reason if the request is not acceptable."""
         path = self.target.partition(b"?")[0]
@@ -359,6 +363,8 @@
         """Read on; what follows bad input is read and dropped, so that the answer arrives."""
         if self._deaf:
             return
+        if self._incoming is not None and not self.is_there():
+            return  # these bytes may be the last of a request, whose caller's end lies right behind them
         data = self.buffers.read(nbytes)
         while not self._deaf:
             if self._in_head and self._raw > HEAD_MAX:
@@ -433,6 +439,10 @@
         self._transport.abort()
         return True
 
+    def is_there(self) -> bool:
+        """Whether the caller is: asked of the kernel, for the loop may be late, or not be reading."""
+        return not (self._lost or self._let_go_if_gone())
+
     def _stop_looking(self) -> None:
         if self._looking is not None:
             self._looking.cancel()
--- a/basaltspindle/net/driver.py
+++ b/basaltspindle/net/driver.py
@@ -92,6 +92,10 @@
         self._until = time.monotonic() + self.timeout_ms / 1000
         self.body = None if taken.body.whole else taken.body
 
+    def is_wanted(self) -> bool:
+        """Whether the caller is there: nothing begins for one that has gone, seen by the loop or not."""
+        return self._request.taken.is_awaited()
+
     def compose(self) -> bytes:
         """The head with the time that is left, and the body if it is whole."""
         taken, left_s = self._request.taken, self._until - time.monotonic()
@@ -639,7 +643,7 @@
         request.out += 1
         attempt: Attempt | None = None
         outcome = Outcome.NOT_SENT  # for a send whose request is over, or whose body is
-        if request.open and not request.taken.body.dropped:
+        if request.open and not request.taken.body.dropped and request.taken.is_awaited():
             call = _Call(self, request, action, index)
             attempt = self.upstreams.attempt(server, call.timeout_ms / 1000, call, action.within_ms / 1000)
             outcome = Outcome.CONNECT_FAILED  # for a server that no list names any more
--- a/basaltspindle/net/upstreams.py
+++ b/basaltspindle/net/upstreams.py
@@ -154,6 +154,10 @@
 
     body: Body | None = None  # where it is passed on behind the head, as it comes
 
+    def is_wanted(self) -> bool:
+        """Whether it may still begin, asked in the instant in which it would."""
+        return True
+
     def compose(self) -> bytes:
         """The request, or its head if the body follows; asked for when the connection is there."""
         raise NotImplementedError
@@ -328,8 +332,11 @@
             self._finish(Outcome.CONNECT_FAILED)
             return
         self._task = None
+        wanted = not self._over and self._exchange.is_wanted()  # its own end may follow from the answer
         if self._over:  # cancelled while the connection came up
             connection.close()
+        elif not wanted:
+            self._finish(Outcome.NOT_SENT)
         elif not self._pool.may_begin() or time.monotonic() >= self._write_by:
             # Guards against a send that begins late: while we connected the server was told to drain, or
             # started anew, or what it remembers of an earlier attempt ran out.
