Keep the list's, upstreams' and console's descriptors, and free places faster under a crowd

Forced with a process of 256 descriptors and 300 to 1,000 idle clients that connect again at once, discovery away for 4 s (trials): what is kept for the list, upstreams and the console held, but only as far as the configuration's `sockets` was not over the process's own limit; where it was (1,024 told, 256 allowed), the changed list was not in force 10 s after the return, and the console timed out. And a request on a new connection waited behind the crowd in the kernel's queue: 3.4 s behind 300 that send nothing, 5.4 s behind 300 that never close, over 8 s (all of eight) behind 1,000: each connection that had never asked was left its place for 1 s, and one made way at a time.

net/descriptors.py shares out what both allow, the lower counts, and ends idle connections while all places stay taken: who never asked goes first and after 0.1 s; each pass (0.05 s) ends twice as many as the one before, 16 at the most, and leaves half the idleness, until nobody waits.

tests/test_descriptors.py starts a process with a limit of 256 and 600 idle clients of three kinds, discovery refusing or silent, then back with a drain and a new server.

--- a/basaltspindle/net/callers.py
+++ b/basaltspindle/net/callers.py
@@ -18,6 +18,7 @@
 import httptools
 
 from basaltspindle.net.config import Config
+from basaltspindle.net.descriptors import FRESH_S, IdleEviction, side_cap
 from basaltspindle.net.framing import (
     BODY_MAX,
     HEAD_MAX,
@@ -39,15 +40,13 @@
     response_head,
     set_no_delay,
 )
-from basaltspindle.net.upstreams import SPARE_SOCKETS, STALL_S
+from basaltspindle.net.upstreams import STALL_S
 
 BACKLOG = 2_048  # callers queue in the kernel while we are busy, instead of being turned away
 PIPELINED_MAX = 16  # requests read ahead on one connection; past that, reading waits
 TERM_LONGEST_S = 3.0  # the platform waits no longer, whatever the deadlines
 LINGER_S = 0.5  # how long we read on after ending our side, so that no reset overtakes the answer
 ACCEPT_PAUSE_S = 0.05  # after the sockets have run out
-IDLE_S = 1.0  # a caller that asked for nothing for so long may have to make way
-FRESH_S = 0.1  # a connection is opened for a request, which follows
 REQUEST_S = 2.6  # a peer that sends no request is sent off; what has begun may take so long, and as long
 PACE = 64_000  # as its body takes at so many bytes a second
 TERM_ACCEPT_S = 0.5  # new connections go on coming for a while after SIGTERM
@@ -611,7 +610,16 @@
                 reset_on_close(self._transport)  # a proper end would be the answer's
             self._transport.abort()
 
-    def half_close(self) -> None:
+    def has_asked(self) -> bool:
+        """Whether a whole request has ever come."""
+        return self._asked
+
+    def make_way(self) -> None:
+        """End for another to have the place, once; no answer of ours to who never asked can be overtaken."""
+        self.idle_since = math.inf
+        self.half_close(LINGER_S if self._asked else FRESH_S)
+
+    def half_close(self, linger_s: float = LINGER_S) -> None:
         """End our side, and read on for a moment.
 
         Guards against a reset that overtakes our last answer, or that hits a request on its way: the
@@ -621,7 +629,7 @@
             return
         self._deaf = self._half_closed = True
         self._transport.write_eof()
-        self._callers.loop.call_later(LINGER_S, self._stop_lingering)
+        self._callers.loop.call_later(linger_s, self._stop_lingering)
 
     def end_at_last(self) -> bool:
         """The process ends: no more is taken up. Whether an answer is still on its way to a caller."""
@@ -680,7 +688,8 @@
         self.classes = frozenset([c.name for c in config.settings.classes])
         self.serving = self.ending = self.closing = self._retired = False
         self._longest_s = max(c.deadline_ms for c in config.settings.classes) / 1000
-        self.cap = max(config.sockets // 2 - SPARE_SOCKETS, 4)
+        self.cap = side_cap(config.sockets)
+        self._eviction = IdleEviction()
         self._connections: set[DownstreamConnection] = set()
         self._tasks: set[asyncio.Task[None]] = set()
         self._accepting = False
@@ -726,6 +735,7 @@
             try:
                 sock, _ = self.listener.accept()
             except BlockingIOError:
+                self._eviction.relax()
                 return True
             except OSError as error:
                 if error.errno in (errno.EMFILE, errno.ENFILE, errno.ENOBUFS, errno.ENOMEM):
@@ -738,7 +748,7 @@
             self._tasks.add(task)
             task.add_done_callback(self._tasks.discard)
         # Guards against spinning, or dying, when there is no room: it is looked for again in a moment.
-        self._end_longest_idle()
+        self._eviction.make_room(self._connections, time.monotonic())
         self._pause()
         self.loop.call_later(ACCEPT_PAUSE_S, self._resume)
         return False
@@ -750,13 +760,6 @@
             sock.close()
             self.closed(connection)
 
-    def _end_longest_idle(self) -> None:
-        idle = [c for c in self._connections if c.idle_since < time.monotonic() - IDLE_S and c.may_end()]
-        if idle:
-            longest = min(idle, key=lambda c: c.idle_since)
-            longest.idle_since = math.inf  # it makes way once
-            longest.half_close()
-
     def closed(self, connection: DownstreamConnection) -> None:
         """A connection has closed: there is room for another."""
         self._connections.discard(connection)
--- a/basaltspindle/net/upstreams.py
+++ b/basaltspindle/net/upstreams.py
@@ -17,6 +17,7 @@
 
 from basaltspindle.interface import Outcome, Readiness
 from basaltspindle.net.config import Address, Config, ServerList
+from basaltspindle.net.descriptors import side_cap
 from basaltspindle.net.framing import (
     BODY_MAX,
     HEAD_MAX,
@@ -36,8 +37,6 @@
 
 IDLE_PART = 0.8  # of the upstream's idle limit: a request that crosses its closing would end as a reset
 REST_S = 0.006  # after an answer, until the next request: second answers were seen up to 4 ms late
-CALLERS_PART = 0.5  # of the sockets are kept for callers
-SPARE_SOCKETS = 48  # for the event loop, the logs, discovery, the console and what is just closing
 HOLD_S = 0.05  # an answer of unknown length is waited for so long before its first bytes are passed on
 STALL_S = 20.0  # with no byte moved for so long, whoever should read or write has gone
 DRAIN_PART = 0.5  # of the grace: the news may have waited in our buffer before it was read
@@ -626,7 +625,7 @@
         self.config, self.loop, self.buffers = config, loop, buffers
         self.idle_s = IDLE_PART * config.idle_ms / 1000
         self.open = 0
-        self.cap = max(int(config.sockets * CALLERS_PART) - SPARE_SOCKETS, 4)
+        self.cap = side_cap(config.sockets)
         self.held: set[str] = set()  # by operators: nothing begins there
         self._pools: dict[str, Pool] = {}
 
--- /dev/null
+++ b/tests/test_descriptors.py
@@ -0,0 +1,298 @@
+"""Idle clients fill a process's descriptors while discovery is down: all is well soon after its return."""
+
+from __future__ import annotations
+
+import asyncio
+import contextlib
+import errno
+import json
+import os
+import resource
+import socket
+import sys
+from collections.abc import AsyncIterator
+from contextlib import asynccontextmanager
+from pathlib import Path
+from typing import Any
+
+import pytest
+
+from basaltspindle.drill.fleet import free_port
+from basaltspindle.net.descriptors import EVICT_MOST, EVICT_S, FRESH_S, IDLE_S, IdleEviction, side_cap
+from tests.loopback import (
+    Asked,
+    ListServer,
+    Rig,
+    Upstream,
+    at_least,
+    config_text,
+    entry,
+    read_message,
+    run,
+    status,
+    until,
+)
+
+HOST = "127.0.0.1"
+LEAST = 256  # sockets that a balancer gets
+CROWD = 600
+DOWN_S = 2.0  # that discovery is away, with all places taken
+WELL_S = 6.0  # after its return
+DRAIN_GRACE_S = 0.5  # as the configuration has it
+HEAD = b"GET /read/x HTTP/1.1\r\nX-Class: read\r\nX-Request-Id: 1\r\nX-Deadline: 5000m\r\n\r\n"
+
+
+# ---- the shares ---------------------------------------------------------------------------------
+
+
+@pytest.mark.parametrize(
+    ("sockets", "own", "wanted"),
+    [(1_024, 20_000, 464), (1_024, 256, 80), (256, resource.RLIM_INFINITY, 80), (16, 20_000, 4)],
+)
+def test_each_side_gets_its_part_of_what_the_configuration_and_the_process_allow(
+    sockets: int, own: int, wanted: int, monkeypatch: pytest.MonkeyPatch
+) -> None:
+    monkeypatch.setattr(resource, "getrlimit", lambda kind: (own, own))
+    assert side_cap(sockets) == wanted
+
+
+def test_an_accept_for_which_there_is_no_descriptor_is_not_tried_again_at_once() -> None:
+    """The listener stays readable: an accept that fails and is tried at once would spin."""
+
+    class Full(socket.socket):
+        tries = 0
+
+        def accept(self) -> Any:
+            Full.tries += 1
+            raise OSError(errno.EMFILE, "no descriptor")
+
+    async def scenario() -> None:
+        async with Rig(Upstream()) as rig:
+            callers = rig.driver.callers
+            callers._pause()
+            callers.listener = Full(fileno=callers.listener.detach())
+            callers._resume()
+            with socket.create_connection(callers.address):
+                await until(lambda: Full.tries > 0)
+                for _ in range(1_000):
+                    await asyncio.sleep(0)
+                assert Full.tries <= 2
+                callers.listener = socket.socket(fileno=callers.listener.detach())
+                await until(lambda: callers.count() == 1)
+
+    run(scenario())
+
+
+# ---- who makes way ------------------------------------------------------------------------------
+
+
+class Idle:
+    """A connection that has been idle since some moment."""
+
+    def __init__(self, idle_since: float, asked: bool, may_end: bool = True) -> None:
+        self.idle_since, self._asked, self._may_end = idle_since, asked, may_end
+        self.ended = False
+
+    def has_asked(self) -> bool:
+        return self._asked
+
+    def may_end(self) -> bool:
+        return self._may_end and not self.ended
+
+    def make_way(self) -> None:
+        self.idle_since, self.ended = float("inf"), True
+
+
+def test_who_never_asked_makes_way_before_the_longest_idle_and_who_asks_does_not() -> None:
+    now = 100.0
+    asking = Idle(now - 50.0, asked=True, may_end=False)
+    long_idle, idle, busy = (Idle(now - s, asked=True) for s in (9.0, 2 * IDLE_S, IDLE_S / 2))
+    stranger, fresh = Idle(now - 2 * FRESH_S, asked=False), Idle(now - FRESH_S / 2, asked=False)
+    everyone = [asking, busy, idle, long_idle, fresh, stranger]
+    eviction, order = IdleEviction(), list[Idle]()
+    for _ in range(4):
+        eviction.relax()  # one at a time
+        eviction.make_room(everyone, now)
+        order += [c for c in everyone if c.ended and c not in order]
+        now += EVICT_S / 4
+        eviction.make_room(everyone, now)  # too soon
+        assert len([c for c in everyone if c.ended]) == len(order)
+        eviction._next = 0.0
+        now = 100.0
+    assert order == [stranger, long_idle, idle]
+
+
+def test_places_that_stay_taken_are_freed_faster_up_to_a_bound_until_nobody_waits() -> None:
+    eviction, now, counts = IdleEviction(), 100.0, list[int]()
+    crowd = [Idle(0.0, asked=False) for _ in range(200)]
+    for _ in range(7):
+        before = sum(c.ended for c in crowd)
+        eviction.make_room(crowd, now)
+        counts.append(sum(c.ended for c in crowd) - before)
+        now += 2 * EVICT_S
+    assert counts == [1, 2, 4, 8, EVICT_MOST, EVICT_MOST, EVICT_MOST]
+    eviction.relax()
+    before = sum(c.ended for c in crowd)
+    eviction.make_room(crowd, now)
+    assert sum(c.ended for c in crowd) - before == 1
+
+
+# ---- a process ----------------------------------------------------------------------------------
+
+
+class Crowd:
+    """Idle clients, each of which connects again at once when its connection is ended."""
+
+    def __init__(self, port: int, kind: str) -> None:
+        self._port, self._kind = port, kind
+        self._tasks = [asyncio.create_task(self._stay()) for _ in range(CROWD)]
+        self.connected = 0
+
+    async def _stay(self) -> None:
+        while True:
+            with contextlib.suppress(OSError, asyncio.IncompleteReadError):
+                reader, writer = await asyncio.open_connection(HOST, self._port)
+                self.connected += 1
+                try:
+                    if self._kind == "that asked once":
+                        writer.write(HEAD)
+                        await read_message(reader)
+                    await reader.read()
+                    if self._kind == "that never close":
+                        await at_least(WELL_S)
+                finally:
+                    writer.transport.abort()
+            await asyncio.sleep(0)
+
+    async def __aenter__(self) -> Crowd:
+        return self
+
+    async def __aexit__(self, *_: object) -> None:
+        """Leave, all of them."""
+        for task in self._tasks:
+            task.cancel()
+        await asyncio.gather(*self._tasks, return_exceptions=True)
+
+
+class Balancer:
+    """The program as a process of few descriptors, with its console."""
+
+    def __init__(self, pid: int, port: int, console: int) -> None:
+        self.pid, self.port, self._console = pid, port, console
+
+    def open_descriptors(self) -> int:
+        return len(os.listdir(f"/proc/{self.pid}/fd"))
+
+    async def call(self, path: str) -> Asked:
+        """One call of an operator."""
+        return await self._ask(self._console, f"GET {path} HTTP/1.1\r\nHost: h\r\n\r\n".encode())
+
+    async def ask(self) -> Asked:
+        """One request on a new connection, both in the same instant."""
+        return await self._ask(self.port, HEAD)
+
+    async def _ask(self, port: int, data: bytes) -> Asked:
+        with socket.create_connection((HOST, port)) as sock:
+            sock.sendall(data)
+            reader, writer = await asyncio.open_connection(sock=sock.dup())
+            try:
+                return await read_message(reader)
+            finally:
+                writer.close()
+
+
+@asynccontextmanager
+async def small_process(
+    folder: Path, discovery: str, entries: list[dict[str, Any]], sockets: int
+) -> AsyncIterator[Balancer]:
+    """A process that may open `LEAST` descriptors, and is told that it may hold `sockets`."""
+    port, console = free_port(HOST), free_port(HOST)
+    raw = json.loads(config_text(discovery, entries, console=f"{HOST}:{console}", discovery="push"))
+    raw["listen"], raw["limits"]["sockets"] = f"{HOST}:{port}", sockets
+    path = folder / "config.json"
+    path.write_text(json.dumps(raw), encoding="utf-8")
+    process = await asyncio.create_subprocess_exec(
+        sys.executable, "-m", "basaltspindle", env=os.environ | {"LB_CONFIG": str(path)},
+        preexec_fn=lambda: resource.setrlimit(resource.RLIMIT_NOFILE, (LEAST, LEAST)),
+    )  # fmt: skip
+    balancer = Balancer(process.pid, port, console)
+    try:
+        while True:
+            with contextlib.suppress(OSError):
+                if status(await balancer.call("/admin/health")) == 200:
+                    break
+            assert process.returncode is None
+            await at_least(0.01)
+        yield balancer
+    finally:
+        if process.returncode is None:
+            process.kill()
+        await process.wait()
+
+
+class Discovery(ListServer):
+    """Discovery that can go away, refusing or silent, and come back."""
+
+    async def go(self, how: str) -> None:
+        if how == "refuses":
+            self.server.close()
+
+    async def come_back(self, address: str) -> None:
+        if not self.server.is_serving():
+            host, _, port = address.rpartition(":")
+            self.server = await asyncio.start_server(self._serve, host, int(port))
+
+
+@pytest.mark.parametrize(
+    ("kind", "away", "sockets"),
+    [
+        ("that send nothing", "refuses", LEAST),
+        ("that send nothing", "is silent", LEAST),
+        ("that asked once", "refuses", LEAST),
+        ("that never close", "is silent", LEAST),
+        ("that send nothing", "refuses", 4 * LEAST),
+    ],
+)
+def test_idle_clients_take_no_descriptor_of_the_list_upstreams_or_console(
+    kind: str, away: str, sockets: int, tmp_path: Path
+) -> None:
+    async def scenario() -> None:
+        old, new, discovery = Upstream(), Upstream(), Discovery()
+        entries = [entry("old", await old.start()), entry("new", await new.start())]
+        address = await discovery.start()
+        async with small_process(tmp_path, address, entries[:1], sockets) as balancer:
+            await discovery.go(away)
+            async with Crowd(balancer.port, kind) as crowd:
+                console = asyncio.create_task(watch_console(balancer))
+                while crowd.connected < CROWD:
+                    await at_least(0.01)
+                await at_least(DOWN_S)
+                await discovery.come_back(address)
+                draining = entries[0] | {"status": "terminating"}
+                for _ in range(discovery.calls.qsize() + 3):  # calls that were given up take theirs, too
+                    discovery.tell(9, draining, entries[1], snapshot=True)
+                answers = list[int]()
+                with contextlib.suppress(TimeoutError):
+                    async with asyncio.timeout(WELL_S):
+                        while json.loads((await balancer.call("/admin/list")).body)["index"] != 9:
+                            await at_least(0.02)
+                        await at_least(DRAIN_GRACE_S)
+                        before = len(old.asked)
+                        answers += map(status, await asyncio.gather(*[balancer.ask() for _ in range(20)]))
+                assert answers == [200] * 20, "the list is in force, and requests are answered"
+                assert new.asked and len(old.asked) == before
+                assert not console.done(), "the console answers throughout"
+                console.cancel()
+
+    async def watch_console(balancer: Balancer) -> None:
+        while True:
+            async with asyncio.timeout(2.0):
+                assert status(await balancer.call("/admin/stats")) == 200
+            assert balancer.open_descriptors() < LEAST - 32
+            await at_least(0.05)
+
+    async def bounded() -> None:
+        async with asyncio.timeout(40.0):
+            await scenario()
+
+    asyncio.run(bounded())
