Collect a crowd's coroutines before a failure of its test is told

Where such a test failed, pytest ended with an internal error of Python's parser (AST recursion depth) in place of the failure: finalizers ran while a source was being parsed.

--- a/tests/test_descriptors.py
+++ b/tests/test_descriptors.py
@@ -5,6 +5,7 @@
 import asyncio
 import contextlib
 import errno
+import gc
 import json
 import os
 import resource
@@ -295,4 +296,7 @@
         async with asyncio.timeout(40.0):
             await scenario()
 
-    asyncio.run(bounded())
+    try:
+        asyncio.run(bounded())
+    finally:
+        gc.collect()  # coroutines of the crowd that end while pytest reads a source can stop it
