Read on behind an answer that has gone out, though its caller has ended its sending

The ask before each piece of a body also met callers that were answered before their body was whole: letting go of them reset the connection under their answer. What still comes of such a body is dropped, so nothing is asked.

--- a/basaltspindle/net/callers.py
+++ b/basaltspindle/net/callers.py
@@ -362,7 +362,7 @@
         """Read on; what follows bad input is read and dropped, so that the answer arrives."""
         if self._deaf:
             return
-        if self._incoming is not None and not self.is_there():
+        if self._incoming is not None and not self._ends_with_body and not self.is_there():
             return  # these bytes may be the last of a request, whose caller's end lies right behind them
         data = self.buffers.read(nbytes)
         while not self._deaf:
--- a/tests/test_gone.py
+++ b/tests/test_gone.py
@@ -295,6 +295,22 @@
     run(scenario())
 
 
+def test_a_caller_that_was_answered_before_its_body_was_whole_may_end_its_sending_behind_it() -> None:
+    """Its answer is out, and what still comes is dropped: to let go of it then would reset the answer."""
+
+    async def scenario() -> None:
+        async with Rig(Upstream()) as rig:
+            caller = await rig.caller()
+            caller.send("/nosuch/x", b"x" * 3_000_000)
+            caller.writer.write_eof()
+            assert status(await caller.answer()) == 404
+            assert await caller.reader.read() == b""
+            caller.writer.close()
+            await all_let_go(rig)
+
+    run(scenario())
+
+
 def test_what_was_written_runs_on_for_a_caller_that_has_gone_where_cancelling_is_forbidden() -> None:
     async def scenario() -> None:
         upstream = Upstream(silent)
