Give calls for one's own list 2 s again, as slow links take: only the answer of a return is counted short

Change: the budget counts n rounds and the answer of the service that is back (0.75 s of one's own, 2.25 s of the platform's discovery, which works through calls in turn), not a whole call. With n = 1, 2, 3 a call has 2.0, 1.91, 1.28 s of rounds of 4.25, 2.13, 1.42 s. A service of one's own that takes longer to answer uses the second that is left for a busy processor.

--- a/basaltspindle/watching/budget.py
+++ b/basaltspindle/watching/budget.py
@@ -4,35 +4,39 @@
 to. In the worst case each of n instances is asked in turn, and the one that can be reached was just missed:
 
     a call that fails and the pause after it, n times      n x round
-    the call that tells, dial and all                      call
+    the call that tells                                    answer
     a busy processor                                       SLACK_S
 
     n instances of one's own         1      2      3      8      the platform's
-    call                             1.25   1.25   1.13   0.5    2.25 s
-    round                            3.75   1.88   1.29   0.56   2.75 s
-    n rounds and a call              5.0    5.0    5.0    5.0    5.0 s
+    round                            4.25   2.13   1.42   0.53   2.75 s
+      of it the call, dial and all   2.0    1.91   1.28   0.48   2.25 s
+    answer                           0.75   0.75   0.75   0.75   2.25 s
+    n rounds and an answer           5.0    5.0    5.0    5.0    5.0 s
 
 What a call did not use of its round may be spent on the pause after it: balancers that are refused at once
-spread over all of it.
+spread over all of it. The call that tells may take longer than `answer`, up to its limit; what it takes
+longer goes off the slack.
 """
 
 from __future__ import annotations
 
 TOLD_S = 6.0
 SLACK_S = 1.0
-CALL_PART = 0.9  # of an even share for each call: the rest is for pauses after calls that took all their time
-OWN_CALL_S = 1.25  # at the most: a service of one's own answers at once, and room for pauses spreads its load
+CALL_PART = 0.9  # of a round, at the most: the rest is for the pause after a call that took all its time
+OWN_CALL_S, PLATFORM_CALL_S = 2.0, 2.25  # the platform works through calls in turn and ends those of over 2 s
+OWN_ANSWER_S, PLATFORM_ANSWER_S = 0.75, PLATFORM_CALL_S  # a service of one's own answers at once
 
 
-def call_s(instances: int, own: bool) -> float:
-    """Seconds for a call that need not wait, dial and all, where a list has so many instances.
+def round_s(instances: int, own: bool) -> float:
+    """Seconds from the beginning of a call that fails to the beginning of the next one, at the most."""
+    return (TOLD_S - SLACK_S - answer_s(own)) / instances
 
-    The platform's discovery works through calls in turn and gives up on those that waited for 2 s.
-    """
-    share = CALL_PART * (TOLD_S - SLACK_S) / (instances + 1)
-    return min(share, OWN_CALL_S) if own else share
 
+def call_s(instances: int, own: bool) -> float:
+    """Seconds for a call that need not wait, dial and all, where a list has so many instances."""
+    return min(OWN_CALL_S if own else PLATFORM_CALL_S, CALL_PART * round_s(instances, own))
 
-def round_s(instances: int, own: bool) -> float:
-    """Seconds from the beginning of a call that fails to the beginning of the next one, at the most."""
-    return (TOLD_S - SLACK_S - call_s(instances, own)) / instances
+
+def answer_s(own: bool) -> float:
+    """Seconds in which a service that can be reached answers a call that need not wait."""
+    return OWN_ANSWER_S if own else PLATFORM_ANSWER_S
