--- a/basaltspindle/watching/budget.py
+++ b/basaltspindle/watching/budget.py
@@ -8,9 +8,9 @@
     a busy processor                                       SLACK_S
 
     n instances of one's own         1      2      3      8      the platform's
-    round                            4.25   2.13   1.42   0.53   2.75 s
-      of it the call, dial and all   2.0    1.91   1.28   0.48   2.25 s
-    answer                           0.75   0.75   0.75   0.75   2.25 s
+    round                            4.5    2.25   1.5    0.56   2.75 s
+      of it the call, dial and all   2.0    2.0    1.35   0.51   2.25 s
+    answer                           0.5    0.5    0.5    0.5    2.25 s
     n rounds and an answer           5.0    5.0    5.0    5.0    5.0 s
 
 What a call did not use of its round may be spent on the pause after it: balancers that are refused at once
@@ -24,7 +24,7 @@
 SLACK_S = 1.0
 CALL_PART = 0.9  # of a round, at the most: the rest is for the pause after a call that took all its time
 OWN_CALL_S, PLATFORM_CALL_S = 2.0, 2.25  # the platform works through calls in turn and ends those of over 2 s
-OWN_ANSWER_S, PLATFORM_ANSWER_S = 0.75, PLATFORM_CALL_S  # a service of one's own answers at once
+OWN_ANSWER_S, PLATFORM_ANSWER_S = 0.5, PLATFORM_CALL_S  # a service of one's own answers at once
 
 
 def round_s(instances: int, own: bool) -> float:
