Give up a connection that comes up later than they usually do, for another server

Change: the time of connecting is told with the end of an attempt (AttemptEnded.connect_ms) and smoothed for each zone, as RFC 6298 smooths round trips; a Send carries connect_ms, after which the connection is given up as one that could not connect. What was never written may go anywhere, as before. No connection is given up sooner than a request may wait here anyway (a tenth of its aim), none in the last attempt, none while nothing is known of the zone, and none to a server that a doubted list has left out: that would count against it as if it were gone. No constant is new but those of the RFC.

--- a/basaltspindle/interface.py
+++ b/basaltspindle/interface.py
@@ -232,6 +232,8 @@
     report: tuple[float, ...] = ()
     body_is_gone: bool = False
     """Whether its request can't be sent again: parts of the body were passed on and not kept."""
+    connect_ms: float | None = None
+    """How long its connection took to come up; None if it was open before, or never came up."""
 
 
 @dataclass(frozen=True, slots=True)
@@ -313,6 +315,8 @@
     timeout_ms: float
     within_ms: float = math.inf
     """Its last byte has to leave within this, or never: then it would no longer be harmless."""
+    connect_ms: float = math.inf
+    """If a connection has to be opened: it comes up within this, or the attempt could not connect."""
 
 
 @dataclass(frozen=True, slots=True)
--- a/basaltspindle/net/driver.py
+++ b/basaltspindle/net/driver.py
@@ -560,9 +560,12 @@
         elif request.open and outcome is Outcome.SERVED and answer is not None and request.passed_on is None:
             self._close(request, 200)
             request.taken.answer(200, end_to_end(answer.headers), answer.body)
-        gone = request.taken.body.dropped
+        gone, attempt = request.taken.body.dropped, request.attempts[index]
+        took_ms = None if attempt is None or attempt.connect_s is None else attempt.connect_s * 1000
         self._tell(
-            face.AttemptEnded(request.id, index, server, outcome, not request.open, body_is_gone=gone),
+            face.AttemptEnded(
+                request.id, index, server, outcome, not request.open, body_is_gone=gone, connect_ms=took_ms
+            ),
             request,
         )
 
@@ -645,7 +648,8 @@
         outcome = Outcome.NOT_SENT  # for a send whose request is over, or whose body is
         if request.open and not request.taken.body.dropped and request.taken.is_awaited():
             call = _Call(self, request, action, index)
-            attempt = self.upstreams.attempt(server, call.timeout_ms / 1000, call, action.within_ms / 1000)
+            times = call.timeout_ms / 1000, call, action.within_ms / 1000, action.connect_ms / 1000
+            attempt = self.upstreams.attempt(server, *times)
             outcome = Outcome.CONNECT_FAILED  # for a server that no list names any more
         request.attempts.append(attempt)
         if attempt is None:
--- a/basaltspindle/net/upstreams.py
+++ b/basaltspindle/net/upstreams.py
@@ -185,7 +185,7 @@
 
     __slots__ = (
         *"_caller _coming _connection _dialled _exchange _limit _moved".split(),
-        *"_over _pool _task _timeout_s _timer _write_by".split(),
+        *"_over _pool _task _timeout_s _timer _write_by connect_s".split(),
     )
 
     def __init__(self, pool: Pool, exchange: Exchange) -> None:
@@ -199,13 +199,14 @@
         self._limit: asyncio.TimerHandle | None = None
         self._timeout_s = self._moved = 0.0
         self._write_by = math.inf
+        self.connect_s: float | None = None  # that its connection took to come up, if it opened one
         self._caller: Caller | None = None
 
-    def start(self, timeout_s: float, within_s: float = math.inf) -> None:
+    def start(self, timeout_s: float, within_s: float = math.inf, connect_s: float = math.inf) -> None:
         """Begin on an idle connection, or open one; nothing is reported before this returns.
 
         The time runs from here, or, where the body is still coming, from its last byte on. That byte leaves
-        within `within_s`, or never.
+        within `within_s`, or never; a connection that is opened comes up within `connect_s`, or never.
         """
         loop = self._pool.upstreams.loop
         self._timeout_s = timeout_s
@@ -221,7 +222,7 @@
             self._begin(connection)
         elif self._pool.upstreams.has_room():
             self._dialled = UpstreamConnection(self._pool)
-            self._task = loop.create_task(self._connect(self._dialled))
+            self._task = loop.create_task(self._connect(self._dialled, connect_s))
         else:
             loop.call_soon(self._finish, Outcome.CONNECT_FAILED)
 
@@ -322,10 +323,12 @@
         else:
             self._finish(Outcome.TIMED_OUT)
 
-    async def _connect(self, connection: UpstreamConnection) -> None:
+    async def _connect(self, connection: UpstreamConnection, within_s: float) -> None:
+        begun = time.monotonic()
         try:
-            async with asyncio.timeout(self._pool.upstreams.config.connect_timeout_ms / 1000):
+            async with asyncio.timeout(min(within_s, self._pool.upstreams.config.connect_timeout_ms / 1000)):
                 await self._pool.connect(connection)
+                self.connect_s = time.monotonic() - begun
         except (OSError, TimeoutError):
             self._task = None
             self._finish(Outcome.CONNECT_FAILED)
@@ -661,14 +664,19 @@
             pool.close_idle()
 
     def attempt(
-        self, server: str, timeout_s: float, exchange: Exchange, within_s: float = math.inf
+        self,
+        server: str,
+        timeout_s: float,
+        exchange: Exchange,
+        within_s: float = math.inf,
+        connect_s: float = math.inf,
     ) -> Attempt | None:
         """Start an attempt, or None for a server that no list names any more; see `Attempt.start`."""
         pool = self._pools.get(server)
         if pool is None:
             return None
         attempt = Attempt(pool, exchange)
-        attempt.start(timeout_s, within_s)
+        attempt.start(timeout_s, within_s, connect_s)
         return attempt
 
     def hold(self, server: str) -> None:
--- a/basaltspindle/policy/admission.py
+++ b/basaltspindle/policy/admission.py
@@ -20,11 +20,12 @@
 
 
 class Times:
-    """The time that a call of each class takes, as we see it, and where nothing crowds (a low quantile)."""
+    """The time that a call of each class, or a new connection, takes, and a call where nothing crowds."""
 
     def __init__(self, settings: face.Settings) -> None:
         self.work = {c.name: c.aim_ms / 5 for c in settings.classes}
         self.easy = {c.name: EASY_MOST * c.aim_ms for c in settings.classes}
+        self._connects: dict[str, tuple[float, float]] = {}  # in each zone: smoothed, and its deviation
 
     def learn(self, elapsed: float, request: Request) -> None:
         """Book a served call."""
@@ -44,6 +45,16 @@
         over = max(elapsed / request.work_factor - request.cls.aim_ms, 0.0)
         return self.lateness(elapsed, request) * math.exp(-over / PRESSURE_MS)
 
+    def connected(self, took: float, zone: str) -> None:
+        """A new connection has come up: smooth that as RFC 6298 smooths round trips."""
+        mean, spread = self._connects.get(zone, (took, took / 2))
+        self._connects[zone] = mean + (took - mean) / 8, spread + (abs(took - mean) - spread) / 4
+
+    def connect_limit(self, request: Request, zone: str) -> float:
+        """When a new connection is later than usual (RFC 6298), and than the wait that harms no request."""
+        mean, spread = self._connects.get(zone, (math.inf, 0.0))
+        return max(mean + 4 * spread, request.patience)
+
 
 class Pressure:
     """The part of the offered work that is let in: less as answers, and calls still out, near their aim.
--- a/basaltspindle/policy/balancer.py
+++ b/basaltspindle/policy/balancer.py
@@ -240,9 +240,11 @@
         self._roster.unused.pop(server.member.server, None)
         server.in_flight += 1
         within = repeats.harmless_until(request, self._settings) - now
+        is_last = server.doubted or len(request.attempts) + 1 >= self._settings.max_attempts
+        connect = math.inf if is_last else self._times.connect_limit(request, server.member.zone)
         request.attempts.append(Attempt(server, idle, now, timeout))
         self._cold.sent(server, now)
-        self._actions.append(face.Send(request.id, server.member.server, timeout, within))
+        self._actions.append(face.Send(request.id, server.member.server, timeout, within, connect))
         return True
 
     def _pick(self, request: Request, now: float) -> Server | None:
@@ -361,6 +363,8 @@
         if not attempt.out:
             return
         attempt.out, attempt.ran = False, event.outcome not in face.NEVER_RAN
+        if event.connect_ms is not None:
+            self._times.connected(event.connect_ms, attempt.server.member.zone)
         self._book(attempt, event.outcome, request, now)
         if self._roster.proves_dead(attempt.server, event.outcome):
             self._take_stock(now)
--- a/basaltspindle/policy/requests.py
+++ b/basaltspindle/policy/requests.py
@@ -15,8 +15,7 @@
 
     def __init__(self, server: Server, idle: float, now: float, timeout: float) -> None:
         self.server, self.idle, self.sent, self.ends = server, idle, now, now + timeout
-        self.booked = False
-        self.out, self.ran = True, True
+        self.booked, self.out, self.ran = False, True, True
 
 
 class Request:
--- a/tests/streams.py
+++ b/tests/streams.py
@@ -157,7 +157,9 @@
     """A short text that stands for all that a balancer does in the world of a seed."""
     told = sha256()
     for event, actions in World(seed, requests).run():
-        done = repr(actions).replace(", within_ms=inf", "")  # as it was written before there was one
+        done = repr(actions)
+        for field in (", within_ms=inf", ", connect_ms=inf"):
+            done = done.replace(field, "")  # as it was written before there was one
         told.update(f"{type(event).__name__} {done}\n".encode())
     return told.hexdigest()[:16]
 
--- /dev/null
+++ b/tests/test_late_connections.py
@@ -0,0 +1,171 @@
+"""Connections that are later than they usually are: what is waited for, and who gets the request instead."""
+
+from __future__ import annotations
+
+import asyncio
+import math
+
+import pytest
+
+from basaltspindle.interface import (
+    AttemptEnded,
+    ListKind,
+    ListUpdate,
+    Outcome,
+    Send,
+)
+from tests.helpers import PAY, Desk, members, sent
+from tests.loopback import Dials, Rig, Upstream, run, silent, status, until
+from tests.test_upstreams import Try, full_backlog, make
+
+PATIENCE_MS = 0.1 * PAY.aim_ms  # the most that a request of the class waits before it is sent
+
+
+def serve(desk: Desk, connect_ms: float | None) -> Send:
+    """A request is served on a connection that took so long to come up, or that was open before."""
+    request, actions = desk.ask(PAY)
+    (send,) = sent(actions)
+    desk.now += 20.0
+    desk.tell(AttemptEnded(request, 0, send.server, Outcome.SERVED, True, connect_ms=connect_ms))
+    return send
+
+
+def next_send(desk: Desk) -> Send:
+    return serve(desk, None)
+
+
+# ---- the decisions ------------------------------------------------------------------------------
+
+
+def test_while_nothing_is_known_of_a_zone_a_connection_has_all_the_time() -> None:
+    desk = Desk(1)
+    assert serve(desk, None).connect_ms == math.inf
+    assert next_send(desk).connect_ms == math.inf
+
+
+def test_a_connection_later_than_usual_is_waited_for_no_longer_than_a_request_waits_here() -> None:
+    desk = Desk(4)
+    for _ in range(30):
+        serve(desk, 1.0)
+    assert next_send(desk).connect_ms == PATIENCE_MS
+
+
+def test_connections_that_usually_take_long_are_waited_for() -> None:
+    """A zone far away, or one where all connections have become slow."""
+    desk = Desk(1)
+    for _ in range(30):
+        serve(desk, 1.0)
+    for _ in range(30):
+        serve(desk, 400.0)
+        assert next_send(desk).connect_ms > 400.0, "from the first one on"
+    desk = Desk(1)
+    for _ in range(300):
+        serve(desk, 400.0)
+    assert 400.0 <= next_send(desk).connect_ms < 420.0, "and not for much longer than they take"
+
+
+def test_each_zone_has_its_own_usual_time() -> None:
+    desk = Desk(2)  # of two zones
+    for _ in range(40):
+        request, actions = desk.ask(PAY)
+        (send,) = sent(actions)
+        desk.now += 20.0
+        took = {"s0": 1.0, "s1": 400.0}[send.server]
+        desk.tell(AttemptEnded(request, 0, send.server, Outcome.SERVED, True, connect_ms=took))
+    limits = {send.server: send.connect_ms for send in (next_send(desk) for _ in range(40))}
+    assert limits["s0"] == PATIENCE_MS and limits["s1"] >= 400.0
+
+
+def test_a_request_whose_connection_is_late_goes_elsewhere_and_waits_for_its_last_one() -> None:
+    desk = Desk(4, max_attempts=3)
+    for _ in range(30):
+        serve(desk, 1.0)
+    request, actions = desk.ask(PAY)
+    sends = sent(actions)
+    for number in range(2):
+        desk.now += PATIENCE_MS
+        sends += sent(desk.end(request, number, sends[-1].server, Outcome.CONNECT_FAILED))
+    assert [send.connect_ms for send in sends] == [PATIENCE_MS, PATIENCE_MS, math.inf]
+    assert len({send.server for send in sends}) == 3
+
+
+def test_a_late_connection_sheds_nothing() -> None:
+    """It was never written: its time tells of connections, not of crowds."""
+    desk = Desk(4)
+    for _ in range(30):
+        serve(desk, 1.0)
+    for _ in range(20):
+        request, actions = desk.ask(PAY)
+        desk.now += PATIENCE_MS
+        again = sent(desk.end(request, 0, sent(actions)[0].server, Outcome.CONNECT_FAILED))
+        desk.now += 20.0
+        desk.end(request, 1, again[0].server, Outcome.SERVED)
+        assert desk.balancer._let_in(desk.now) == 1.0
+
+
+def test_a_server_in_doubt_is_given_all_the_time_to_prove_alive() -> None:
+    """A late connection would count against it as if it were gone."""
+    desk = Desk(6, list_doubt=0.5)
+    for _ in range(30):
+        serve(desk, 1.0)
+    event = ListUpdate(ListKind.FULL, members(2))
+    desk.tell(desk.balancer.believe(event))
+    doubted = set(desk.balancer.doubted())
+    assert doubted
+    sends = [next_send(desk) for _ in range(60)]
+    assert {send.server for send in sends} > doubted
+    assert {send.server for send in sends if send.connect_ms == math.inf} == doubted
+
+
+# ---- on sockets ---------------------------------------------------------------------------------
+
+
+def test_a_connection_that_is_late_is_given_up_in_the_time_it_has() -> None:
+    async def scenario() -> None:
+        async with full_backlog() as address:
+            upstreams = make(address, connectTimeout=60_000.0)
+            attempt = Try(upstreams, timeout_s=60.0, connect_s=0.02)
+            assert await attempt.outcome() is Outcome.CONNECT_FAILED
+            assert attempt.attempt.connect_s is None and upstreams.open == 0
+
+    run(scenario())
+
+
+def test_an_attempt_tells_how_long_its_connection_took_if_it_opened_one() -> None:
+    async def scenario() -> None:
+        upstreams = make(await Upstream().start())
+        first = Try(upstreams)
+        assert await first.outcome() is Outcome.SERVED
+        assert first.attempt.connect_s is not None and 0.0 <= first.attempt.connect_s < 10.0
+        upstreams._pools["s0"].idle[0].idle_since -= 1.0  # it has rested
+        second = Try(upstreams, connect_s=0.0)
+        assert await second.outcome() is Outcome.SERVED, "nothing is opened: nothing can be late"
+        assert second.attempt.connect_s is None
+
+    run(scenario())
+
+
+def test_requests_are_served_elsewhere_while_connections_to_one_server_hang(
+    monkeypatch: pytest.MonkeyPatch,
+) -> None:
+    """They waited for it until their time was over, and were refused."""
+
+    async def scenario() -> None:
+        dials = Dials(monkeypatch, "s1")
+        limits = {"attemptsCap": 3, "connIdle": 60_000.0, "connectTimeout": 60_000.0}
+        upstream = Upstream()
+        async with Rig(upstream, Upstream(silent), limits=limits) as rig:
+            callers = [await rig.caller() for _ in range(2)]
+            for caller in callers:  # one for each server: from the first the usual time is known
+                caller.send("/pay/x", b"debit")
+            await upstream.seen.wait()
+            await dials.begun.wait()
+            for caller in callers:
+                caller.writer.close()
+            await until(lambda: not rig.driver._requests)
+            begun = dials.count
+            answers = await asyncio.gather(*[rig.ask("/pay/x", b"debit", deadline="1500m") for _ in range(4)])
+            assert [status(answer) for answer in answers] == [200] * 4
+            assert dials.count > begun
+
+    run(scenario())
--- a/tests/test_upstreams.py
+++ b/tests/test_upstreams.py
@@ -50,11 +50,12 @@
         request: bytes = REQUEST,
         timeout_s: float = 5.0,
         within_s: float = math.inf,
+        connect_s: float = math.inf,
     ) -> None:
         self.ends: list[Outcome] = []
         self.over = asyncio.Event()
         self._request = request
-        attempt = upstreams.attempt("s0", timeout_s, self, within_s)
+        attempt = upstreams.attempt("s0", timeout_s, self, within_s, connect_s)
         assert attempt is not None
         self.attempt: Attempt = attempt
 
