Keep idle connections where an earlier attempt could not connect

Need: a further attempt closes the idle connections of a server that holds none of our calls, for they may be dead like the one before.

Change: they are closed only where an earlier attempt may have run.

Seen to fail without it: test_idle_connections_stay_for_a_request_that_has_not_run_yet.

--- a/basaltspindle/policy/balancer.py
+++ b/basaltspindle/policy/balancer.py
@@ -227,7 +227,7 @@
         if (server := self._pick(request, now)) is None:
             return False
         idle = 0.0 if server.in_flight else max(now - server.used, 0.0)
-        if idle and (request.attempts or idle >= self._idle.limit):
+        if idle and (self._budget.cost(request) or idle >= self._idle.limit):
             self._actions.append(face.CloseIdle(server.member.server))  # what is unused so long may be dead
             idle = 0.0
         if self._settings.max_attempts > 1:
--- a/tests/test_late_connections.py
+++ b/tests/test_late_connections.py
@@ -9,12 +9,14 @@
 
 from basaltspindle.interface import (
     AttemptEnded,
+    CloseIdle,
     ListKind,
     ListUpdate,
     Outcome,
+    RequestArrived,
     Send,
 )
-from tests.helpers import PAY, Desk, members, sent
+from tests.helpers import PAY, Desk, members, of_kind, sent
 from tests.loopback import Dials, Rig, Upstream, run, silent, status, until
 from tests.test_upstreams import Try, full_backlog, make
 
@@ -117,6 +119,24 @@
     assert {send.server for send in sends if send.connect_ms == math.inf} == doubted
 
 
+def test_idle_connections_stay_for_a_request_that_has_not_run_yet() -> None:
+    """That one could not connect speaks against no open connection: it had to open a further one."""
+
+    def closes_after(outcome: Outcome) -> bool:
+        desk = Desk(2)
+        for _ in range(30):
+            serve(desk, None)
+        request = 1_000
+        actions = desk.tell(RequestArrived(request, "read", 3_000))
+        desk.now += 20.0
+        again = desk.end(request, 0, sent(actions)[0].server, outcome)
+        assert sent(again)
+        return bool(of_kind(again, CloseIdle))
+
+    assert not closes_after(Outcome.CONNECT_FAILED)
+    assert closes_after(Outcome.TIMED_OUT) and closes_after(Outcome.RESET)
+
+
 # ---- on sockets ---------------------------------------------------------------------------------
 
 
