Keep a list's changes by service, and wake only the watches whose interest holds one

So it stands: everybody gets everything.

A watch may ask for services, and for a part of a large one. Parts are slices by hashes of names alone, so that what a watcher holds is decided for each server by itself, and a version with what was held goes on anywhere. Changes are kept by service, waiting watches by what they hold; a service has a floor of its own.

A server that was removed and registered with another tier was never told as ended to watches of the first that were behind: where a server has been is kept with its entry now.

The old call is as it was. Ruled out: the lowest hashes of each watcher (rendezvous), for then a part depends on all servers, and must be remembered for each watcher or worked out again for each at each change.

--- a/basaltspindle/directory/catalog.py
+++ b/basaltspindle/directory/catalog.py
@@ -12,7 +12,7 @@
 
 import math
 from collections import Counter, deque
-from collections.abc import Iterable, Iterator, Sequence
+from collections.abc import Iterable, Iterator, Mapping, Sequence
 from copy import copy
 from dataclasses import dataclass
 
@@ -21,6 +21,7 @@
 
 from basaltspindle.directory.entries import Entry, Registration, Rules, Status
 from basaltspindle.directory.merge import Shared, disagree, join, share
+from basaltspindle.directory.places import Places, left_by
 
 CLOCKS_DIFFER_MS = 86_400_000.0  # by so much a clock may have gone back between two lives
 
@@ -52,6 +53,13 @@
     return _above(max(stored, int(now_ms) * stride - 1), number, stride)
 
 
+def ended(entry: Entry) -> Entry:
+    """An entry as those see it who hold it no longer."""
+    gone = copy(entry)
+    gone.said = Status.TERMINATED
+    return gone
+
+
 def _above(index: int, number: int, stride: int) -> int:
     """The first index above another one that is this instance's."""
     return index + 1 + (number - index - 1) % stride
@@ -63,7 +71,8 @@
     def __init__(self, rules: Rules, start_index: int, number: int = 0, stride: int = 1) -> None:
         """`start_index` is from `first_index`; entries of an earlier life come by `restore`."""
         self._rules, self._number, self._stride = rules, number, stride
-        self.index = self.floor = start_index  # who has seen less than the floor gets the whole list
+        self.index = self.base = start_index  # who has seen less than the base gets the whole list
+        self.places = Places()  # and who has seen less than a service's own floor, of that service
         self.lives: list[tuple[int, int]] = []  # first and last version of those before, the oldest first
         self.first = start_index
         self.entries: dict[str, Entry] = {}
@@ -78,26 +87,39 @@
         self._prints: dict[str, int] = {}
         self.fingerprint = 0  # of all entries but for their beats: alike where instances agree
 
+    @property
+    def floor(self) -> int:
+        """The highest of the versions up to which removals of some service are forgotten."""
+        return max(self.base, self.places.floor(None))
+
     def restore(
-        self, entries: Iterable[Entry], now: float, lives: Sequence[tuple[int, int]] = (), floor: int = 0
-    ) -> None:
+        self, entries: Iterable[Entry], now: float, lives: Sequence[tuple[int, int]] = (), floor: int = 0,
+        floors: Mapping[str, int] = {},
+    ) -> None:  # fmt: skip
         """Go on with the entries of earlier lives; all leases run anew, for we were not there to hear.
 
-        `floor` is what it was: removals before it are not remembered.
+        `floor` and, by service, `floors` are what they were: removals before them are not remembered.
         """
         for entry in sorted(entries, key=lambda e: e.index):
             entry.renewed_ms = now
             self.entries[entry.name], self._kept[entry.name] = entry, copy(entry)
             self._touch(entry)
+        self.places.sort()
+        self.places.floors |= floors
         self.lives = list(lives)
-        self.floor = max(floor, lives[0][0]) if lives else self.first
+        self.base = max(floor, lives[0][0]) if lives else self.first
         self._bury()
 
-    def knows(self, version: int) -> bool:
-        """Whether a version was given out in a life that is remembered, and all since is."""
+    def knows(self, version: int, services: tuple[str, ...] | None = None) -> bool:
+        """Whether a version was given out in a life that is remembered, and all since of some services is.
+
+        Without `services`, of all.
+        """
+        if version < max(self.base, self.places.floor(services)):
+            return False
         if self.first <= version <= self.index:
-            return version >= self.floor
-        return version >= self.floor and any(first <= version <= last for first, last in self.lives)
+            return True
+        return any(first <= version <= last for first, last in self.lives)
 
     # ---- writes ---------------------------------------------------------------------------------
 
@@ -212,7 +234,7 @@
         rules, recent = self._rules, self._lapses.setdefault(tier, deque())
         while recent and recent[0] < now - rules.doubt_ms:
             recent.popleft()
-        count = sum(e.is_listed and e.told.tier == tier for e in self.entries.values())
+        count = len(self.whole(tier))
         if len(recent) > max(rules.doubt_part * count, 1.0):
             self.doubts[tier] = now + rules.doubt_ms
 
@@ -222,8 +244,8 @@
             place = getattr(entry.told, field)
             mine = [
                 e
-                for e in self.entries.values()
-                if e.told.tier == entry.told.tier and getattr(e.told, field) == place and self._counts(e, now)
+                for e in self._all_of(entry.told.tier)
+                if getattr(e.told, field) == place and self._counts(e, now)
             ]
             well = sum(e.status is Status.IN_SERVICE and not e.lapsed for e in mine if e is not entry)
             if len(mine) > 1 and well < self._rules.floor_part * len(mine):
@@ -241,10 +263,29 @@
 
     def whole(self, tier: str) -> list[Entry]:
         """All that are listed of a tier."""
-        return [e for e in self.entries.values() if e.told.tier == tier and e.is_listed]
+        return [e for e in self._all_of(tier) if e.is_listed]
+
+    def _all_of(self, tier: str) -> Iterator[Entry]:
+        entries = (self.entries[name] for name in self.places.names(tier))
+        return (e for e in entries if e.told.tier == tier)
 
     def changes(self, tier: str, after: int, now: float) -> list[Entry] | None:
-        """What has changed since a version; None if only the whole list can tell.
+        """What has changed since a version, a server that has left the tier for another as ended.
+
+        None if only the whole list can tell.
+        """
+        if not self.goes_on((tier,), after, now):
+            return None
+        changed = []
+        for name, version in self.places.latest(tier):
+            if version <= after:
+                break
+            entry = self.entries[name]
+            changed.append(entry if entry.told.tier == tier else ended(entry))
+        return changed
+
+    def goes_on(self, services: tuple[str, ...], after: int, now: float) -> bool:
+        """Whether who has seen a version of some services can be told what changed since.
 
         A watcher that has seen more than there is comes from another instance, or from before a memory was
         lost and a clock that went back: the index goes above it, if any index of ours could be so high.
@@ -254,18 +295,17 @@
             if after <= (now + CLOCKS_DIFFER_MS) * self._stride:
                 self.index = _above(after, self._number, self._stride)
                 if not foreign:  # what is between was given out by nobody we know
-                    self.floor = self.first = self.index
-            return None
-        if foreign or not self.knows(after):
-            return None
-        changed = []
+                    self.base = self.first = self.index
+            return False
+        return not foreign and self.knows(after, services)
+
+    def changed_since(self, index: int) -> Iterator[Entry]:
+        """All that have changed since a version, the latest first."""
         for name in reversed(self._changed):
             entry = self.entries[name]
-            if entry.index <= after:
-                break
-            if entry.told.tier == tier:
-                changed.append(entry)
-        return changed
+            if entry.index <= index:
+                return
+            yield entry
 
     # ---- other instances ------------------------------------------------------------------------
 
@@ -336,12 +376,14 @@
         self._move(entry.name)
         self._changed.pop(entry.name, None)
         self._changed[entry.name] = self.moved
+        self.places.put(entry)
         plain = msgspec.structs.replace(share(entry), beats=entry.by_lapse)
         new = xxhash.xxh3_64_intdigest(msgspec.json.encode(plain))
         self.fingerprint ^= self._prints.get(entry.name, 0) ^ new
         self._prints[entry.name] = new
 
-    def _forget(self, name: str) -> None:
+    def _forget(self, name: str, *, buried: bool = False) -> None:
+        self.places.forget(self.entries[name], buried=buried)
         for known in (self.entries, self._kept, self._moves, self._changed):
             del known[name]
         self.fingerprint ^= self._prints.pop(name)
@@ -350,6 +392,7 @@
         self.index += self._stride
         entry.index, entry.rev = self.index, entry.rev + 1 if rev is None else rev
         before = self._kept.get(entry.name)
+        entry.left = left_by(before, entry)
         self.entries[entry.name] = entry
         self._kept[entry.name] = kept = copy(entry)
         self._touch(entry)
@@ -362,6 +405,7 @@
         for change in reversed(changes):
             if change.before is not None:
                 renewed = self.entries[change.name].renewed_ms  # that it was renewed remains true
+                self.places.forget(self.entries[change.name])
                 self.entries[change.name] = before = copy(change.before)
                 before.renewed_ms = max(before.renewed_ms, renewed)
                 self._kept[change.name] = change.before
@@ -370,13 +414,13 @@
                 self._forget(change.name)
         by_version = sorted(self._changed, key=lambda name: self.entries[name].index)
         self._changed = {name: self._changed[name] for name in by_version}  # old versions are back
+        self.places.sort()
 
     def _bury(self) -> None:
         """Forget the removed that are too many; who has not heard of them gets the whole list."""
         gone = [e for e in self.entries.values() if not e.is_listed]
         for entry in sorted(gone, key=lambda e: e.index)[: max(len(gone) - self._rules.tombstones, 0)]:
-            self._forget(entry.name)
-            self.floor = max(self.floor, entry.index)
+            self._forget(entry.name, buried=True)
 
     def _listed(self, name: str) -> Entry:
         entry = self.entries.get(name)
--- a/basaltspindle/directory/entries.py
+++ b/basaltspindle/directory/entries.py
@@ -83,6 +83,8 @@
     """Operators hold it: no lapse touches it."""
     damped_until_ms: float = 0.0
     lapses_ms: list[float] = []
+    left: dict[str, dict[str, int]] = {}
+    """Services that it was in, and their zones: the version at which it was there last."""
 
     @property
     def by_lapse(self) -> bool:
--- /dev/null
+++ b/basaltspindle/directory/interests.py
@@ -0,0 +1,253 @@
+"""What a watcher wants of the list: some services, whole or a part of each, and what that holds.
+
+    interest = Interest(("orders",), Shape(least=8, zone="east", balancers=300), place=place_of("b-17"))
+    view = View.of(catalog, interest)                # which servers, by rules that look at one server alone
+    told = news(catalog, held, view, after=version)  # what to tell who has held `held` up to a version
+
+A part is made of slices. The servers of a service in one zone fall into 2**level slices, each server into
+`COPIES` of them by its name alone; a watcher holds the slice of its own place in each zone. So a server that
+comes or goes moves no other, is held by a fixed part of all watchers, and the part of a watcher follows from
+its place and the levels, wherever and whenever that is worked out. Levels are powers of two (each slice of a
+level lies within one of the level below), so another level only adds servers, or only drops some. Slices by
+hashing after Karger et al. (1997); that each server has several, and each watcher few, is deterministic
+subsetting's aim (Beyer et al., Site Reliability Engineering, ch. 20), without its common order.
+"""
+
+from __future__ import annotations
+
+import math
+from collections.abc import Iterable, Iterator, Mapping
+from dataclasses import dataclass
+from functools import lru_cache
+
+import msgspec
+import xxhash
+
+from basaltspindle.directory.catalog import Catalog, ended
+from basaltspindle.directory.entries import Entry
+
+COPIES = 4  # slices that each server is in: 64 bits of its hash, 16 for each
+LEVEL_MOST = 12
+COVER = 30  # balancers that hold each server, where they say how many they are
+NEAR = 1  # levels by which a part may be coarser than it need be before it is told anew
+BEST_MOST, NAMES_MOST = 65_536, 1_024  # shapes of services, and services, that are kept worked out
+
+Levels = Mapping[str, Mapping[str, int]]
+"""By service and zone: the level of the slices held; 0, the whole zone, is left out."""
+
+
+@lru_cache(maxsize=65_536)
+def slices_of(name: str) -> tuple[int, ...]:
+    """The places of a server: it is in a watcher's slice if one of them ends in the watcher's last bits."""
+    whole = xxhash.xxh3_64_intdigest(name.encode())
+    return tuple((whole >> 16 * turn) & 0xFFFF for turn in range(COPIES))
+
+
+def place_of(key: str) -> int:
+    """The place of a watcher, by its name: watchers spread evenly over all places, by chance."""
+    return xxhash.xxh3_64_intdigest(key.encode(), seed=1) & ((1 << LEVEL_MOST) - 1)
+
+
+@dataclass(frozen=True, slots=True)
+class Shape:
+    """How large a part is to be."""
+
+    least: int
+    """Servers in each zone at the least, or all that there are."""
+    zone: str = ""
+    """The watcher's own, of which it holds as many as of all others together."""
+    balancers: int = 0
+    """How many watch for the same callers: with few of them parts are larger, so that each server has
+    enough; 0 for not looked at."""
+
+
+@dataclass(frozen=True, slots=True)
+class Interest:
+    """What is asked for."""
+
+    services: tuple[str, ...]
+    """Each once, in their order."""
+    shape: Shape | None = None
+    """None for the whole of each service."""
+    place: int = 0
+
+
+class View:
+    """The servers that are held: decided for each by its service, zone and name alone."""
+
+    def __init__(self, levels: Levels, place: int) -> None:
+        """`levels` has a key for each service that is held."""
+        self.levels = {service: {z: n for z, n in zones.items() if n} for service, zones in levels.items()}
+        finest = max((n for zones in self.levels.values() for n in zones.values()), default=0)
+        self.place = place & ((1 << finest) - 1)
+        self.key = self.place, tuple((s, tuple(sorted(z.items()))) for s, z in sorted(self.levels.items()))
+
+    def holds(self, service: str, zone: str, name: str) -> bool:
+        """Whether a server of a service in a zone is held, if it is listed."""
+        zones = self.levels.get(service)
+        if zones is None:
+            return False
+        level = zones.get(zone, 0)
+        return not level or is_in(name, level, self.place)
+
+    def holds_entry(self, entry: Entry) -> bool:
+        """Whether a server as it is now is held."""
+        return entry.is_listed and self.holds(entry.told.tier, entry.told.zone, entry.name)
+
+    @property
+    def services(self) -> tuple[str, ...]:
+        """Those of which it holds any."""
+        return tuple(self.levels)
+
+
+def is_in(name: str, level: int, place: int) -> bool:
+    """Whether a server is in the slice of a place."""
+    mask = (1 << level) - 1
+    return any((one ^ place) & mask == 0 for one in slices_of(name))
+
+
+class Parts:
+    """The levels of parts, worked out once for all that ask for the same and until the service changes."""
+
+    def __init__(self, catalog: Catalog) -> None:
+        self._catalog = catalog
+        self._names: dict[str, tuple[int, dict[str, list[str]]]] = {}
+        self._best: dict[tuple[str, Shape], tuple[int, dict[str, int]]] = {}
+
+    def best(self, service: str, shape: Shape) -> dict[str, int]:
+        """By zone, the finest level whose smallest slice has the least that is asked for."""
+        stamp = self._catalog.places.stamps.get(service, 0)
+        known = self._best.get((service, shape))
+        if known is None or known[0] != stamp:
+            zones = self._by_zone(service, stamp)
+            far = shape.least * max(len(zones) - 1, 1)
+            known = stamp, {
+                zone: self._finest(names, far if zone == shape.zone else shape.least, shape.balancers)
+                for zone, names in zones.items()
+            }  # fmt: skip
+            self._best.pop((service, shape), None)
+            self._best[service, shape] = known
+            while len(self._best) > BEST_MOST:
+                del self._best[next(iter(self._best))]
+        return known[1]
+
+    def _by_zone(self, service: str, stamp: int) -> dict[str, list[str]]:
+        known = self._names.get(service)
+        if known is None or known[0] != stamp:
+            zones: dict[str, list[str]] = {}
+            for entry in self._catalog.whole(service):
+                zones.setdefault(entry.told.zone, []).append(entry.name)
+            known = self._names[service] = stamp, zones
+            while len(self._names) > NAMES_MOST:
+                del self._names[next(iter(self._names))]
+        return known[1]
+
+    def _finest(self, names: list[str], least: int, balancers: int) -> int:
+        if balancers:
+            least = max(least, math.ceil(len(names) * COVER / balancers))
+        level = 0
+        while level < LEVEL_MOST and len(names) * COPIES >= least << (level + 1):
+            if _smallest(names, level + 1) < least:
+                break
+            level += 1
+        return level
+
+    def levels(self, interest: Interest, held: Levels | None, whole: bool) -> Levels:
+        """What to hold from now on for who holds `held`, None for nobody knows.
+
+        A part stays as it is while it is fine enough, so that a service at the edge of a level does not move
+        it to and fro. With the whole list nobody is told whom it leaves out: then it is never finer than
+        what is held; services that are wanted no more stay, too.
+        """
+        told: dict[str, dict[str, int]] = {}
+        for service in interest.services:
+            best = self.best(service, interest.shape) if interest.shape else {}
+            mine = held.get(service) if held is not None else None
+            told[service] = best if mine is None else _stay(best, mine, whole)
+        if whole and held is not None:
+            told |= {service: dict(zones) for service, zones in held.items() if service not in told}
+        return told
+
+
+def _smallest(names: list[str], level: int) -> int:
+    mask, counts = (1 << level) - 1, [0] * (1 << level)
+    for name in names:
+        for one in {one & mask for one in slices_of(name)}:
+            counts[one] += 1
+    return min(counts)
+
+
+def _stay(best: Mapping[str, int], held: Mapping[str, int], whole: bool) -> dict[str, int]:
+    levels = {}
+    for zone in best.keys() | held.keys():
+        finest, mine = best.get(zone, 0), held.get(zone, 0)
+        stays = whole or finest - NEAR <= mine
+        levels[zone] = min(mine, finest) if stays else finest
+    return levels
+
+
+def whole(catalog: Catalog, view: View) -> list[Entry]:
+    """All that a view holds."""
+    names = (name for service in view.levels for name in catalog.places.names(service))
+    entries = (catalog.entries[name] for name in dict.fromkeys(names))
+    return [entry for entry in entries if view.holds_entry(entry)]
+
+
+def news(catalog: Catalog, held: View, view: View, after: int) -> list[Entry]:
+    """What to tell who has held `held` up to a version that goes on, and holds `view` from now on.
+
+    A server that is not held any more is told as ended.
+    """
+    told: dict[str, Entry] = {}
+    for service in dict.fromkeys((*held.levels, *view.levels)):
+        same = held.levels.get(service) == view.levels.get(service)
+        for name, version in catalog.places.latest(service):
+            if version <= after and same:
+                break
+            if name in told:
+                continue
+            entry = catalog.entries[name]
+            was = any(held.holds(s, z, name) for s, z in _places(entry, after))
+            if view.holds_entry(entry):
+                if entry.index > after or not was:
+                    told[name] = entry
+            elif was and (entry.index > after or entry.is_listed):
+                told[name] = ended(entry)
+    return list(told.values())
+
+
+def _places(entry: Entry, after: int) -> Iterator[tuple[str, str]]:
+    """Where a server may have been at a version: service and zone."""
+    yield entry.told.tier, entry.told.zone
+    if entry.index > after:
+        yield from places_left(entry, after)
+
+
+def places_left(entry: Entry, after: int) -> Iterator[tuple[str, str]]:
+    """The services and zones that a server has left since a version."""
+    for service, zones in entry.left.items():
+        for zone, version in zones.items():
+            if version > after:
+                yield service, zone
+
+
+def encode(levels: Levels) -> str:
+    """Levels as clients hand them back."""
+    plain = {s: {z: n for z, n in sorted(zones.items()) if n} for s, zones in sorted(levels.items())}
+    return msgspec.json.encode(plain).decode()
+
+
+def decode(text: str) -> Levels:
+    """Levels from what a client hands back; ValueError if they are none."""
+    try:
+        levels = msgspec.json.decode(text.encode(), type=dict[str, dict[str, int]])
+    except msgspec.DecodeError as error:
+        raise ValueError(str(error)) from None
+    if not all(0 <= n <= LEVEL_MOST for zones in levels.values() for n in zones.values()):
+        raise ValueError(f"levels go from 0 to {LEVEL_MOST}")
+    return levels
+
+
+def all_of(services: Iterable[str]) -> Levels:
+    """The whole of some services."""
+    return {service: {} for service in services}
--- /dev/null
+++ b/basaltspindle/directory/reads.py
@@ -0,0 +1,175 @@
+"""What watches are told, and when: found and written once for all who ask the same.
+
+reads = Reads(catalog, store)
+body = await reads.answer(asked)     # the whole, or what changed since, as soon as something has
+reads.wake()                         # after changes that were kept; watches are woken at their pace
+"""
+
+from __future__ import annotations
+
+import asyncio
+import time
+from collections.abc import Hashable
+from typing import Any
+
+import msgspec
+
+from basaltspindle.directory import interests
+from basaltspindle.directory.asking import WHOLE, Asked
+from basaltspindle.directory.catalog import Catalog
+from basaltspindle.directory.entries import Entry
+from basaltspindle.directory.gate import CALL_S, ENTRY_S, Gate, Turn
+from basaltspindle.directory.interests import Parts, View
+from basaltspindle.directory.pace import Pace
+from basaltspindle.directory.store import Store
+from basaltspindle.directory.waits import Waits
+
+ANSWERS_KEPT = 64  # that watchers share
+
+
+class Reads:
+    """The watches of one instance."""
+
+    def __init__(self, catalog: Catalog, store: Store) -> None:
+        """`store` keeps the beginning of a life that a version from elsewhere may bring about."""
+        self._catalog, self._store = catalog, store
+        self._parts = Parts(catalog)
+        self._waits = Waits(self._parts)
+        self._waking: asyncio.TimerHandle | None = None
+        self._told_up_to = catalog.index  # when watches were woken last
+        self.pace, self.gate = Pace(), Gate()
+        self._answers: dict[Hashable, bytes | None] = {}
+        self.serialized = self.told = self.watching = 0
+
+    def knows(self, asked: Asked) -> bool:
+        """Whether all since the version that a watcher has seen is remembered here."""
+        return self._catalog.knows(asked.after, _services(asked))
+
+    def turn(self, asked: Asked) -> Turn | None:
+        """When a call is to come again that would be one too many now; None for one that may come in.
+
+        Asked of those who return after a failed call and of those who ask for the whole, by interests.
+        """
+        if asked.is_old or (asked.after >= 0 and not asked.waited_ms):
+            return None
+        sizes = map(self._catalog.places.count, asked.interest.services) if asked.after < 0 else ()
+        cost_s = CALL_S + ENTRY_S * sum(sizes)
+        now = asyncio.get_running_loop().time()
+        return self.gate.ask(now, cost_s, asked.waited_ms / 1_000, asked.ticket)
+
+    async def answer(self, asked: Asked) -> bytes:
+        """The whole list, or what changed since, as soon as something has."""
+        self.watching += 1
+        try:
+            body = await self._answer(asked)
+        finally:
+            self.watching -= 1
+        self.told += 1
+        return body
+
+    async def _answer(self, asked: Asked) -> bytes:
+        loop = asyncio.get_running_loop()
+        until = loop.time() + asked.wait_ms / 1_000
+        while True:
+            left = until - loop.time()
+            held, view = self._views(asked, whole=False)
+            waits = left > 0 and held.key == view.key and self._is_told(asked)
+            data = None if waits else self._news_since(asked, held, view)
+            if data is None and left <= 0:
+                data = self._write(asked, asked.after, view, [])
+            if data is not None:
+                return data
+            with self._waits.waiting(view, asked.interest.shape) as woken:
+                await asyncio.wait((woken,), timeout=left)
+
+    def _views(self, asked: Asked, whole: bool) -> tuple[View, View]:
+        """What a watcher holds at its version, and what it is to hold from now on."""
+        interest = asked.interest
+        held = interests.all_of(interest.services) if asked.is_old else asked.held
+        view = View(self._parts.levels(interest, held, whole), interest.place)
+        return (view if held is None else View(held, interest.place)), view
+
+    def _is_told(self, asked: Asked) -> bool:
+        """Whether who has seen a version knows all that was told at the last wake.
+
+        What came since is told at the next one: else each watch would ask again for each change.
+        """
+        goes_on = self._told_up_to <= asked.after <= self._catalog.index
+        return goes_on and (asked.is_old or asked.held is not None) and self.knows(asked)
+
+    def _news_since(self, asked: Asked, held: View, view: View) -> bytes | None:
+        """What all get who have seen a version of the same: None if nothing has changed."""
+        key = asked.is_old, held.key, view.key, asked.after, self._catalog.index
+        if asked.after >= 0 and key in self._answers:
+            return self._answers[key]
+        data = self._find_news(asked, held, view)
+        while len(self._answers) >= ANSWERS_KEPT:
+            del self._answers[next(iter(self._answers))]
+        self._answers[key] = data
+        return data
+
+    def _find_news(self, asked: Asked, held: View, view: View) -> bytes | None:
+        knows_what = asked.is_old or asked.held is not None
+        if asked.after < 0 or not knows_what or not self._goes_on(asked):
+            return self._whole(asked)
+        changed = interests.news(self._catalog, held, view, asked.after)
+        if not changed and held.key == view.key:
+            return None
+        return self._write(asked, asked.after, view, changed)
+
+    def _goes_on(self, asked: Asked) -> bool:
+        first, now = self._catalog.first, time.time() * 1_000
+        goes_on = self._catalog.goes_on(_services(asked), asked.after, now)
+        if self._catalog.first != first:
+            self._store.begin_again(self._catalog.first)
+        return goes_on
+
+    def _whole(self, asked: Asked) -> bytes:
+        """All of it, once for all who hold the same."""
+        _, view = self._views(asked, whole=True)
+        key = asked.is_old, view.key, WHOLE, self._catalog.index
+        data = self._answers.get(key)
+        if data is None:
+            data = self._answers[key] = self._write(asked, WHOLE, view, interests.whole(self._catalog, view))
+        return data
+
+    def _write(self, asked: Asked, after: int, view: View, entries: list[Entry]) -> bytes:
+        self.serialized += 1
+        told: dict[str, Any] = {
+            "index": self._catalog.index,
+            "snapshot": after < 0,
+            "endpoints": [entry.public() for entry in entries],
+        }
+        if not asked.is_old:
+            for entry, public in zip(entries, told["endpoints"], strict=True):
+                public["service"] = entry.told.tier
+            told |= {"services": asked.interest.services, "held": interests.encode(view.levels)}
+        return msgspec.json.encode(told)
+
+    # ---- wakes ----------------------------------------------------------------------------------
+
+    def wake(self) -> None:
+        """Wake those whose interest holds what has changed, at their pace."""
+        if self._waking is not None:
+            return
+        loop, since = asyncio.get_running_loop(), self._told_up_to
+        due = self.pace.due(self._waits.touched(self._catalog.changed_since(since), since))
+        if due > loop.time():
+            self._waking = loop.call_at(due, self._wake_now)
+        else:
+            self._wake_now()
+
+    def _wake_now(self) -> None:
+        since, self._told_up_to, self._waking = self._told_up_to, self._catalog.index, None
+        woken = self._waits.wake(self._catalog.changed_since(since), since)
+        self.pace.woke(asyncio.get_running_loop().time(), woken)
+
+    def close(self) -> None:
+        """Wake nobody from now on."""
+        if self._waking is not None:
+            self._waking.cancel()
+
+
+def _services(asked: Asked) -> tuple[str, ...]:
+    """All of which a watcher must have heard: what it wants and what it says it holds."""
+    return tuple(dict.fromkeys((*asked.interest.services, *(asked.held or ()))))
--- a/basaltspindle/directory/service.py
+++ b/basaltspindle/directory/service.py
@@ -19,15 +19,15 @@
 import msgspec
 from aiohttp import web
 
+from basaltspindle.directory.asking import number, read
 from basaltspindle.directory.catalog import Catalog, Change, Refused, first_index
-from basaltspindle.directory.entries import Entry, Name, Registration, Rules
+from basaltspindle.directory.entries import Name, Registration, Rules
 from basaltspindle.directory.exchange import MOST_INSTANCES, Exchange, Message, Mismatch
-from basaltspindle.directory.pace import Pace
+from basaltspindle.directory.reads import Reads
 from basaltspindle.directory.store import Store, StoreError
 
 BATCH_S = 0.005  # writes that come within it share a transaction, and watches are told of them at once
 LAPSE_S = 0.25
-WAIT_MOST_MS = 60_000.0
 BODY_MOST = 64 * 1024
 PART = 64 * 1024  # of a long answer, written at once
 SLOW_S = 10.0  # a reader that takes no part for so long is cut off
@@ -36,8 +36,6 @@
 EXCHANGE_PART, EXCHANGE_MOST = 64 * 1024, 16 * 1024 * 1024
 SYNC_MS = 3_000.0  # after a start, until the others have been heard
 HISTORY_MOST = 10_000
-ANSWERS_KEPT = 64  # that watchers share
-WHOLE = -1  # in place of a version that was seen: none, and so the whole list
 WHO, WHY = "X-Who", "X-Why"
 Write = Callable[[], Change | None]
 
@@ -69,21 +67,17 @@
         self._store, now = store, now_ms()
         first = first_index(store.index(), now, instance, MOST_INSTANCES)
         self.catalog = Catalog(rules, first, instance, MOST_INSTANCES)
-        self.catalog.restore(store.entries(), now, store.lives(), store.floor())
+        self.catalog.restore(store.entries(), now, store.lives(), *store.floors())
         self.exchange = Exchange(self.catalog, instance, max(len(instances), 1), secrets.randbits(48) + 1)
         self._addresses = instances
         self._moved = asyncio.Event()  # something is to be told to the other instances at once
         self._synced = not self.exchange.others
         self._learns_until = now + rules.learn_ms if not store.index() else now
-        store.begin(self.catalog.index, self.catalog.floor, self.catalog.entries)
+        store.begin(self.catalog.index, self.catalog.base, self.catalog.entries, self.catalog.places.floors)
         self._queue: list[Waiting] = []
         self._flushing: asyncio.TimerHandle | None = None
-        self._news = asyncio.Event()
-        self._waking: asyncio.TimerHandle | None = None
-        self._told_up_to = self.catalog.index  # when watches were woken last
-        self._pace = Pace()
-        self._answers: dict[tuple[str, int, int], bytes | None] = {}
-        self.serialized = self.told = self.watching = self.cut_off = 0
+        self.reads = Reads(self.catalog, store)
+        self.cut_off = 0
         self.slow_s = SLOW_S
 
     def app(self) -> web.Application:
@@ -108,18 +102,16 @@
     # ---- reads ----------------------------------------------------------------------------------
 
     async def _list(self, request: web.Request) -> web.StreamResponse:
-        tier = request.query.get("tier", "first")
-        after = _number(request, "after", WHOLE)
-        wait_ms = min(_number(request, "wait_ms", 0.0), WAIT_MOST_MS)
+        asked = read(request.query)
         if not self._synced:
             raise Refused(503, "this instance has just started, and has not heard the others yet")
-        if after >= 0 and now_ms() < self._learns_until and not self.catalog.knows(int(after)):
+        if asked.after >= 0 and now_ms() < self._learns_until and not self.reads.knows(asked):
             raise Refused(503, "this service has lost its memory, or is new: keep the list that you have")
-        self.watching += 1
-        try:
-            body = await self._answer(tier, int(after), wait_ms)
-        finally:
-            self.watching -= 1
+        if (turn := self.reads.turn(asked)) is not None:
+            retry_ms = round(turn.after_s * 1_000)
+            told = {"error": "too many come back at once", "retry_ms": retry_ms, "ticket": turn.ticket}
+            return _json(told, 503, {"Retry-After": f"{turn.after_s:.3f}"})
+        body = await self.reads.answer(asked)
         if len(body) <= PART:
             return web.Response(body=body, content_type="application/json")
         return await self._tell_slowly(request, body)
@@ -139,66 +131,8 @@
                 request.transport.abort()
         return response
 
-    async def _answer(self, tier: str, after: int, wait_ms: float) -> bytes:
-        """The whole list, or what changed since, as soon as something has."""
-        loop = asyncio.get_running_loop()
-        until = loop.time() + wait_ms / 1_000
-        while True:
-            news = self._news
-            left = until - loop.time()
-            waits = left > 0 and self._is_told(after)
-            data = None if waits else self._news_since(tier, after)
-            if data is None and left <= 0:
-                data = self._serialize(after, [])
-            if data is not None:
-                self.told += 1
-                return data
-            try:
-                async with asyncio.timeout(left):
-                    await news.wait()
-            except TimeoutError:
-                continue
-
-    def _is_told(self, after: int) -> bool:
-        """Whether who has seen a version knows all that was told at the last wake.
-
-        What came since is told at the next one: else each watch would ask again for each change.
-        """
-        return self._told_up_to <= after <= self.catalog.index and self.catalog.knows(after)
-
-    def _news_since(self, tier: str, after: int) -> bytes | None:
-        """What all get who have seen a version: found and written once. None if nothing has changed."""
-        key = tier, after, self.catalog.index
-        if key not in self._answers:
-            changed = self._changes(tier, after) if after >= 0 else None
-            if changed is None and after >= 0:
-                data = self._news_since(tier, WHOLE)
-            elif changed is None:
-                data = self._serialize(WHOLE, self.catalog.whole(tier))
-            else:
-                data = self._serialize(after, changed) if changed else None
-            while len(self._answers) >= ANSWERS_KEPT:
-                del self._answers[next(iter(self._answers))]
-            self._answers[key] = data
-        return self._answers[key]
-
-    def _changes(self, tier: str, after: int) -> list[Entry] | None:
-        first, changed = self.catalog.first, self.catalog.changes(tier, after, now_ms())
-        if self.catalog.first != first:
-            self._store.begin_again(self.catalog.first)
-        return changed
-
-    def _serialize(self, after: int, entries: list[Entry]) -> bytes:
-        self.serialized += 1
-        told = {
-            "index": self.catalog.index,
-            "snapshot": after < 0,
-            "endpoints": [entry.public() for entry in entries],
-        }
-        return msgspec.json.encode(told)
-
     async def _history(self, request: web.Request) -> web.Response:
-        most = min(int(_number(request, "most", 100.0)), HISTORY_MOST)
+        most = min(int(number(request.query, "most", 100.0)), HISTORY_MOST)
         changes = self._store.history(request.query.get("name", ""), most)
         return _json([msgspec.to_builtins(change) for change in changes])
 
@@ -219,9 +153,9 @@
             {
                 "index": catalog.index, "floor": catalog.floor, "entries": entries,
                 "doubts": {tier: round(until - now) for tier, until in catalog.doubts.items() if until > now},
-                "refused": dict(catalog.refused), "watching": self.watching, "told": self.told,
-                "serialized": self.serialized, "instance": self.exchange.number,
-                "cut_off": self.cut_off, "others": self.exchange.report(now),
+                "refused": dict(catalog.refused), "watching": self.reads.watching, "told": self.reads.told,
+                "serialized": self.reads.serialized, "paced": self.reads.gate.turned_away,
+                "instance": self.exchange.number, "cut_off": self.cut_off, "others": self.exchange.report(now),
                 "disagreed": dict(catalog.disagreed),
             }
         )  # fmt: skip
@@ -292,35 +226,18 @@
             if not waiting.answer.done():
                 waiting.answer.set_result(change)
         if changes:
-            self._wake()
+            self.reads.wake()
         if done and self.exchange.others:
             self._moved.set()
 
-    def _wake(self) -> None:
-        """Wake all watches, at their pace."""
-        if self._waking is not None:
-            return
-        loop = asyncio.get_running_loop()
-        due = self._pace.due(self.watching)
-        if due > loop.time():
-            self._waking = loop.call_at(due, self._wake_all)
-        else:
-            self._wake_all()
-
-    def _wake_all(self) -> None:
-        self._waking, self._told_up_to = None, self.catalog.index
-        self._pace.woke(asyncio.get_running_loop().time(), self.watching)
-        news, self._news = self._news, asyncio.Event()
-        news.set()
-
     async def _lapses(self, app: web.Application) -> Any:
         task = asyncio.get_running_loop().create_task(self._look_for_lapses())
         yield
         task.cancel()
-        for due in (self._flushing, self._waking):
-            if due is not None:
-                due.cancel()
+        if self._flushing is not None:
+            self._flushing.cancel()
         self.flush()
+        self.reads.close()
 
     async def _look_for_lapses(self) -> None:
         while True:
@@ -336,7 +253,7 @@
             self.catalog.undo(changes)
             raise
         if changes:
-            self._wake()
+            self.reads.wake()
 
     # ---- other instances ------------------------------------------------------------------------
 
@@ -425,17 +342,6 @@
     return web.Response(body=body, status=status, headers=headers, content_type="application/json")
 
 
-def _number(request: web.Request, key: str, default: float) -> float:
-    text = request.query.get(key)
-    try:
-        value = float(text) if text is not None else default
-    except ValueError:
-        value = float("nan")
-    if not -1 <= value < 1e16:
-        raise Refused(400, f"{key}={text!r} is no number that can be")
-    return value
-
-
 def _name(request: web.Request) -> str:
     name = request.match_info["name"]
     try:
--- a/basaltspindle/directory/store.py
+++ b/basaltspindle/directory/store.py
@@ -3,7 +3,7 @@
 from __future__ import annotations
 
 import sqlite3
-from collections.abc import Container, Iterator, Sequence
+from collections.abc import Container, Iterator, Mapping, Sequence
 from contextlib import closing
 from pathlib import Path
 
@@ -81,25 +81,44 @@
             raise StoreError(f"an entry can't be read: {error}") from None
 
     def floor(self) -> int:
-        """The version before which removals are not remembered."""
+        """The highest version up to which a removal may be forgotten."""
         return self._meta("floor")
 
+    def floors(self) -> tuple[int, dict[str, int]]:
+        """The version before which no removal is remembered, and later ones of single services."""
+        if self._meta("split") != (floor := self.floor()):  # a version before this one has kept the file
+            return floor, {}
+        rows = self._db.execute("select key, value from meta where key like 'floor:%'").fetchall()
+        return self._meta("base"), {key.removeprefix("floor:"): value for key, value in rows}
+
     def lives(self) -> list[tuple[int, int]]:
         """First and last version of each life of this file, the oldest first."""
         return self._db.execute("select first, last from lives order by first").fetchall()
 
-    def begin(self, index: int, floor: int, kept: Container[str]) -> None:
+    def begin(
+        self, index: int, floor: int, kept: Container[str], floors: Mapping[str, int] | None = None
+    ) -> None:
         """Take note of the version that a new life starts at, before anybody gets it.
 
-        Of the entries only those `kept` are remembered; history stays as it is.
+        Of the entries only those `kept` are remembered; history stays as it is. `floor` is the version
+        before which no removal is remembered, `floors` later ones of single services.
         """
+        floors = floors or {}
+        highest = max(floor, *floors.values()) if floors else floor
         names = [row[0] for row in self._db.execute("select name from entries").fetchall()]
         steps: list[tuple[str, tuple[object, ...]]] = [
             ("delete from entries where name = ?", (name,)) for name in names if name not in kept
         ]
         steps += [
             ("insert or replace into meta values ('index', ?)", (index,)),
-            ("insert or replace into meta values ('floor', ?)", (floor,)),
+            ("delete from meta where key like 'floor:%'", ()),
+            ("insert or replace into meta values ('floor', ?)", (highest,)),
+            ("insert or replace into meta values ('split', ?)", (highest,)),
+            ("insert or replace into meta values ('base', ?)", (floor,)),
+            *[
+                ("insert or replace into meta values (?, ?)", (f"floor:{service}", version))
+                for service, version in floors.items()
+            ],
             ("insert into lives values (?, ?)", (index, index)),
             (
                 "delete from lives where first <="
--- a/benchmarks/directory.py
+++ b/benchmarks/directory.py
@@ -29,11 +29,11 @@
 
 SERVERS, ROUNDS, WRITERS = 1_000, 5, 128
 EACH = """
-from basaltspindle.directory import service
-def news_since(self, tier, after):
+from basaltspindle.directory import reads
+def news_since(self, asked, held, view):
     self._answers.clear()
-    return real(self, tier, after)
-real, service.Service._news_since = service.Service._news_since, news_since
+    return real(self, asked, held, view)
+real, reads.Reads._news_since = reads.Reads._news_since, news_since
 """
 SERVE = """
 import sys
--- a/tests/test_directory.py
+++ b/tests/test_directory.py
@@ -287,9 +287,9 @@
         async with serving() as (service, at), aiohttp.ClientSession() as http:
             url = f"http://{at}/v1/servers?after={service.catalog.index}&wait_ms=60000"
             watch = asyncio.create_task(http.get(url))
-            while not service.watching:
+            while not service.reads.watching:
                 await asyncio.sleep(0.005)
-            service._pace.woke(asyncio.get_running_loop().time(), 1)
+            service.reads.pace.woke(asyncio.get_running_loop().time(), 1)
             for number in range(3):
                 body = entry(f"127.0.0.1:{number + 1}")
                 async with http.put(f"http://{at}/v1/servers/s{number}", json=body) as answer:
@@ -406,14 +406,14 @@
                     return read
 
             watches = [asyncio.create_task(watch()) for _ in range(200)]
-            while service.watching < 200:
+            while service.reads.watching < 200:
                 await asyncio.sleep(0.01)
             await asyncio.gather(
                 *(http.put(f"http://{at}/v1/servers/{n}", json=entry("127.0.0.1:1")) for n in ("s0", "s1"))
             )
             news = await asyncio.gather(*watches)
             assert {len(n["endpoints"]) for n in news} == {2} and not any(n["snapshot"] for n in news)
-            assert service.serialized == 1 and service.told == 200
+            assert service.reads.serialized == 1 and service.reads.told == 200
             assert read_list(news[0]).index == service.catalog.index
 
     run(scenario())
