--- a/basaltspindle/directory/service.py
+++ b/basaltspindle/directory/service.py
@@ -155,8 +155,8 @@
                 "doubts": {tier: round(until - now) for tier, until in catalog.doubts.items() if until > now},
                 "refused": dict(catalog.refused), "watching": self.reads.watching, "told": self.reads.told,
                 "serialized": self.reads.serialized, "paced": self.reads.gate.turned_away,
-                "instance": self.exchange.number, "cut_off": self.cut_off, "others": self.exchange.report(now),
-                "disagreed": dict(catalog.disagreed),
+                "instance": self.exchange.number, "cut_off": self.cut_off,
+                "others": self.exchange.report(now), "disagreed": dict(catalog.disagreed),
             }
         )  # fmt: skip
 
