Let a balancer ask its own list service for services, or for a part of one

[lists] takes services and part. The core is watching/subscription.py: what is wanted and what is held goes with each call, the answer says what is held from then on, and an answer for something else has failed. A service of a version before interests tells its whole tier, which is taken with one line in the log; for several services it has failed.

SIGHUP follows services and part: the waiting call is abandoned, and the answer to the next one tells outright what has left the interest. Off unless [lists] names services: the call is the same bytes.

--- a/basaltspindle/conf/model.py
+++ b/basaltspindle/conf/model.py
@@ -17,6 +17,7 @@
 ADDRESS = r"(\[[0-9a-fA-F:.]+\]|[0-9]{1,3}(\.[0-9]{1,3}){3}):[0-9]{1,5}"
 Address = Annotated[str, Meta(pattern=f"^{ADDRESS}$", description="host:port")]
 AddressOrNone = Annotated[str, Meta(pattern=f"^({ADDRESS})?$", description="host:port, or empty")]
+ServiceName = Annotated[str, Meta(pattern=r"^[A-Za-z0-9][A-Za-z0-9._:-]{0,127}$")]
 Share = Annotated[float, Meta(ge=0, le=1)]
 Count = Annotated[int, Meta(ge=1)]
 Amount = Annotated[float, Meta(ge=0)]
@@ -141,6 +142,10 @@
     """The tier that is asked for; empty for the service's first."""
     doubt: Annotated[float, Meta(gt=0, le=1)] = LIST_DOUBT
     """A whole list that leaves out more than this part of the ready servers is doubted."""
+    services: tuple[ServiceName, ...] = ()
+    """What is asked for in place of a tier, where the service knows interests; several are one pool."""
+    part: Annotated[int, Meta(ge=0, le=100_000)] = 0
+    """Servers of each service that are held in each zone at the least; 0 for all."""
 
 
 class Machine(Table, frozen=True, forbid_unknown_fields=True):
--- a/basaltspindle/directory/reads.py
+++ b/basaltspindle/directory/reads.py
@@ -34,7 +34,7 @@
         """`store` keeps the beginning of a life that a version from elsewhere may bring about."""
         self._catalog, self._store = catalog, store
         self._parts = Parts(catalog)
-        self._waits = Waits(self._parts)
+        self.waits = Waits(self._parts)
         self._waking: asyncio.TimerHandle | None = None
         self._told_up_to = catalog.index  # when watches were woken last
         self.pace, self.gate = Pace(), Gate()
@@ -72,16 +72,21 @@
         until = loop.time() + asked.wait_ms / 1_000
         while True:
             left = until - loop.time()
-            held, view = self._views(asked, whole=False)
-            waits = left > 0 and held.key == view.key and self._is_told(asked)
-            data = None if waits else self._news_since(asked, held, view)
-            if data is None and left <= 0:
-                data = self._write(asked, asked.after, view, [])
+            data, view = self.find(asked, may_wait=left > 0)
             if data is not None:
                 return data
-            with self._waits.waiting(view, asked.interest.shape) as woken:
+            with self.waits.waiting(view, asked.interest.shape) as woken:
                 await asyncio.wait((woken,), timeout=left)
 
+    def find(self, asked: Asked, may_wait: bool) -> tuple[bytes | None, View]:
+        """The answer as it is now, and what is held with it; None for one that may wait and has no news."""
+        held, view = self._views(asked, whole=False)
+        waits = may_wait and held.key == view.key and self._is_told(asked)
+        data = None if waits else self._news_since(asked, held, view)
+        if data is None and not may_wait:
+            data = self._write(asked, asked.after, view, [])
+        return data, view
+
     def _views(self, asked: Asked, whole: bool) -> tuple[View, View]:
         """What a watcher holds at its version, and what it is to hold from now on."""
         interest = asked.interest
@@ -153,7 +158,7 @@
         if self._waking is not None:
             return
         loop, since = asyncio.get_running_loop(), self._told_up_to
-        due = self.pace.due(self._waits.touched(self._catalog.changed_since(since), since))
+        due = self.pace.due(self.waits.touched(self._catalog.changed_since(since), since))
         if due > loop.time():
             self._waking = loop.call_at(due, self._wake_now)
         else:
@@ -161,7 +166,7 @@
 
     def _wake_now(self) -> None:
         since, self._told_up_to, self._waking = self._told_up_to, self._catalog.index, None
-        woken = self._waits.wake(self._catalog.changed_since(since), since)
+        woken = self.waits.wake(self._catalog.changed_since(since), since)
         self.pace.woke(asyncio.get_running_loop().time(), woken)
 
     def close(self) -> None:
--- a/basaltspindle/net/config.py
+++ b/basaltspindle/net/config.py
@@ -9,6 +9,7 @@
 import ipaddress
 import json
 import math
+import re
 from collections.abc import Callable, Mapping
 from dataclasses import dataclass, replace
 from pathlib import Path
@@ -19,6 +20,8 @@
 
 Address = tuple[str, int]
 LIST_DOUBT = 0.3  # of the ready servers: more do not go at once unsaid, but for a fault of the list itself
+SERVICES_MOST, PART_MOST = 32, 100_000  # as a list service takes them
+SERVICE = re.compile(r"^[A-Za-z0-9][A-Za-z0-9._:-]{0,127}$")
 SNAPSHOT_MS, SNAPSHOT_LEAST_MS = 10_000.0, 100.0  # evidence fades within 6 s: more often gains nothing
 
 _READINESS = {
@@ -61,6 +64,16 @@
     """The tier that is asked for; empty for the service's first."""
     doubt: float = LIST_DOUBT
     """A whole list that leaves out more than this part of the ready servers is doubted: `list_doubt`."""
+    services: tuple[str, ...] = ()
+    """What is asked for in place of a tier, where the service knows interests; several are one pool."""
+    part: int = 0
+    """Servers of each service that are held in each zone at the least; 0 for all."""
+
+    def may_become(self, other: Lists | None) -> bool:
+        """Whether another table can be followed while we run: where only the services or the part differ."""
+        if other is None or not (self.services and other.services):
+            return False
+        return replace(self, services=other.services, part=other.part) == other
 
 
 @dataclass(frozen=True, slots=True)
@@ -194,7 +207,22 @@
     own = read_address(raw["discovery"])
     if len({own, *others}) < 1 + len(others):
         raise ValueError("lists.others: an instance stands twice, or is the one in `discovery`")
-    return Lists(others, str(told.get("tier") or ""), float(told.get("doubt", LIST_DOUBT)))
+    tier, services, part = str(told.get("tier") or ""), _read_services(told), int(told.get("part") or 0)
+    if services and tier:
+        raise ValueError("lists.tier: is the one service of `lists.services`; give one of the two")
+    if not 0 <= part <= PART_MOST or (part and not services):
+        raise ValueError(f"lists.part: {part}; allowed: 0 to {PART_MOST}, and only with `lists.services`")
+    return Lists(others, tier, float(told.get("doubt", LIST_DOUBT)), services, part)
+
+
+def _read_services(told: Mapping[str, Any]) -> tuple[str, ...]:
+    """The services that are asked for, each once, in their order."""
+    services = tuple(str(name) for name in told.get("services") or ())
+    if len(set(services)) < len(services) or len(services) > SERVICES_MOST:
+        raise ValueError(f"lists.services: {len(services)} names; allowed: {SERVICES_MOST}, each once")
+    if odd := [name for name in services if not SERVICE.match(name)]:
+        raise ValueError(f"lists.services: {odd[0]!r}; allowed: letters, digits, . _ : -")
+    return tuple(sorted(services))
 
 
 def read_config(text: str, note: Callable[[str], None], console: str = "") -> Config:
--- a/basaltspindle/net/discovery.py
+++ b/basaltspindle/net/discovery.py
@@ -10,9 +10,9 @@
 from typing import cast
 
 from basaltspindle.interface import Readiness
-from basaltspindle.net.config import Address, Config, Endpoint, ServerList, read_list
+from basaltspindle.net.config import Address, Config, Endpoint, Lists, ServerList, read_list
 from basaltspindle.net.upstreams import UNREADABLE, Answer, ResponseReader
-from basaltspindle.watching import Ask, Look, Watch, Witnesses
+from basaltspindle.watching import Ask, Look, Paced, Subscription, Watch, Witnesses
 from basaltspindle.watching.watch import WHOLE
 
 PUSH_PAUSE_S = 0.5  # before the agent on this machine is called again, where lists are pushed
@@ -20,6 +20,7 @@
 LOOK_S = 1.0  # between looks whether another instance is to be looked at
 CONNECT_S = 1.0  # for a connection to come up: the wait of a call is for its answer
 LIST_MAX = 4 * 1024 * 1024
+NO_INTERESTS = "the list service knows no interests: the whole of the service is taken"
 
 
 class SilentError(Exception):
@@ -95,18 +96,23 @@
         on_news: Callable[[ServerList], bool],
         on_failed: Callable[[], None],
         fresh: bool = False,
+        log: Callable[[str], None] = lambda text: None,
     ) -> None:
         """`on_news` says whether it believes a list; one that it does not is asked for again, whole.
 
-        `fresh` asks for the whole list first, which is answered at once, whatever is known.
+        `fresh` asks for the whole list first, which is answered at once, whatever is known. `log` takes a
+        line where a service can't tell what it is asked for.
         """
-        self._on_news, self._on_failed = on_news, on_failed
+        self._on_news, self._on_failed, self._log = on_news, on_failed, log
+        self._said = ""
         self._asked = config.settings.list_is_asked
         self._own, self._home = config.lists, config.discovery
+        self._wanted = _subscription(config, fresh)
+        is_known = config.known.endpoints and not fresh and self._wanted is None
         self._watch = Watch(
             self._addresses(config.discovery), number=config.settings.number,
             balancers=config.settings.balancers, grace_ms=config.drain_grace_ms, own=self._own is not None,
-            seed=config.seed, index=config.known.index if config.known.endpoints and not fresh else WHOLE,
+            seed=config.seed, index=config.known.index if is_known else WHOLE,
         )  # fmt: skip
         self._task: asyncio.Task[None] | None = None
         self._comparing: asyncio.Task[None] | None = None
@@ -134,12 +140,19 @@
         if self._own is not None and self._comparing is None:
             self._comparing = loop.create_task(self._compare())
 
-    def move(self, address: Address) -> None:
-        """Discovery is elsewhere from now on: ask there at once, for the whole list."""
-        if address == self._home:
+    def move(self, address: Address, lists: Lists | None = None) -> None:
+        """Discovery is elsewhere from now on, or something else is wanted of it: ask at once.
+
+        A call that waits is abandoned. What is held is told with what is wanted now, and the answer says
+        outright what has left it; elsewhere, and of a service that knows no interests, it is the whole list.
+        """
+        wanted, has_moved = self._wanted, address != self._home
+        is_other = wanted is not None and lists is not None and wanted.move(lists.services, lists.part)
+        if not has_moved and not is_other:
             return
         self._home = address
-        self._watch.move(self._addresses(address))
+        if has_moved or (wanted is not None and not wanted.is_known):
+            self._watch.move(self._addresses(address))
         self._start_anew()
 
     def _start_anew(self) -> None:
@@ -176,8 +189,14 @@
             ask = watch.ask(began)
             try:
                 news = await self._call(ask)
+            except Paced as paced:
+                if self._wanted is not None:
+                    self._wanted.paced(paced)
+                await asyncio.sleep(paced.after_s)
+                continue
             except Exception as error:
                 # Guards against a watch that ends unseen: whatever was wrong with a call, it has failed.
+                self._note_failed(ask.address, began, error)
                 self._close_link()
                 pause_s = watch.failed(loop.time() - began, isinstance(error, SilentError))
                 if pause_s is None and (pause_s := self._pause(ask, error)) is None:
@@ -190,6 +209,18 @@
             elif watch.went_home(loop.time()):
                 self._close_link()
 
+    def _note_failed(self, address: Address, began: float, error: Exception) -> None:
+        if self._wanted is not None:
+            self._wanted.failed(address, began)
+            if isinstance(error, ValueError):
+                self._say(str(error))
+
+    def _say(self, text: str) -> None:
+        """Log what is wrong with what a service tells, once."""
+        if text and text != self._said:
+            self._log(text)
+        self._said = text
+
     def _pause(self, ask: Ask, error: Exception) -> float | None:
         """Seconds until a platform's list is asked again after a call has failed; None if others say when.
 
@@ -216,17 +247,26 @@
             until = loop.time() + ask.limit_s if ask.waits else until
         try:
             async with asyncio.timeout_at(until):
-                news = await _ask(self._link, ask, self._own.tier if self._own else "")
+                news, held = await _ask(self._link, ask, self._query(), self._wanted)
         except TimeoutError:
             raise SilentError from None
         now = asyncio.get_running_loop().time()
         if self._watch.answered(news.index, now):
             news = replace(news, rewound=True)
         self._heard = now
+        if self._wanted is not None:
+            self._wanted.heard(*held)
+            self._say("" if self._wanted.is_known else NO_INTERESTS)
         if self._own is not None:
             self._note(news, now)
         return news
 
+    def _query(self) -> list[str]:
+        """What is wanted of the list, beside its version."""
+        if self._wanted is not None:
+            return self._wanted.query(asyncio.get_running_loop().time())
+        return [f"tier={self._own.tier}"] if self._own and self._own.tier else []
+
     def _note(self, news: ServerList, now: float) -> None:
         """What the list holds, to be held against another instance's."""
         before = dict(self._content)
@@ -266,8 +306,8 @@
             async with asyncio.timeout(WHOLE_S):
                 link = await _connect(address)
                 ask = Ask(address, WHOLE, 0.0, WHOLE_S)
-                news = await _ask(link, ask, self._own.tier if self._own else "")
-        except (OSError, ValueError, TimeoutError):
+                news, _ = await _ask(link, ask, self._query(), self._wanted)
+        except (OSError, ValueError, TimeoutError, Paced):
             return None
         finally:
             if link is not None:
@@ -280,16 +320,32 @@
     return link
 
 
-async def _ask(link: _Link, ask: Ask, tier: str) -> ServerList:
-    """One call; ValueError if its answer is no list."""
-    query = [f"tier={tier}"] if tier else []
+async def _ask(
+    link: _Link, ask: Ask, query: list[str], wanted: Subscription | None
+) -> tuple[ServerList, tuple[str, bool]]:
+    """One call: the list, and what of it is held then; ValueError if its answer is no list."""
     if ask.after >= 0:
-        query.append(f"after={ask.after}&wait_ms={ask.wait_ms:.0f}")
+        query = [*query, f"after={ask.after}&wait_ms={ask.wait_ms:.0f}"]
     path, (host, port) = "/v1/servers" + ("?" + "&".join(query) if query else ""), ask.address
     answer = await link.call(f"GET {path} HTTP/1.1\r\nHost: {host}:{port}\r\n\r\n".encode())
     if answer.status != 200:
+        if wanted is not None:
+            wanted.look_for_pace(answer.status, answer.body)
         raise ValueError(f"discovery answered {answer.status}")
-    return read_list(json.loads(answer.body))
+    told = json.loads(answer.body)
+    news = read_list(told)
+    return news, (wanted.check(told), "services" in told) if wanted is not None else ("", True)
+
+
+def _subscription(config: Config, has_list: bool) -> Subscription | None:
+    """What is wanted of a list service that knows interests; None where the configuration names none."""
+    lists, settings = config.lists, config.settings
+    if lists is None or not lists.services:
+        return None
+    return Subscription(
+        lists.services, lists.part, name=f"{config.name}/{settings.number}", zone=settings.zone,
+        balancers=settings.balancers, holds_all=has_list or bool(config.known.endpoints),
+    )  # fmt: skip
 
 
 def _entry(endpoint: Endpoint) -> tuple[object, ...]:
--- a/basaltspindle/net/driver.py
+++ b/basaltspindle/net/driver.py
@@ -169,7 +169,9 @@
         self._keeper = self._make_keeper(config)
         self._kept = self._keeper.load() if self._keeper and legacy is None else None
         fresh = legacy is not None or self._kept is not None
-        self._discovery = Discovery(config, self._news, self._list_failed, fresh=fresh)
+        self._discovery = Discovery(
+            config, self._news, self._list_failed, fresh, lambda text: self.log.event("list_service", text)
+        )
         self._requests: dict[int, _Request] = {}
         self._last = 0
         self._events: deque[face.Event] = deque()
@@ -390,8 +392,9 @@
         """Follow a configuration that the platform has replaced: what was taken, and what needs a restart."""
         old, self._config = self._config, config
         changed = [f.name for f in fields(Config) if getattr(old, f.name) != getattr(config, f.name)]
-        self._discovery.move(config.discovery)
-        return [n for n in changed if n in FOLLOWED], [n for n in changed if n not in FOLLOWED | UNHEEDED]
+        self._discovery.move(config.discovery, config.lists)
+        followed = FOLLOWED | ({"lists"} if old.lists and old.lists.may_become(config.lists) else set())
+        return [n for n in changed if n in followed], [n for n in changed if n not in followed | UNHEEDED]
 
     def _sweep(self) -> None:
         self._loop.call_later(SWEEP_S, self._sweep)
--- a/basaltspindle/watching/__init__.py
+++ b/basaltspindle/watching/__init__.py
@@ -10,6 +10,7 @@
 """
 
 from basaltspindle.watching.sources import Address, Look, Sources, Witnesses
+from basaltspindle.watching.subscription import Paced, Subscription
 from basaltspindle.watching.watch import Ask, Watch
 
-__all__ = ["Address", "Ask", "Look", "Sources", "Watch", "Witnesses"]
+__all__ = ["Address", "Ask", "Look", "Paced", "Sources", "Subscription", "Watch", "Witnesses"]
