Look at another instance's list ever more rarely while the same servers contradict ours

The first look comes at once, as before; the pause is doubled at each up to that of ordinary looks, and begins anew when no server contradicts. The test fails without it (60 looks in a minute).

--- a/basaltspindle/watching/watch.py
+++ b/basaltspindle/watching/watch.py
@@ -16,6 +16,7 @@
 PROMPT_MS = 1.0  # wait of the first call after a failed one: news is told, and silence shows, at once
 FAILOVER_MS = 5.0  # for each balancer of the tier: the watches of an instance that dies go on within so long
 DOUBT_S = 1.0  # before a list that is not believed is asked for whole again, or CALL_MS for each balancer
+SAID_S = 1.0  # the first pause between looks while servers contradict the list, doubled at each
 COMPARE_S, COMPARE_MS = 30.0, 100.0  # between looks at another instance, and for each balancer of the tier
 WHOLE = -1  # in place of a version: the whole list
 
@@ -62,6 +63,7 @@
         self._went_back = self._has_failed = self._waits = False
         self._whole_at = math.inf  # when a list that is not believed is asked for again
         self._look_at = 0.0
+        self._said_s = self._said_at = 0.0  # the pause between looks while servers contradict, and its end
         self.rewound = self.stood_still = 0
         self._begin(addresses)
 
@@ -145,10 +147,15 @@
         """Another instance whose whole list is to be looked at now: every so often, or if servers say so."""
         if not self.sources.others or self.index < 0:
             return None
-        first = not self._look_at
-        if first or now >= self._look_at or contradicted:
+        first, is_said = not self._look_at, contradicted and now >= self._said_at
+        if is_said:  # a server may be silent for long: it says the same, and each look costs a list
+            self._said_s = min(2 * self._said_s or SAID_S, self._compare_s)
+            self._said_at = now + self._said_s
+        elif not contradicted:
+            self._said_s = self._said_at = 0.0
+        if first or now >= self._look_at or is_said:
             self._look_at = now + self._compare_s * (0.5 + self._random.random())
-        elif now < self._look_at:
+        else:
             return None
         return None if first and not contradicted else self.sources.any_other()
 
--- a/tests/test_sources.py
+++ b/tests/test_sources.py
@@ -111,6 +111,19 @@
     assert conf.faults(twice) == ["lists.others: an instance stands twice, or is the one in `discovery`"]
 
 
+def test_a_server_that_is_silent_for_long_costs_ever_fewer_looks_at_another_list() -> None:
+    """Each of its balancers read another instance's whole list every second or two."""
+    one = watch.Watch((A, B), number=0, balancers=2, grace_ms=3_000, own=True, seed=1, index=7)
+
+    def looks(first_s: int, last_s: int, contradicted: bool) -> int:
+        return sum(one.look_at(float(s), contradicted) is not None for s in range(first_s, last_s))
+
+    assert looks(1, 2, True) == 1, "the first comes at once"
+    assert looks(2, 61, True) <= 7
+    assert looks(61, 62, False) == 0
+    assert looks(62, 63, True) == 1, "and again at once for another one"
+
+
 class Two:
     """Two scripted instances, and a balancer that knows both."""
 
