--- a/basaltspindle/drill/lists.py
+++ b/basaltspindle/drill/lists.py
@@ -124,7 +124,8 @@
         known = self.spec.addresses[peer]
         entries = [e for e in news["endpoints"] if e["name"] in known]
         self._remember(peer, tier, news["index"], news["snapshot"], entries)
-        return self._answer(peer, news["index"], news["snapshot"], entries)
+        told = {key: news[key] for key in ("services", "held") if key in news}
+        return self._answer(peer, news["index"], news["snapshot"], entries, told=told)
 
     def _remember(self, peer: str, tier: str, index: int, whole: bool, entries: list[Entry]) -> None:
         """What was told last, as a whole: a frozen service goes on telling that."""
@@ -147,14 +148,15 @@
         return [e for name, e in self.tiers[tier].items() if self.changed[name] > after]
 
     def _answer(
-        self, peer: str, index: int, snapshot: bool, entries: list[Entry], is_true: bool = True
-    ) -> web.Response:
+        self, peer: str, index: int, snapshot: bool, entries: list[Entry], is_true: bool = True,
+        told: dict[str, Any] | None = None,
+    ) -> web.Response:  # fmt: skip
         ways = self.spec.addresses[peer]
         listed = [e | {"address": ways[e["name"]]} for e in entries]
         states = {e["name"]: e["status"] for e in entries}
         whole = snapshot and is_true  # what an untrue list leaves out, nobody has said
         self.history.write("told", to=peer, index=index, snapshot=whole, entries=states)
-        return web.json_response({"index": index, "snapshot": snapshot, "endpoints": listed})
+        return web.json_response({"index": index, "snapshot": snapshot, "endpoints": listed} | (told or {}))
 
 
 async def main() -> None:
--- a/basaltspindle/drill/papers.py
+++ b/basaltspindle/drill/papers.py
@@ -149,7 +149,8 @@
             }
         if self._fleet.script.fleet.doubt:
             others = [self._way(spot.name, one.name) for one in self._fleet.lists()[1:]]
-            told |= {"lists": {"others": others}}
+            wants = {"services": [spot.tier], "part": self._fleet.script.fleet.part}
+            told |= {"lists": {"others": others} | (wants if self._fleet.script.fleet.interests else {})}
         if self._fleet.script.fleet.snapshots:
             told |= {"snapshots": str(self.out / f"{spot.name}.folder"), "snapshotEvery": SNAPSHOT_MS}
         path = self.out / f"{spot.name}.config.json"
--- a/basaltspindle/drill/script.py
+++ b/basaltspindle/drill/script.py
@@ -52,6 +52,8 @@
     directory: bool = False  # whether the list is the real service, in which servers hold leases
     instances: int = 1  # of it: directory, directory1, ..., which balancers reach as list, list1, ...
     doubt: bool = False  # whether balancers know of all instances, and doubt lists: the table `lists`
+    interests: bool = False  # whether balancers ask for their service by name: `lists.services`
+    part: int = 0  # and for a part of it: `lists.part`
     lease_s: float = 3.0
     snapshots: bool = False  # whether balancers keep what they learned, every half second
     folders: str = "own"  # what balancers find in $TMPDIR: `own`, or one that is `full` or `read-only`
@@ -334,6 +336,10 @@
             return f"{key}: {value}; allowed: {least} or more"
     if fleet.instances > 1 and not (fleet.directory and fleet.doubt):
         return "fleet.instances: several need fleet.directory, and fleet.doubt for balancers to know of them"
+    if (fleet.interests or fleet.part) and not (fleet.directory and fleet.doubt):
+        return "fleet.interests: needs fleet.directory and fleet.doubt"
+    if fleet.part and not fleet.interests:
+        return f"fleet.part: {fleet.part}; allowed: only with fleet.interests"
     if fleet.folders not in FOLDERS:
         return f"fleet.folders: {fleet.folders!r}; allowed: {', '.join(FOLDERS)}"
     if not 0 < load.rate <= 10_000:
