--- a/basaltspindle/directory/interests.py
+++ b/basaltspindle/directory/interests.py
@@ -30,7 +30,7 @@
 LEVEL_MOST = 12
 COVER = 30  # balancers that hold each server, where they say how many they are
 NEAR = 1  # levels by which a part may be coarser than it need be before it is told anew
-BEST_MOST, NAMES_MOST = 65_536, 1_024  # shapes of services, and services, that are kept worked out
+BEST_MOST, ZONES_MOST = 65_536, 1_024  # shapes of services, and services, that are kept worked out
 
 Levels = Mapping[str, Mapping[str, int]]
 """By service and zone: the level of the slices held; 0, the whole zone, is left out."""
@@ -106,24 +106,47 @@
     return any((one ^ place) & mask == 0 for one in slices_of(name))
 
 
+class Zone:
+    """The servers of a service in one zone, and the finest levels for them."""
+
+    def __init__(self, names: list[str]) -> None:
+        self.names = names
+        self._finest: dict[int, int] = {}
+
+    def finest(self, least: int, balancers: int) -> int:
+        """The finest level whose smallest slice has the least, or what gives each server its balancers."""
+        if balancers:
+            least = max(least, math.ceil(len(self.names) * COVER / balancers))
+        if least not in self._finest:
+            self._finest[least] = self._find(least)
+        return self._finest[least]
+
+    def _find(self, least: int) -> int:
+        level = 0
+        while level < LEVEL_MOST and len(self.names) * COPIES >= least << (level + 1):
+            if _smallest(self.names, level + 1) < least:
+                break
+            level += 1
+        return level
+
+
 class Parts:
     """The levels of parts, worked out once for all that ask for the same and until the service changes."""
 
     def __init__(self, catalog: Catalog) -> None:
         self._catalog = catalog
-        self._names: dict[str, tuple[int, dict[str, list[str]]]] = {}
-        self._best: dict[tuple[str, Shape], tuple[int, dict[str, int]]] = {}
+        self._zones: dict[str, tuple[int, dict[str, Zone]]] = {}
+        self._best: dict[tuple[str, Shape], tuple[dict[str, Zone], dict[str, int]]] = {}
 
     def best(self, service: str, shape: Shape) -> dict[str, int]:
         """By zone, the finest level whose smallest slice has the least that is asked for."""
-        stamp = self._catalog.places.stamps.get(service, 0)
+        zones = self._zones_of(service)
         known = self._best.get((service, shape))
-        if known is None or known[0] != stamp:
-            zones = self._by_zone(service, stamp)
+        if known is None or known[0] is not zones:
             far = shape.least * max(len(zones) - 1, 1)
-            known = stamp, {
-                zone: self._finest(names, far if zone == shape.zone else shape.least, shape.balancers)
-                for zone, names in zones.items()
+            known = zones, {
+                name: zone.finest(far if name == shape.zone else shape.least, shape.balancers)
+                for name, zone in zones.items()
             }  # fmt: skip
             self._best.pop((service, shape), None)
             self._best[service, shape] = known
@@ -131,26 +154,23 @@
                 del self._best[next(iter(self._best))]
         return known[1]
 
-    def _by_zone(self, service: str, stamp: int) -> dict[str, list[str]]:
-        known = self._names.get(service)
-        if known is None or known[0] != stamp:
-            zones: dict[str, list[str]] = {}
-            for entry in self._catalog.whole(service):
-                zones.setdefault(entry.told.zone, []).append(entry.name)
-            known = self._names[service] = stamp, zones
-            while len(self._names) > NAMES_MOST:
-                del self._names[next(iter(self._names))]
-        return known[1]
-
-    def _finest(self, names: list[str], least: int, balancers: int) -> int:
-        if balancers:
-            least = max(least, math.ceil(len(names) * COVER / balancers))
-        level = 0
-        while level < LEVEL_MOST and len(names) * COPIES >= least << (level + 1):
-            if _smallest(names, level + 1) < least:
-                break
-            level += 1
-        return level
+    def _zones_of(self, service: str) -> dict[str, Zone]:
+        """The same while nobody has come or gone: a drain, or another weight, moves no part."""
+        stamp = self._catalog.places.stamps.get(service, 0)
+        known = self._zones.get(service)
+        if known is not None and known[0] == stamp:
+            return known[1]
+        names: dict[str, list[str]] = {}
+        for entry in self._catalog.whole(service):
+            names.setdefault(entry.told.zone, []).append(entry.name)
+        old = known[1] if known is not None else {}
+        zones = {zone: _same(old.get(zone), sorted(all_)) for zone, all_ in names.items()}
+        if len(zones) == len(old) and all(old.get(zone) is one for zone, one in zones.items()):
+            zones = old
+        self._zones[service] = stamp, zones
+        while len(self._zones) > ZONES_MOST:
+            del self._zones[next(iter(self._zones))]
+        return zones
 
     def levels(self, interest: Interest, held: Levels | None, whole: bool) -> Levels:
         """What to hold from now on for who holds `held`, None for nobody knows.
@@ -169,6 +189,10 @@
         return told
 
 
+def _same(known: Zone | None, names: list[str]) -> Zone:
+    return known if known is not None and known.names == names else Zone(names)
+
+
 def _smallest(names: list[str], level: int) -> int:
     mask, counts = (1 << level) - 1, [0] * (1 << level)
     for name in names:
--- /dev/null
+++ b/benchmarks/interest_balancer.py
@@ -0,0 +1,50 @@
+"""One balancer's process with a list, for `benchmarks.interest`: it loads what a balancer loads, and no more.
+
+python -m benchmarks.interest_balancer SPEC.json
+"""
+
+from __future__ import annotations
+
+import asyncio
+import gc
+import json
+import sys
+import time
+from pathlib import Path
+
+from basaltspindle.net.config import read_config, read_list
+from basaltspindle.net.driver import Driver
+
+
+def pss_mb() -> float:
+    """Proportional memory of this process."""
+    lines = Path("/proc/self/smaps_rollup").read_text(encoding="utf-8").splitlines()
+    return next(int(line.split()[1]) for line in lines if line.startswith("Pss:")) / 1_000
+
+
+def balancer(path: str) -> None:
+    """Take a list as a balancer's process does, and print what it costs."""
+    told = json.loads(Path(path).read_text(encoding="utf-8"))
+    kind = {"name": "any", "target": 100.0, "deadline": 1_000.0, "effect": "retryable"}
+    settings = {"classes": [kind], "balancers": told["balancers"], "discovery": "ask"}
+    config = {"listen": "127.0.0.1:0", "discovery": "127.0.0.1:9", "settings": settings, "lists": {}}
+
+    async def take() -> None:
+        driver = Driver(read_config(json.dumps(config), print), asyncio.get_running_loop(), None)
+        gc.collect()
+        idle, size = pss_mb(), len(body := Path(told["body"]).read_bytes())
+        began = time.process_time()
+        driver._discovery._note(news := read_list(json.loads(body)), 0.0)
+        driver._news(news)
+        took = time.process_time() - began
+        del news, body
+        gc.collect()
+        held = pss_mb()
+        row = {"idle_mb": idle, "process_mb": held, "list_mb": held - idle, "start_bytes": size}
+        print(json.dumps(row | {"start_ms": took * 1_000}))
+
+    asyncio.run(take())
+
+
+if __name__ == "__main__":
+    balancer(sys.argv[1])
