Keep a fault of a configuration on one line whatever its keys hold

A key of a line break made a fault of two lines; Hypothesis came upon it. Keys that can't be printed are shown as Python writes them. The example stands in the test, which fails without the mend.

--- a/basaltspindle/conf/reading.py
+++ b/basaltspindle/conf/reading.py
@@ -101,7 +101,8 @@
 
 
 def _under(path: str, name: str) -> str:
-    return f"{path}.{name}" if path else name
+    shown = name if name.isprintable() else repr(name)  # a fault is one line, whatever a key holds
+    return f"{path}.{shown}" if path else shown
 
 
 def _bare(kind: Any) -> Any:
--- a/tests/test_conf.py
+++ b/tests/test_conf.py
@@ -7,7 +7,7 @@
 from pathlib import Path
 
 import pytest
-from hypothesis import given
+from hypothesis import example, given
 from hypothesis import strategies as st
 
 from basaltspindle import conf
@@ -91,6 +91,7 @@
     st.lists(inner, max_size=3) | st.dictionaries(st.sampled_from(
         "listen discovery settings classes limits known name target".split()) | st.text(max_size=3), inner)
 ), max_leaves=12))  # fmt: skip
+@example({"\n": None})
 def test_whatever_a_file_holds_its_faults_are_lines(value: object) -> None:
     tables = value if isinstance(value, dict) else {"settings": value}
     found = conf.faults(tables)
