Plant a list service that reuses versions where it decides now who goes on

Reads ask Catalog.goes_on since lists are kept by service; the planted defect stood in Catalog.changes, which they no longer call, so that its drill (list-lost) held. It is found again: check versions broken.

--- a/basaltspindle/drill/plants.py
+++ b/basaltspindle/drill/plants.py
@@ -161,15 +161,15 @@
     """A list service without its memory begins at 1, and leaves those who have seen more to themselves."""
     from basaltspindle.directory import Catalog, service
 
-    real = Catalog.changes
+    real = Catalog.goes_on
     vars(service)["first_index"] = lambda stored, now_ms, number, stride: (
         (stored // stride + 1) * stride + number
     )
 
-    def changes(self: Catalog, tier: str, after: int, now: float) -> Any:
-        return real(self, tier, min(after, self.index), now)
+    def goes_on(self: Catalog, services: tuple[str, ...], after: int, now: float) -> bool:
+        return real(self, services, min(after, self.index), now)
 
-    Catalog.changes = changes  # type: ignore[method-assign]
+    Catalog.goes_on = goes_on  # type: ignore[method-assign]
 
 
 def lapses_unheard() -> None:
