Let go of the place of who makes way and never takes its answer

A connection that was told to make way was marked by a moment of idleness without an end, and what it had not taken of its answer was then waited for without an end as well. That it is half-closed marks it now, and its 20 s without a byte run from its last answer. The test, with a client that reads nothing, fails without this (its place is not freed within 10 s).

--- a/basaltspindle/net/callers.py
+++ b/basaltspindle/net/callers.py
@@ -495,8 +495,8 @@
         return self._current is None and not self._waiting and not self._reading
 
     def may_end(self) -> bool:
-        """Whether it can be ended with nothing lost: idle, and no request in the kernel either."""
-        if self._transport is None or self._lost or not self.is_idle():
+        """Whether it can be ended, once, with nothing lost: idle, and no request in the kernel either."""
+        if self._transport is None or self._lost or self._half_closed or not self.is_idle():
             return False
         return self._deaf or not peek(self._transport)
 
@@ -615,8 +615,7 @@
         return self._asked
 
     def make_way(self) -> None:
-        """End for another to have the place, once; no answer of ours to who never asked can be overtaken."""
-        self.idle_since = math.inf
+        """End for another to have the place; no answer of ours to who never asked can be overtaken."""
         self.half_close(LINGER_S if self._asked else FRESH_S)
 
     def half_close(self, linger_s: float = LINGER_S) -> None:
@@ -792,7 +791,6 @@
         while self._connections and time.monotonic() - started < TERM_ACCEPT_S + longest_s:
             for connection in self._connections:
                 if connection.idle_since < time.monotonic() - FRESH_S and connection.may_end():
-                    connection.idle_since = math.inf  # ended once; then it only lingers
                     connection.half_close()
             await asyncio.sleep(0.01)
         self.handler.close()
--- a/basaltspindle/net/descriptors.py
+++ b/basaltspindle/net/descriptors.py
@@ -36,10 +36,10 @@
         """Whether a whole request has ever come."""
 
     def may_end(self) -> bool:
-        """Whether it can be ended with nothing lost; asks the kernel."""
+        """Whether it can be ended, once, with nothing lost; asks the kernel."""
 
     def make_way(self) -> None:
-        """End, once."""
+        """End."""
 
 
 class IdleEviction:
--- a/tests/test_descriptors.py
+++ b/tests/test_descriptors.py
@@ -19,6 +19,7 @@
 import pytest
 
 from basaltspindle.drill.fleet import free_port
+from basaltspindle.net import callers, descriptors
 from basaltspindle.net.descriptors import EVICT_MOST, EVICT_S, FRESH_S, IDLE_S, IdleEviction, side_cap
 from tests.loopback import (
     Asked,
@@ -29,6 +30,7 @@
     config_text,
     entry,
     read_message,
+    response,
     run,
     status,
     until,
@@ -69,17 +71,17 @@
 
     async def scenario() -> None:
         async with Rig(Upstream()) as rig:
-            callers = rig.driver.callers
-            callers._pause()
-            callers.listener = Full(fileno=callers.listener.detach())
-            callers._resume()
-            with socket.create_connection(callers.address):
+            ours = rig.driver.callers
+            ours._pause()
+            ours.listener = Full(fileno=ours.listener.detach())
+            ours._resume()
+            with socket.create_connection(ours.address):
                 await until(lambda: Full.tries > 0)
                 for _ in range(1_000):
                     await asyncio.sleep(0)
                 assert Full.tries <= 2
-                callers.listener = socket.socket(fileno=callers.listener.detach())
-                await until(lambda: callers.count() == 1)
+                ours.listener = socket.socket(fileno=ours.listener.detach())
+                await until(lambda: ours.count() == 1)
 
     run(scenario())
 
@@ -138,6 +140,33 @@
     assert sum(c.ended for c in crowd) - before == 1
 
 
+def test_who_makes_way_and_takes_no_answer_loses_its_place_all_the_same(
+    monkeypatch: pytest.MonkeyPatch,
+) -> None:
+    """What it had not taken of its answer was waited for without an end."""
+    monkeypatch.setattr(callers, "STALL_S", 0.05)
+    monkeypatch.setattr(callers, "LINGER_S", 0.01)
+    monkeypatch.setattr(descriptors, "IDLE_S", 0.0)
+
+    async def scenario() -> None:
+        async with Rig(Upstream(response(200, b"x" * 60_000), response())) as rig:
+            rig.driver.callers.cap = 1
+            with socket.socket() as deaf:
+                deaf.setsockopt(socket.SOL_SOCKET, socket.SO_RCVBUF, 4_096)
+                deaf.connect(rig.driver.callers.address)
+                await until(lambda: rig.driver.callers.count() == 1)
+                (connection,) = rig.driver.callers._connections
+                await until(lambda: connection._transport is not None)
+                assert connection._transport is not None
+                ours = connection._transport.get_extra_info("socket")
+                ours.setsockopt(socket.SOL_SOCKET, socket.SO_SNDBUF, 4_096)
+                deaf.sendall(HEAD)
+                await until(lambda: connection._unsent.count > 0 and connection.is_idle())
+                assert status(await rig.ask()) == 200
+
+    run(scenario())
+
+
 # ---- a process ----------------------------------------------------------------------------------
 
 
