Take the answer of a call that was given up, until another one is answered

Change: the link of such a call is kept for 2 s, and its answer taken unless a newer one has come; the watch stays where it is, so the next answer tells the same and more. One link at the most, none after a move.

--- a/basaltspindle/net/discovery.py
+++ b/basaltspindle/net/discovery.py
@@ -18,6 +18,7 @@
 PUSH_PAUSE_S = 0.5  # before the agent on this machine is called again, where lists are pushed
 WHOLE_S = 2.0  # for a look at another instance
 LOOK_S = 1.0  # between looks whether another instance is to be looked at
+LATE_S = 2.0  # after the end of its time, a call's answer is still taken: what is written counts as told
 CONNECT_S = 1.0  # for a connection to come up: the wait of a call is for its answer
 LIST_MAX = 4 * 1024 * 1024
 NO_INTERESTS = "the list service knows no interests: the whole of the service is taken"
@@ -80,6 +81,11 @@
         self._transport.write(request)
         return await self._answer
 
+    async def late(self) -> Answer:
+        """Wait on for the answer to a call that was given up."""
+        self._answer = asyncio.get_running_loop().create_future()
+        return await self._answer
+
     def close(self) -> None:
         """Close at once."""
         self.closed = True
@@ -118,6 +124,7 @@
         self._comparing: asyncio.Task[None] | None = None
         self._link: _Link | None = None
         self._linked_to: Address | None = None
+        self._late: tuple[_Link, asyncio.Task[None]] | None = None  # the last call that was given up
         self._reopened = False  # and no answer since
         self._content: dict[str, tuple[object, ...]] = {}
         self._heard = self._changed = -math.inf
@@ -159,6 +166,7 @@
         if self._task is not None:
             self._task.cancel()
         self._close_link()
+        self._drop_late()
         self._task = None
         self.subscribe()
 
@@ -196,6 +204,8 @@
                 continue
             except Exception as error:
                 # Guards against a watch that ends unseen: whatever was wrong with a call, it has failed.
+                if isinstance(error, SilentError) and not ask.waits and self._wanted is None:
+                    self._listen_on(ask)
                 self._note_failed(ask.address, began, error)
                 self._close_link()
                 pause_s = watch.failed(loop.time() - began, isinstance(error, SilentError))
@@ -204,6 +214,7 @@
                 await asyncio.sleep(pause_s)
                 continue
             self._reopened = False
+            self._drop_late()
             if not self._on_news(news):
                 watch.disbelieved(loop.time())
             elif watch.went_home(loop.time()):
@@ -261,6 +272,38 @@
             self._note(news, now)
         return news
 
+    def _listen_on(self, ask: Ask) -> None:
+        """The next call goes out; until one is answered, this one's answer is welcome: links may be slow.
+
+        Not so with interests: what a late answer holds depends on what was wanted when it was asked for.
+        """
+        self._drop_late()
+        if self._link is not None:
+            task = asyncio.get_running_loop().create_task(self._hear_late(self._link, ask))
+            self._late, self._link = (self._link, task), None
+
+    async def _hear_late(self, link: _Link, ask: Ask) -> None:
+        """Take it as it is, and leave the watch where it is: the next answer tells the same, and more."""
+        try:
+            async with asyncio.timeout(LATE_S):
+                news, _ = _read(await link.late(), None)
+        except (OSError, ValueError, TimeoutError):
+            return
+        finally:
+            link.close()
+        if self._watch.is_news(ask, news.index):
+            self._heard = asyncio.get_running_loop().time()
+            if self._own is not None:
+                self._note(news, self._heard)
+            self._on_news(news)
+
+    def _drop_late(self) -> None:
+        if self._late is not None:
+            link, task = self._late
+            self._late = None
+            task.cancel()
+            link.close()
+
     def _query(self) -> list[str]:
         """What is wanted of the list, beside its version."""
         if self._wanted is not None:
@@ -328,6 +371,10 @@
         query = [*query, f"after={ask.after}&wait_ms={ask.wait_ms:.0f}"]
     path, (host, port) = "/v1/servers" + ("?" + "&".join(query) if query else ""), ask.address
     answer = await link.call(f"GET {path} HTTP/1.1\r\nHost: {host}:{port}\r\n\r\n".encode())
+    return _read(answer, wanted)
+
+
+def _read(answer: Answer, wanted: Subscription | None) -> tuple[ServerList, tuple[str, bool]]:
     if answer.status != 200:
         if wanted is not None:
             wanted.look_for_pace(answer.status, answer.body)
--- a/basaltspindle/watching/sources.py
+++ b/basaltspindle/watching/sources.py
@@ -77,6 +77,10 @@
             self._home_from = now + HOME_S * (1 + self._random.random()) / 1.5
         return rewound
 
+    def newest(self, address: Address) -> int:
+        """The last version that an instance told; -1 for none."""
+        return self._newest.get(address, -1)
+
     def may_go_home(self, now: float) -> bool:
         """Whether it is time to try the first choice again; if so, that is the one to ask."""
         if now < self._home_from:
--- a/basaltspindle/watching/watch.py
+++ b/basaltspindle/watching/watch.py
@@ -110,6 +110,10 @@
         self.index, self._went_back, self._has_failed = index, False, False
         return is_rewound
 
+    def is_news(self, ask: Ask, index: int) -> bool:
+        """Whether an answer that came late is no older than what its instance has told."""
+        return index >= max(ask.after, self.sources.newest(ask.address))
+
     def failed(self, took_s: float, fell_silent: bool) -> float | None:
         """A call has failed: seconds until the next; None if the list has, and others say when to ask.
 
--- a/tests/test_told.py
+++ b/tests/test_told.py
@@ -157,6 +157,10 @@
             await asyncio.Event().wait()
         return Answer(200, [], None, list_body(CHANGE))
 
+    async def late(self) -> Answer:
+        never: asyncio.Future[Answer] = asyncio.get_running_loop().create_future()
+        return await never
+
     def close(self) -> None:
         self.closed = True
 
@@ -463,3 +467,55 @@
             assert dials[1] - dials[0] < round_s(1, own=False) + SLACK_S
 
     bounded(scenario(), 40.0)
+
+
+class Slow(Standin):
+    """Answers each call when the test lets it."""
+
+    def __init__(self) -> None:
+        super().__init__("slow")
+        self.asked: asyncio.Queue[asyncio.StreamWriter] = asyncio.Queue()
+
+    def _spoil(self, writer: asyncio.StreamWriter) -> None:
+        self.asked.put_nowait(writer)
+
+
+def slow_scenario(then: Callable[[Driver, asyncio.StreamWriter, Slow], Coroutine[Any, Any, None]]) -> None:
+    """A call whose time is up, and the next one that is out; neither has an answer yet."""
+
+    async def scenario() -> None:
+        slow = Slow()
+        config = read_config(config_text(await slow.start(), [HERE]), lambda note: None)
+        driver = Driver(config, asyncio.get_running_loop())
+        driver._discovery._watch._call_s = 0.05
+        driver._discovery._watch.index = -1
+        driver.start()
+        first = await slow.asked.get()
+        driver._discovery._watch._call_s = 60.0
+        await slow.asked.get()
+        await then(driver, first, slow)
+        slow.close()
+
+    bounded(scenario(), 40.0)
+
+
+def test_the_answer_to_a_call_that_was_given_up_is_taken_while_the_next_one_is_out() -> None:
+    """Over a slow link each call was given up just before its answer came, and what is written is told."""
+
+    async def then(driver: Driver, first: asyncio.StreamWriter, slow: Slow) -> None:
+        first.write(response(200, list_body(BEFORE + 2)))
+        await until_known(lambda: driver._index == BEFORE + 2)
+        assert driver._discovery._watch.index == -1, "the watch stays where it was"
+
+    slow_scenario(then)
+
+
+def test_after_a_newer_answer_nothing_can_come_late() -> None:
+    async def then(driver: Driver, first: asyncio.StreamWriter, slow: Slow) -> None:
+        slow._held[1].write(response(200, list_body(BEFORE + 3)))
+        await until_known(lambda: driver._index == BEFORE + 3)
+        assert driver._discovery._late is None
+        await until_known(first.transport.is_closing)
+        assert driver._index == BEFORE + 3
+
+    slow_scenario(then)
