--- a/basaltspindle/directory/interests.py
+++ b/basaltspindle/directory/interests.py
@@ -154,6 +154,14 @@
                 del self._best[next(iter(self._best))]
         return known[1]
 
+    def size(self, view: View) -> int:
+        """About how many servers a view holds."""
+        return sum(
+            math.ceil(len(zone.names) * min(COPIES / 2 ** levels.get(name, 0), 1))
+            for service, levels in view.levels.items()
+            for name, zone in self._zones_of(service).items()
+        )
+
     def _zones_of(self, service: str) -> dict[str, Zone]:
         """The same while nobody has come or gone: a drain, or another weight, moves no part."""
         stamp = self._catalog.places.stamps.get(service, 0)
--- a/basaltspindle/directory/places.py
+++ b/basaltspindle/directory/places.py
@@ -66,10 +66,6 @@
         """All that the service has or has had and that are remembered."""
         return iter(self._by.get(service, ()))
 
-    def count(self, service: str) -> int:
-        """How many the service has, and has had of those that are remembered."""
-        return len(self._by.get(service, ()))
-
     def floor(self, services: tuple[str, ...] | None) -> int:
         """The version up to which removals of some services, or of any, are forgotten."""
         if services is None:
--- a/basaltspindle/directory/reads.py
+++ b/basaltspindle/directory/reads.py
@@ -52,8 +52,8 @@
         """
         if asked.is_old or (asked.after >= 0 and not asked.waited_ms):
             return None
-        sizes = map(self._catalog.places.count, asked.interest.services) if asked.after < 0 else ()
-        cost_s = CALL_S + ENTRY_S * sum(sizes)
+        size = self._parts.size(self._views(asked, whole=True)[1]) if asked.after < 0 else 0
+        cost_s = CALL_S + ENTRY_S * size
         now = asyncio.get_running_loop().time()
         return self.gate.ask(now, cost_s, asked.waited_ms / 1_000, asked.ticket)
 
