--- /dev/null
+++ b/benchmarks/capacity_members.py
@@ -0,0 +1,89 @@
+"""What membership and the return of watches cost, by the number of balancers: the cores, in virtual time.
+
+Processor time is of one member's core alone, without its socket; bytes and calls are counted in virtual time.
+"""
+
+from __future__ import annotations
+
+import os
+import random
+import tracemalloc
+
+import msgspec
+
+from basaltspindle.interface import Effect, ListKind, ListUpdate, RequestClass, SetTimer, Settings
+from basaltspindle.peers import Membership, Tell, Wake
+from basaltspindle.peers.notes import Kind, Note, write
+from basaltspindle.peers.swim import PERIOD_MS
+from basaltspindle.policy.roster import Roster
+from basaltspindle.world.gossip import FLEET, Tier
+from basaltspindle.world.watches import Watched
+from benchmarks.capacity_balancer import cpu_ms
+
+SETTLE_MS, LOOK_MS = 4_000.0, 4_000.0
+MEMBER_PERIODS = 200
+LOSS = 0.05
+OUTAGE_MS, AFTER_MS = 4_000.0, 20_000.0
+_decoder = msgspec.msgpack.Decoder(Note)
+CLASSES = (RequestClass("read", 250.0, 1_000.0, Effect.SAFE),)
+
+
+def member(size: int, number: int) -> dict[str, float]:
+    """One member of so many that all answer and ping it: its table's memory, processor time a second."""
+    pid, chance = os.getpid(), random.Random(number)
+    tracemalloc.start()
+    one = Membership(0, size, FLEET, seed=number)
+    memory = tracemalloc.get_traced_memory()[0] / 1e6
+    tracemalloc.stop()
+    now, cpu = 0.0, cpu_ms(pid)
+    todo = one.start(now)
+    for _ in range(MEMBER_PERIODS):
+        now = max(now, max(action.at for action in todo if isinstance(action, Wake)))
+        sender = chance.randrange(1, size)
+        one.heard(sender, write(Note(FLEET, Kind.PING, 1, sender, 0, -1, ())), now)
+        for action in one.due(now):
+            if isinstance(action, Tell):
+                asked = _decoder.decode(action.note)
+                answer = Note(FLEET, Kind.ACK, asked.sequence, action.to, 0, -1, ())
+                todo = one.heard(action.to, write(answer), now + 1.0)
+    spent = (cpu_ms(pid) - cpu) / (MEMBER_PERIODS * PERIOD_MS / 1_000)
+    return {"size": size, "play": number, "table_mb": memory, "member_ms_s": spent}
+
+
+def notes(size: int, number: int, loss: float = LOSS) -> dict[str, float]:
+    """Bytes that a member sends a second, in virtual time."""
+    pid = os.getpid()
+    tier = Tier(size, seed=number, loss=loss)
+    tier.run(SETTLE_MS)
+    sent, told, cpu = tier.bytes, tier.notes, cpu_ms(pid)
+    tier.run(LOOK_MS)
+    each_s = size * LOOK_MS / 1e3
+    return {
+        "size": size, "play": number, "loss": loss, "bytes_s": (tier.bytes - sent) / each_s,
+        "notes_s": (tier.notes - told) / each_s, "tier_ms_s": (cpu_ms(pid) - cpu) / each_s,
+    }  # fmt: skip
+
+
+def herd(size: int, number: int) -> dict[str, float]:
+    """All instances of two are away for 4 s while as many balancers watch as many servers."""
+    fleet = Watched(size, size, 2, number)
+    fleet.run(10_000)
+    whole = fleet.whole
+    fleet.outage(OUTAGE_MS)
+    fleet.run(OUTAGE_MS + AFTER_MS)
+    found = fleet.figures()
+    return {
+        "size": size, "play": number, "whole_lists": fleet.whole - whole,
+        "worst_second_calls": found["calls_most_in_a_second"], "busiest": found["busiest_instance"],
+    }  # fmt: skip
+
+
+def pause(size: int, number: int) -> dict[str, float]:
+    """How long a balancer waits until it asks again, after the failures of an outage of 30 s."""
+    settings = Settings(classes=CLASSES, balancers=size, list_is_asked=True, ask_within_ms=30_000.0)
+    roster, now, most = Roster(settings, random.Random(number)), 0.0, 0.0
+    roster.listed(ListUpdate(ListKind.DELTA), now)
+    while now < 30_000.0:
+        at = next(a.at_ms for a in roster.failed(now) if isinstance(a, SetTimer))
+        most, now = max(most, at - now), at
+    return {"size": size, "play": number, "pause_most_s": most / 1_000}
