--- a/benchmarks/capacity_reckoned.py
+++ b/benchmarks/capacity_reckoned.py
@@ -66,7 +66,7 @@
     verdict = _verdict(spent, fleet)
     beside = [
         "balancer beside an upstream", f"{fleet.size:,} servers", calls, *_cells(spent), verdict,
-        "list service, whole; by interest: none yet",
+        "list service, whole here; lists by interest, where `services` is set",
     ]  # fmt: skip
     front = [
         "balancer at a front", "the same", "the same: control does not grow with calls", *_cells(spent),
