Measure a fleet on one machine: real list service, hollow balancers, five steps

irondrum scale run starts instances of the list service, real balancers behind counting relays, hosts of hollow balancers (the watch on real sockets and the decision module) and a registrar that renews all leases, and goes through start, quiet, changes, an instance killed, all away and back. figures.json has processor time, PSS, bytes and calls by role, and for each change the time until the last balancer had it. All processes are those of drill/processes.py: killed when the driver is gone.

--- a/basaltspindle/cli/main.py
+++ b/basaltspindle/cli/main.py
@@ -8,7 +8,7 @@
 
 import typer
 
-from basaltspindle.cli import demo, directory, drill, lab, operate, serve, zone
+from basaltspindle.cli import demo, directory, drill, lab, operate, scale, serve, zone
 from basaltspindle.cli.misuse import Misuse
 from basaltspindle.conf import Unusable
 from basaltspindle.directory.caller import CallError
@@ -18,6 +18,7 @@
 from basaltspindle.drill.load import LoadError
 from basaltspindle.drill.script import ScriptError
 from basaltspindle.lab.policies import PolicyError
+from basaltspindle.scale.plan import PlanError
 from basaltspindle.world.scenario import ScenarioError
 
 app = typer.Typer(no_args_is_help=True, add_completion=False, pretty_exceptions_enable=False)
@@ -25,6 +26,7 @@
 app.add_typer(drill.app, name="drill")
 app.add_typer(directory.app, name="directory")
 app.add_typer(zone.app, name="zone")
+app.add_typer(scale.app, name="scale")
 for command in (
     serve.serve, serve.check, operate.health, operate.stats, operate.cordon, operate.uncordon, operate.top,
     operate.peers, operate.lists, demo.demo,
@@ -33,6 +35,7 @@
 app.command("load")(demo.load_)
 MISUSES = (
     Misuse, ScenarioError, PolicyError, ScriptError, DriveError, LoadError, HostError, CallError, StoreError,
+    PlanError,
 )  # fmt: skip
 
 
--- /dev/null
+++ b/basaltspindle/cli/scale.py
@@ -0,0 +1,53 @@
+"""`irondrum scale`: the fleet ahead on one machine, measured step by step."""
+
+from __future__ import annotations
+
+import asyncio
+from pathlib import Path
+from typing import Annotated
+
+import typer
+import uvloop
+
+from basaltspindle.cli.screen import screen
+from basaltspindle.scale.plan import STEPS, Plan
+from basaltspindle.scale.play import Play
+
+app = typer.Typer(no_args_is_help=True, help="Thousands of hollow balancers beside real ones, measured.")
+
+
+@app.callback()
+def scale() -> None:
+    """Thousands of hollow balancers beside real ones, measured."""
+
+
+@app.command()
+def run(
+    balancers: Annotated[int, typer.Option(help="Upstreams listed, each with its balancer.")],
+    out: Annotated[Path, typer.Option(help="Folder for all that is written; empty or new.")],
+    real: Annotated[int, typer.Option(help="Real balancers; every other one is called.")] = 2,
+    hollow: Annotated[int, typer.Option(help="Hollow ones; -1 for all that are not real.")] = -1,
+    hosts: Annotated[int, typer.Option(help="Processes that hold the hollow ones.")] = 2,
+    instances: Annotated[int, typer.Option(help="Of the list service.")] = 2,
+    services: Annotated[int, typer.Option(help="That the upstreams belong to.")] = 1,
+    lists: Annotated[str, typer.Option(help="How lists are asked: whole.")] = "whole",
+    steps: Annotated[str, typer.Option(help="With commas between; start is the first.")] = ",".join(STEPS),
+    quiet_s: Annotated[float, typer.Option(help="Length of the quiet step.")] = 20.0,
+    away_s: Annotated[float, typer.Option(help="How long all instances are away.")] = 30.0,
+    changes: Annotated[int, typer.Option(help="In the step of changes.")] = 60,
+    seed: Annotated[int, typer.Option(help="Chance of what is changed.")] = 1,
+    plant: Annotated[str, typer.Option(help="Start with a known defect.")] = "",
+) -> None:
+    """Play the steps and write figures.json.
+
+    Example: irondrum scale run --balancers 60 --out found/scale
+    """
+    plan = Plan(
+        balancers=balancers, hollow=balancers - real if hollow < 0 else hollow, real=real, hosts=hosts,
+        instances=instances, services=services, lists=lists, steps=tuple(steps.split(",")), seed=seed,
+        quiet_s=quiet_s, away_s=away_s, changes=changes, plant=plant,
+    )  # fmt: skip
+    play = Play(plan, out, lambda line: screen().print(line, highlight=False))
+    with asyncio.Runner(loop_factory=uvloop.new_event_loop) as runner:
+        runner.run(play.run())
+    typer.echo(out / "figures.json")
--- /dev/null
+++ b/basaltspindle/scale/hollow.py
@@ -0,0 +1,263 @@
+"""Hollow balancers, many in a process: the watch on real sockets and the decision module, without calls.
+
+python -m basaltspindle.scale.hollow SPEC.json
+"""
+
+from __future__ import annotations
+
+import asyncio
+import contextvars
+import gc
+import json
+import os
+import sys
+from dataclasses import replace
+from pathlib import Path
+from typing import Any
+
+import msgspec
+import uvloop
+
+from basaltspindle import interface as face
+from basaltspindle.drill.clock import RealClock
+from basaltspindle.drill.standin import Place, follow, read_spec, say
+from basaltspindle.interface import ListKind, Readiness
+from basaltspindle.net import discovery
+from basaltspindle.net.config import Config, Endpoint, ServerList, read_config
+from basaltspindle.net.upstreams import Answer
+from basaltspindle.policy import Balancer
+from basaltspindle.scale.counting import Tally, in_background, tell_each_second
+from basaltspindle.scale.plan import Plan, balancer_config
+
+GONE = "gone"
+Key = tuple[str, str]
+LISTEN = "127.0.0.1:1"  # nobody listens there: a hollow balancer takes no calls
+
+
+class Spec(Place, kw_only=True, frozen=True):
+    """What a host of hollow balancers is told."""
+
+    plan: Plan
+    numbers: list[int]
+    ways: list[str]
+
+
+class Told(msgspec.Struct):
+    """Of one change: how many balancers of this host have it, and when the last one had, Unix ms."""
+
+    count: int = 0
+    last_ms: float = 0.0
+
+
+class Hollow:
+    """One balancer: what `net/driver.py` does with its list, and nothing else."""
+
+    def __init__(self, config: Config, host: Host) -> None:
+        self._host = host
+        self._balancer = Balancer(config.settings, config.seed)
+        self._discovery = discovery.Discovery(config, self._news, self._failed)
+        self.list: dict[str, Endpoint] = {}
+        self.began_ms = host.clock.now
+        self.ready_ms: float | None = None  # when it had its first list
+        self.fresh = True  # begun in this step: what it is told is no change
+        self.bytes = 0  # in this second
+
+    def start(self) -> None:
+        """Begin as the driver does: from nothing known, on to the first call for the list."""
+        OWNER.set(self)
+        self._listed(ListKind.CACHED, ServerList(0, True, ()))
+
+    def stop(self) -> None:
+        """End as a process does that is killed."""
+        for task in (self._discovery._task, self._discovery._comparing):
+            if task is not None:
+                task.cancel()
+        self._discovery._close_link()
+
+    @property
+    def index(self) -> int:
+        """The version of its list."""
+        return self._discovery._watch.index
+
+    def content(self) -> dict[str, list[Any]]:
+        """Whom it holds for listed: state and start of each."""
+        return {n: [e.member.readiness.name, e.member.up_since_ms] for n, e in self.list.items()}
+
+    def _news(self, news: ServerList) -> bool:
+        if self.ready_ms is None:
+            self.ready_ms = self._host.clock.now
+        return self._listed(ListKind.FULL if news.whole else ListKind.DELTA, news)
+
+    def _listed(self, kind: ListKind, news: ServerList) -> bool:
+        members = tuple([e.member for e in news.endpoints])
+        update = self._balancer.believe(face.ListUpdate(kind, members, news.rewound))
+        if update.doubted or news.rewound:
+            at = {e.member.server: e.address for e in (*self.list.values(), *news.endpoints)}
+            news = replace(news, endpoints=tuple([Endpoint(m, at[m.server]) for m in update.members]))
+        before = self.list
+        if news.whole:
+            self.list = {}
+        for endpoint in news.endpoints:
+            self.list[endpoint.member.server] = endpoint
+            if endpoint.member.readiness is Readiness.GONE:
+                del self.list[endpoint.member.server]
+        self._tell(update)
+        if not self.fresh:
+            self._host.note_all(before, news)
+        return not update.doubted
+
+    def _failed(self) -> None:
+        self._tell(face.ListUpdate(ListKind.FAILED))
+
+    def _tell(self, event: face.Event) -> None:
+        now = self._host.clock.now
+        for action in self._balancer.handle(event, now):
+            if isinstance(action, face.SetTimer):
+                delay_s = max(action.at_ms - now, 0.0) / 1_000
+                asyncio.get_running_loop().call_later(delay_s, self._tell, face.TimerDue(action.token))
+            elif isinstance(action, face.Subscribe):
+                self._discovery.subscribe()
+
+
+OWNER: contextvars.ContextVar[Hollow] = contextvars.ContextVar("OWNER")
+
+
+class CountedLink(discovery._Link):
+    """A connection to the list service whose calls and bytes are counted for its balancer."""
+
+    def __init__(self) -> None:
+        super().__init__()
+        self._owner, self._at = OWNER.get(), ""
+        self._owner._host.tally.dials += 1
+
+    def connection_made(self, transport: asyncio.BaseTransport) -> None:
+        """Keep whom we are connected to."""
+        host, port = transport.get_extra_info("peername")[:2]
+        self._at = f"{host}:{port}"
+        super().connection_made(transport)
+
+    def data_received(self, data: bytes) -> None:
+        """Count, and read on."""
+        self._count(len(data))
+        super().data_received(data)
+
+    async def call(self, request: bytes) -> Answer:
+        """Count, and call."""
+        self._owner._host.tally.calls[self._at] += 1
+        self._count(len(request))
+        return await super().call(request)
+
+    def _count(self, size: int) -> None:
+        self._owner._host.tally.bytes[self._at] += size
+        self._owner.bytes += size
+
+
+class Host:
+    """The hollow balancers of this process, and what they were told."""
+
+    def __init__(self, spec: Spec) -> None:
+        self._spec, self.clock, self.tally = spec, RealClock(spec.offset_ms), Tally()
+        self._hollows: dict[int, Hollow] = {}
+        self._seen: dict[Key, Told] = {}
+
+    def command(self, line: dict[str, Any]) -> None:
+        """What the driver wants: `start`, `stop`, `begin` a step, `report` on it."""
+        numbers = line.get("numbers")
+        match line["do"]:
+            case "start":
+                for number in self._spec.numbers if numbers is None else numbers:
+                    self._start(number)
+            case "stop":
+                for number in numbers or ():
+                    if hollow := self._hollows.pop(number, None):
+                        hollow.stop()
+            case "begin":
+                self._seen.clear()
+                for hollow in self._hollows.values():
+                    hollow.fresh = False
+            case "report":
+                self._report(line)
+
+    def _start(self, number: int) -> None:
+        told = balancer_config(self._spec.plan, number, self._spec.ways, LISTEN)
+        hollow = Hollow(read_config(json.dumps(told), lambda note: None), self)
+        self._hollows[number] = hollow
+        contextvars.copy_context().run(hollow.start)
+
+    def note_all(self, before: dict[str, Endpoint], news: ServerList) -> None:
+        """A balancer has news, applied: what in it is a change to what it had."""
+        now = self.clock.now
+        for endpoint in news.endpoints:
+            member = endpoint.member
+            old = before.get(member.server) if news.whole else None
+            if old is None or old.member != member:
+                self._note(member, now)
+        if news.whole:
+            named = {e.member.server for e in news.endpoints}
+            for name, old in before.items():
+                if name not in named:
+                    self._note(replace(old.member, readiness=Readiness.GONE), now)
+
+    def _note(self, member: face.Member, now: float) -> None:
+        is_gone = member.readiness is Readiness.GONE
+        key = member.server, GONE if is_gone else f"{member.readiness.name}/{member.up_since_ms:.0f}"
+        told = self._seen.get(key)
+        if told is None:
+            told = self._seen[key] = Told()
+        told.count, told.last_ms = told.count + 1, now
+
+    def _report(self, line: dict[str, Any]) -> None:
+        """Write what was told in this step, and who is stale, into a file; then say so."""
+        truth = json.loads(Path(line["truth"]).read_text()) if line.get("truth") else None
+        stale = sum(h.content() != truth for h in self._hollows.values()) if truth is not None else 0
+        report = {
+            "here": len(self._hollows),
+            "stayed": sum(not h.fresh for h in self._hollows.values()),
+            "stale": stale,
+            "ready_ms": [
+                h.ready_ms - h.began_ms if h.ready_ms is not None else None
+                for h in self._hollows.values()
+                if h.fresh
+            ],
+            "seen": [[*key, told.count, told.last_ms] for key, told in self._seen.items()],
+        }
+        path = Path(self._spec.folder) / f"{self._spec.name}.report.json"
+        path.write_text(json.dumps(report))
+        say(done=line["id"], report=str(path))
+
+    def second(self) -> dict[str, object]:
+        """The counts of a second."""
+        for hollow in self._hollows.values():
+            self.tally.most = max(self.tally.most, hollow.bytes)
+            hollow.bytes = 0
+        ready = sum(h.ready_ms is not None for h in self._hollows.values())
+        return self.tally.told() | {"here": len(self._hollows), "ready": ready}
+
+
+def _give_up(loop: asyncio.AbstractEventLoop, context: dict[str, Any]) -> None:
+    """A balancer that fails unseen would falsify the figures of all."""
+    loop.default_exception_handler(context)
+    sys.stderr.flush()
+    os._exit(1)
+
+
+async def serve() -> None:
+    """Be hollow balancers until the driver closes our input."""
+    host, loop = Host(read_spec(Spec)), asyncio.get_running_loop()
+    loop.set_exception_handler(_give_up)
+    discovery._Link = CountedLink  # type: ignore[misc]
+    gc.freeze()
+    task = in_background(loop, tell_each_second(host.second))
+    say(ready=True)
+    await follow(host.command)
+    task.cancel()
+
+
+def main() -> None:
+    """Run on the loop that real balancers run on."""
+    with asyncio.Runner(loop_factory=uvloop.new_event_loop) as runner:
+        runner.run(serve())
+
+
+if __name__ == "__main__":
+    main()
--- /dev/null
+++ b/basaltspindle/scale/plan.py
@@ -0,0 +1,127 @@
+"""What a scale run is made of: sizes, steps, and what each balancer and each upstream is told."""
+
+from __future__ import annotations
+
+import hashlib
+from typing import Any
+
+import msgspec
+
+STEPS = ("start", "quiet", "changes", "instance-killed", "away")
+MECHANISMS = ("whole",)
+RACK = 40  # upstreams that go with a rack
+PROCESSES_MOST, MEMORY_PART = 300, 0.5
+CLASSES = [{"name": "plain", "target": 100.0, "deadline": 1_000.0, "effect": "retryable", "worth": 1.0}]
+
+
+class PlanError(ValueError):
+    """A plan that can't be carried out: one line."""
+
+
+class Plan(msgspec.Struct, frozen=True, kw_only=True):
+    """A scale run; times in seconds."""
+
+    balancers: int
+    """Upstreams on the list, each with its balancer: the size."""
+    hollow: int
+    """Hollow balancers that are there; fewer than the size where the machine can't hold all."""
+    real: int = 2
+    """Real balancers; every other one is called, the rest are the fair comparison with hollow ones."""
+    hosts: int = 2
+    """Processes that hold the hollow ones."""
+    instances: int = 2
+    services: int = 1
+    zones: int = 12
+    lists: str = "whole"
+    steps: tuple[str, ...] = STEPS
+    seed: int = 1
+    plant: str = ""
+    lease_s: float = 10.0
+    quiet_s: float = 20.0
+    changes: int = 60
+    changes_per_s: float = 3.0
+    away_s: float = 30.0
+    settle_s: float = 8.0
+    calls_per_s: float = 20.0
+    """At each real balancer that is called."""
+
+    def check(self) -> None:
+        """PlanError if it can't be carried out."""
+        if unknown := [step for step in self.steps if step not in STEPS]:
+            raise PlanError(f"no step {unknown[0]!r}; there are {', '.join(STEPS)}")
+        if self.lists not in MECHANISMS:
+            raise PlanError(f"no lists {self.lists!r}; there are {', '.join(MECHANISMS)}")
+        if not self.steps or self.steps[0] != "start":
+            raise PlanError("steps: the first is start")
+        if not 0 <= self.hollow <= self.balancers - self.real:
+            raise PlanError(f"hollow: {self.hollow}; allowed: 0 to {self.balancers - self.real}")
+        if not 1 <= self.instances <= 8:
+            raise PlanError(f"instances: {self.instances}; allowed: 1 to 8")
+        if self.hosts + self.instances + self.real + 2 > PROCESSES_MOST:
+            raise PlanError(f"more than {PROCESSES_MOST} processes")
+        if self.changes * 2 > self.balancers:
+            raise PlanError(f"changes: {self.changes}; allowed: half of the upstreams at the most")
+
+    def hollow_numbers(self) -> list[int]:
+        """The numbers of the hollow balancers, spread over the tier."""
+        room = self.balancers - self.real
+        return [place * room // max(self.hollow, 1) for place in range(self.hollow)]
+
+    def real_numbers(self) -> list[int]:
+        """The numbers of the real ones."""
+        return list(range(self.balancers - self.real, self.balancers))
+
+    def zone(self, number: int) -> str:
+        """The zone of an upstream and its balancer."""
+        return f"z{number % self.zones}"
+
+    def rack(self, zone: int) -> list[int]:
+        """The upstreams of the first rack of a zone."""
+        return list(range(zone, self.balancers, self.zones))[:RACK]
+
+    def service(self, number: int) -> str:
+        """The service of an upstream."""
+        return f"v{number % self.services}"
+
+
+def name_of(number: int) -> str:
+    """An upstream's name."""
+    return f"s{number}"
+
+
+def registration(plan: Plan, number: int, address: str, since_ms: float) -> dict[str, Any]:
+    """What an upstream tells the list service of itself."""
+    return {
+        "address": address, "zone": plan.zone(number), "type": "m", "weight": 4.0, "tier": "first",
+        "since_ms": since_ms, "lease_ms": plan.lease_s * 1_000,
+    }  # fmt: skip
+
+
+def list_settings(plan: Plan, number: int, ways: list[str]) -> dict[str, Any]:
+    """How one balancer asks the list service: the one place that knows the mechanism (`Plan.lists`)."""
+    return {"discovery": ways[0], "lists": {"others": ways[1:]}}
+
+
+def balancer_config(plan: Plan, number: int, ways: list[str], listen: str) -> dict[str, Any]:
+    """A balancer's configuration in the platform's form, for real and hollow ones alike.
+
+    `ways` are the instances' addresses as this balancer reaches them.
+    """
+    seed = hashlib.blake2b(f"{plan.seed}/{number}".encode(), digest_size=7).hexdigest()
+    settings = {
+        "classes": CLASSES, "balancers": plan.balancers, "myNumber": number, "tier": 0, "discovery": "ask",
+        "zone": plan.zone(number), "tick": 2.0,
+        "limits": {
+            "attemptsCap": 3, "connIdle": 60_000.0, "connectTimeout": 250.0, "mayCancel": True,
+            "retryAfter": True, "maxRetryAfter": 2_000.0,
+        },
+        "contract": {
+            "drainGrace": 3_000.0, "askWithin": 10_000.0, "coldFrom": 0.3, "cold": 10_000.0,
+            "overloadFactor": 2.0, "tipAfter": 1_000.0,
+        },
+    }  # fmt: skip
+    told = {
+        "name": f"b{number}", "listen": listen, "seed": seed, "settings": settings,
+        "limits": {"cores": 1.0, "memory_mb": 192, "sockets": 1024},
+    }  # fmt: skip
+    return told | list_settings(plan, number, ways)
--- /dev/null
+++ b/basaltspindle/scale/play.py
@@ -0,0 +1,280 @@
+"""Plays a scale run: starts all, goes through the steps, measures each, leaves no process behind."""
+
+from __future__ import annotations
+
+import asyncio
+import json
+import random
+import resource
+import time
+from collections.abc import Awaitable, Callable
+from pathlib import Path
+from typing import Any
+
+import aiohttp
+
+from basaltspindle.drill.crew import DriveError
+from basaltspindle.scale import figures, looking
+from basaltspindle.scale.crew import Crew
+from basaltspindle.scale.plan import MEMORY_PART, Plan, PlanError
+
+PAIR_KB, HOST_MB, REAL_MB = 1.15, 60.0, 60.0  # of a listed server in a hollow balancer; of processes
+SPARE_FILES = 500
+START_S = 120.0  # until all hollow balancers have their first list
+OVERDUE_S = 900.0  # for a whole run, beside its steps' own lengths
+WORDS = {"in_service": "READY", "terminating": "DRAINING"}
+Changes = list[dict[str, Any]]
+
+
+def guard(plan: Plan) -> None:
+    """PlanError if this machine should not hold it: half of its memory, 20,000 descriptors a process."""
+    plan.check()
+    all_mb, _ = looking.memory_mb()
+    own_mb = plan.hosts * HOST_MB + plan.real * REAL_MB + plan.instances * 2 * HOST_MB
+    pairs_mb = plan.hollow * plan.balancers * PAIR_KB / 1_024
+    if own_mb + pairs_mb > MEMORY_PART * all_mb:
+        room = int((MEMORY_PART * all_mb - own_mb) * 1_024 / PAIR_KB / plan.balancers)
+        raise PlanError(
+            f"memory: {own_mb + pairs_mb:,.0f} MB, allowed are {MEMORY_PART:.0%} of {all_mb:,.0f}; "
+            f" --hollow {max(room, 0)} at the most"
+        )
+    files, _ = resource.getrlimit(resource.RLIMIT_NOFILE)
+    need = plan.hollow + plan.real + SPARE_FILES  # at an instance, where all others are away
+    if need > files:
+        raise PlanError(f"descriptors: an instance may need {need}, allowed are {files}")
+
+
+class Play:
+    """One run; `on_progress` gets a line now and then."""
+
+    def __init__(self, plan: Plan, out: Path, on_progress: Callable[[str], None] = lambda line: None) -> None:
+        """`out` is an empty or new folder for all that is written."""
+        guard(plan)
+        self._plan, self._out, self._say = plan, out, on_progress
+        self._random = random.Random(plan.seed)
+        self._steps: dict[str, Any] = {}
+        self._calls = 0
+        self._spoilt: list[int] = []  # upstreams that are drained or removed, to be put back
+        self._memory_most = 0.0
+
+    async def run(self) -> dict[str, Any]:
+        """Play it, and write `figures.json`; DriveError says why it could not be."""
+        self._out.mkdir(parents=True, exist_ok=True)
+        if any(self._out.iterdir()):
+            raise DriveError(f"{self._out} is not empty")
+        async with aiohttp.ClientSession() as http:
+            self._http, self._crew = http, Crew(self._plan, self._out, http)
+            ticking = asyncio.create_task(self._tick())
+            ticking.add_done_callback(self._tick_ended)
+            try:
+                async with asyncio.timeout(OVERDUE_S):
+                    await self._play()
+            except TimeoutError:
+                raise DriveError("the run did not come to its end in time") from None
+            finally:
+                ticking.cancel()
+                await self._crew.finish()
+        told = self._told()
+        (self._out / "figures.json").write_text(json.dumps(told) + "\n", encoding="utf-8")
+        return told
+
+    async def _play(self) -> None:
+        await self._prepare()
+        done = {
+            "start": self._start, "quiet": self._quiet, "changes": self._changes,
+            "instance-killed": self._instance_killed, "away": self._away,
+        }  # fmt: skip
+        for step in self._plan.steps:
+            await self._do(step, done[step])
+
+    async def _prepare(self) -> None:
+        """All that is there before the balancers."""
+        crew, plan = self._crew, self._plan
+        crew.stand_in("edge", "edge", calls_per_s=plan.calls_per_s)
+        await crew.start_instances()
+        await crew.until_ready(["edge"])
+        crew.stand_in("registrar", "registrar", plan=plan, ways=crew.instances, address=crew.ready["edge"])
+        numbers = plan.hollow_numbers()
+        for host in range(plan.hosts):
+            own = numbers[host :: plan.hosts]
+            crew.stand_in(f"hollow{host}", "hollow", plan=plan, numbers=own, ways=crew.instances)
+        for number in plan.real_numbers():
+            await crew.start_real(number)
+        await crew.until_ready(["registrar", *crew.hosts()])
+        self._say(f"{plan.balancers} upstreams register")
+        began = time.monotonic()
+        crew.ones["registrar"].process.tell({"do": "register"})
+        await self._wait_row("registrar", lambda row: row.get("held", 0) == plan.balancers, "registered")
+        self._say(f"registered in {time.monotonic() - began:.1f} s")
+
+    async def _wait_row(self, name: str, is_so: Callable[[dict[str, Any]], bool], what: str) -> None:
+        until = time.monotonic() + START_S
+        while not any(is_so(row) for row in self._crew.ones[name].rows[-4:]):
+            if time.monotonic() > until:
+                raise DriveError(f"{name}: not {what} in {START_S:.0f} s")
+            if self._crew.troubles:
+                raise DriveError(f"{self._crew.troubles[0]}; see its log in {self._out}")
+            await asyncio.sleep(0.1)
+
+    # ---- steps ----------------------------------------------------------------------------------
+
+    async def _do(self, step: str, work: Callable[[], Awaitable[Changes]]) -> None:
+        """One step: its work, time to settle, then what it cost and who is stale."""
+        self._crew.tell_hosts(do="begin")
+        begin = int(time.time())
+        changes = await work()
+        await asyncio.sleep(self._plan.settle_s)
+        end = int(time.time()) + 1
+        await asyncio.sleep(1.1)  # the last second's lines are still on their way
+        memory = self._crew.memory()
+        truth = await self._truth()
+        reports = await self._reports(truth)
+        self._steps[step] = told = self._measured(step, begin, end, changes, reports, memory)
+        self._say(self._line(step, told))
+        await self._restore()
+
+    def _measured(
+        self, step: str, begin: int, end: int, changes: Changes, reports: list[Any], memory: dict[str, float]
+    ) -> dict[str, Any]:
+        roles, crew = {}, self._crew
+        held = {host: max(report["here"], 1) for host, report in zip(crew.hosts(), reports, strict=True)}
+        for role, units in figures.series_of(crew, held).items():
+            names = [name for name, one in crew.ones.items() if one.kind == role and name in memory]
+            count = sum(held[name] if role == "hollow" else 1 for name in names)
+            pss = sum(memory[name] for name in names) / max(count, 1)
+            roles[role] = figures.cost(units, begin, end) | {"pss_mb": round(pss, 2), "units": count}
+        told = figures.in_force(changes, reports)
+        if step == "start":
+            ready = [ms for report in reports for ms in report["ready_ms"]]
+            told |= figures.summary([ms for ms in ready if ms is not None])
+            told["never_told"] = sum(ms is None for ms in ready)
+        return {"begin": begin, "end": end, "roles": roles, "in_force_ms": told}
+
+    def _line(self, step: str, told: dict[str, Any]) -> str:
+        force, hollow = told["in_force_ms"], told["roles"].get("hollow", {})
+        list_ = told["roles"]["instance"]
+        return (
+            f"{step}: {told['end'] - told['begin']} s; balancer {hollow.get('cpu_mean', 0):.2%} of a core, "
+            f"{hollow.get('bytes_s_mean', 0):,.0f} B/s; instance {list_.get('cpu_mean', 0):.2f} core, worst "
+            f"{list_.get('cpu_worst', 0):.2f}, {list_.get('calls_s_worst', 0):,.0f} calls/s; in force "
+            f"{force['median']} ms, most {force['max']}; never told {force['never_told']}, "
+            f"stale {force['stale_after']}"
+        )
+
+    async def _start(self) -> Changes:
+        """All balancers at once."""
+        for number in self._plan.real_numbers():
+            self._crew.run_real(number)
+        self._crew.tell_hosts(do="start")
+        until = time.monotonic() + START_S
+        while time.monotonic() < until:
+            rows = [self._crew.ones[host].rows for host in self._crew.hosts()]
+            lines = [next((r for r in reversed(some[-4:]) if "ready" in r), {"ready": 0}) for some in rows]
+            if sum(line["ready"] for line in lines) == self._plan.hollow:
+                break
+            await asyncio.sleep(0.2)
+        for number in self._plan.real_numbers():
+            if self._crew.is_called(number):
+                self._crew.ones["edge"].process.tell({"call": self._crew.listens[number]})
+        return []
+
+    async def _quiet(self) -> Changes:
+        await asyncio.sleep(self._plan.quiet_s)
+        return []
+
+    async def _changes(self) -> Changes:
+        """Drains, new starts and removals, each of another upstream."""
+        numbers = self._random.sample(range(self._plan.balancers), self._plan.changes)
+        return await self._write(numbers, ["drain", "start", "remove"], self._plan.changes_per_s)
+
+    async def _instance_killed(self) -> Changes:
+        """The first instance is killed, changes go on, and it comes back."""
+        if self._plan.instances < 2:
+            raise DriveError("instance-killed: there is one instance only")
+        self._crew.kill("list0")
+        count = max(self._plan.changes // 4, 2)
+        numbers = self._random.sample(range(self._plan.balancers), count)
+        changes = await self._write(numbers, ["start", "drain"], max(count / 10, 1.0))
+        self._crew.start_instance(0)
+        await self._crew.wait_reached([0])
+        return changes
+
+    async def _away(self) -> Changes:
+        """No instance is there for a while; then all are, and changes come at once."""
+        every = range(self._plan.instances)
+        for number in every:
+            self._crew.kill(f"list{number}")
+        await asyncio.sleep(self._plan.away_s)
+        for number in every:
+            self._crew.start_instance(number)
+        await self._crew.wait_reached(every)
+        count = max(self._plan.changes // 4, 2)
+        numbers = self._random.sample(range(self._plan.balancers), count)
+        return await self._write(numbers, ["start", "drain"], self._plan.changes_per_s)
+
+    async def _write(self, numbers: list[int], kinds: list[str], per_s: float) -> Changes:
+        writes = [(number, kinds[place % len(kinds)]) for place, number in enumerate(numbers)]
+        self._spoilt += [number for number, what in writes if what != "start"]
+        line = {"do": "write", "id": self._next(), "writes": writes, "per_s": per_s}
+        answer = await self._crew.asked("registrar", line)
+        if lost := [w for w in answer["written"] if w["status"] != 200]:
+            raise DriveError(f"{len(lost)} changes were not taken, the first is {lost[0]}")
+        return [w | {"at_ms": w["sent_ms"]} for w in answer["written"]]
+
+    async def _restore(self) -> None:
+        """Put back what the step has drained or removed."""
+        numbers, self._spoilt = sorted(set(self._spoilt)), []
+        if numbers:
+            await self._write(numbers, ["start"], 50.0)
+            await asyncio.sleep(self._plan.settle_s / 2)
+
+    def _next(self) -> int:
+        self._calls += 1
+        return self._calls
+
+    # ---- measuring ------------------------------------------------------------------------------
+
+    async def _truth(self) -> Path:
+        """What the service lists, in the form that hollow balancers compare with."""
+        async with self._http.get(f"http://{self._crew.instances[-1]}/v1/servers?tier=first") as answer:
+            told = await answer.json()
+        truth = {e["name"]: [WORDS[e["status"]], e["since_ms"]] for e in told["endpoints"]}
+        path = self._out / "truth.json"
+        path.write_text(json.dumps(truth))
+        return path
+
+    async def _reports(self, truth: Path) -> list[Any]:
+        line = {"do": "report", "id": self._next(), "truth": str(truth)}
+        answers = await asyncio.gather(*(self._crew.asked(host, line) for host in self._crew.hosts()))
+        return [json.loads(Path(answer["report"]).read_text()) for answer in answers]
+
+    async def _tick(self) -> None:
+        """At each second's end look at all, and guard the memory."""
+        all_mb, _ = looking.memory_mb()
+        while True:
+            now = time.time()
+            await asyncio.sleep(int(now) + 1 - now)
+            self._crew.look(int(now))
+            used = sum(looking.resident_mb(one.process.pid) for one in self._crew.ones.values())
+            self._memory_most = max(self._memory_most, used)
+            if used > MEMORY_PART * all_mb:
+                self._crew.troubles.append(f"memory: {used:,.0f} MB in use, over {MEMORY_PART:.0%} of all")
+
+    def _tick_ended(self, task: asyncio.Task[None]) -> None:
+        if not task.cancelled() and (error := task.exception()):
+            self._crew.troubles.append(f"the look at all has failed: {error!r}")
+
+    def _told(self) -> dict[str, Any]:
+        plan, crew = self._plan, self._crew
+        hollow = {host: max(plan.hollow // plan.hosts, 1) for host in crew.hosts()}
+        roles = figures.series_of(crew, hollow)
+        by_time = {
+            role: [{second: values for second, values in sorted(unit.items())} for unit in units]
+            for role, units in roles.items()
+        }
+        return {
+            "size": plan.balancers, "mechanism": plan.lists, "hollow": plan.hollow, "real": plan.real,
+            "hosts": plan.hosts, "instances": plan.instances, "services": plan.services, "seed": plan.seed,
+            "plant": plan.plant, "resident_most_mb": round(self._memory_most), "steps": self._steps,
+            "by_time": by_time,
+        }  # fmt: skip
--- a/tests/test_house.py
+++ b/tests/test_house.py
@@ -25,6 +25,7 @@
     "conf": {"net"},
     # The plants of a drill are the program itself, made worse.
     "drill": {"interface", "world", "net", "policy", "watching", "peers", "state", "directory", "__main__"},
+    "scale": {"interface", "drill", "net", "policy", "watching", "directory"},
 }
 
 
