Keep a scale run's figures: 500 balancers that each hold the whole list

irondrum scale keep writes figures without those of each second. Services, tiers and what a balancer wants come from the plan, so that lists by interest can be run beside; the truth is compared by tier.

--- a/basaltspindle/cli/scale.py
+++ b/basaltspindle/cli/scale.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import asyncio
+import json
 from pathlib import Path
 from typing import Annotated
 
@@ -10,6 +11,7 @@
 import uvloop
 
 from basaltspindle.cli.screen import screen
+from basaltspindle.scale.figures import kept
 from basaltspindle.scale.plan import SHORT, Plan
 from basaltspindle.scale.play import Play
 
@@ -21,6 +23,21 @@
     """Thousands of hollow balancers beside real ones, measured."""
 
 
+@app.command()
+def keep(
+    folder: Annotated[Path, typer.Argument(help="What --out named.")],
+    into: Annotated[Path, typer.Argument(help="Folder, such as benchmarks/figures.")],
+) -> None:
+    """Keep a run's figures, without those of each second, as scale-SIZE-MECHANISM.json.
+
+    Example: irondrum scale keep found/scale benchmarks/figures
+    """
+    told = kept(json.loads((folder / "figures.json").read_text(encoding="utf-8")))
+    path = into / f"scale-{told['size']}-{told['mechanism']}.json"
+    path.write_text(json.dumps(told, indent=1) + "\n", encoding="utf-8")
+    typer.echo(path)
+
+
 @app.command()
 def run(
     balancers: Annotated[int, typer.Option(help="Upstreams listed, each with its balancer.")],
@@ -30,7 +47,8 @@
     hosts: Annotated[int, typer.Option(help="Processes that hold the hollow ones.")] = 2,
     instances: Annotated[int, typer.Option(help="Of the list service.")] = 2,
     services: Annotated[int, typer.Option(help="That the upstreams belong to.")] = 1,
-    lists: Annotated[str, typer.Option(help="How lists are asked: whole.")] = "whole",
+    lists: Annotated[str, typer.Option(help="How lists are asked: whole, or by interest.")] = "whole",
+    part: Annotated[int, typer.Option(help="By interest: servers of a service held in each zone.")] = 0,
     shared_reading: Annotated[
         bool, typer.Option("--shared-reading", help="A host's hollow ones read the same answer once.")
     ] = False,
@@ -50,7 +68,7 @@
     plan = Plan(
         balancers=balancers, hollow=balancers - real if hollow < 0 else hollow, real=real, hosts=hosts,
         instances=instances, services=services, lists=lists, steps=tuple(steps.split(",")), seed=seed,
-        shared_reading=shared_reading, start_s=start_s, quiet_s=quiet_s,
+        part=part, shared_reading=shared_reading, start_s=start_s, quiet_s=quiet_s,
         away_s=away_s, changes=changes, settle_s=settle_s,
         plant=plant,
     )  # fmt: skip
--- a/basaltspindle/scale/figures.py
+++ b/basaltspindle/scale/figures.py
@@ -98,23 +98,27 @@
     return max(sum(span[at : at + width]) / width for at in range(len(span) - width + 1))
 
 
-def in_force(changes: Iterable[Row], reports: list[Row]) -> dict[str, Any]:
+def in_force(changes: Iterable[Row], reports: list[Row], has_part: bool = False) -> dict[str, Any]:
     """How soon changes were in force at the last balancer, ms; who was never told one, and who is stale.
 
-    Each change has `name`, `state` and `at_ms`, when the service was asked for it by the call that it
-    answered, or first had it. `never_told` counts pairs of a change and a balancer that stayed.
+    Each change has `name`, `state`, `tier` and `at_ms`, when the service was asked for it by the call that it
+    answered, or first had it. `never_told` counts pairs of a change and a balancer that stayed and wants
+    its tier; where balancers hold parts (`has_part`), only the service knows who wants one: those whom
+    nobody was told.
     """
-    stayed = sum(report["stayed"] for report in reports)
+    stayed: Counter[str] = Counter()
     counts: Counter[tuple[str, str]] = Counter()
     last: dict[tuple[str, str], float] = {}
     for report in reports:
+        stayed.update(report["stayed"])
         for name, state, count, last_ms in report["seen"]:
             counts[name, state] += count
             last[name, state] = max(last.get((name, state), 0.0), last_ms)
     took, never = [], 0
     for change in changes:
         key = change["name"], change["state"]
-        never += max(stayed - counts[key], 0)
+        wanted = stayed[change["tier"]]
+        never += max((bool(wanted) if has_part else wanted) - counts[key], 0)
         if key in last:
             took.append(max(last[key] - change["at_ms"], 0.0))
     return summary(took) | {"never_told": never, "stale_after": sum(report["stale"] for report in reports)}
@@ -134,3 +138,16 @@
         "max": histogram.get_max_value(),
         "hdr": histogram.encode().decode(),
     }
+
+
+def kept(told: Row) -> Row:
+    """A run's figures as they are kept beside others: without each second, and the histograms' buckets."""
+    steps = {}
+    for step, one in told["steps"].items():
+        force = {key: value for key, value in one["in_force_ms"].items() if key != "hdr"}
+        seconds = one["end"] - one["begin"]
+        steps[step] = {
+            "seconds": seconds, "roles": one["roles"], "in_force_ms": force,
+            "machine_cores": one["machine_cores"],
+        }  # fmt: skip
+    return {key: value for key, value in told.items() if key not in ("steps", "by_time")} | {"steps": steps}
--- a/basaltspindle/scale/hollow.py
+++ b/basaltspindle/scale/hollow.py
@@ -11,6 +11,7 @@
 import json
 import os
 import sys
+from collections import Counter
 from dataclasses import replace
 from pathlib import Path
 from typing import Any
@@ -31,6 +32,7 @@
 
 GONE = "gone"
 Key = tuple[str, str]
+Truth = dict[str, dict[str, list[Any]]]  # by tier and name: state and start
 READINGS_KEPT = 16
 LISTEN = "127.0.0.1:1"  # nobody listens there: a hollow balancer takes no calls
 
@@ -58,6 +60,7 @@
         self._balancer = Balancer(config.settings, config.seed)
         self._discovery = discovery.Discovery(config, self._news, self._failed)
         self.list: dict[str, Endpoint] = {}
+        self.wants = host.plan.wants(config.settings.number)
         self.began_ms = host.clock.now
         self.ready_ms: float | None = None  # when it had its first list
         self.fresh = True  # begun in this step: what it is told is no change
@@ -80,9 +83,16 @@
         """The version of its list."""
         return self._discovery._watch.index
 
-    def content(self) -> dict[str, list[Any]]:
-        """Whom it holds for listed: state and start of each."""
-        return {n: [e.member.readiness.name, e.member.up_since_ms] for n, e in self.list.items()}
+    def is_stale(self, truth: Truth) -> bool:
+        """Whether it holds anything else than the service lists of what it wants.
+
+        Of a part only what it holds is compared: which part it is, the service alone knows.
+        """
+        listed = {name: state for tier in self.wants for name, state in truth.get(tier, {}).items()}
+        held = {n: [e.member.readiness.name, e.member.up_since_ms] for n, e in self.list.items()}
+        if self._host.plan.part:
+            return not held or any(listed.get(name) != state for name, state in held.items())
+        return held != listed
 
     def _news(self, news: ServerList) -> bool:
         if self.ready_ms is None:
@@ -158,6 +168,7 @@
 
     def __init__(self, spec: Spec) -> None:
         self._spec, self.clock, self.tally = spec, RealClock(spec.offset_ms), Tally()
+        self.plan = spec.plan
         self._hollows: dict[int, Hollow] = {}
         self._seen: dict[Key, Told] = {}
         self._own, self.shared_reading = frozenset(spec.numbers), spec.plan.shared_reading
@@ -210,12 +221,12 @@
 
     def _report(self, line: dict[str, Any]) -> None:
         """Write what was told in this step, and who is stale, into a file; then say so."""
-        truth = json.loads(Path(line["truth"]).read_text()) if line.get("truth") else None
-        stale = sum(h.content() != truth for h in self._hollows.values()) if truth is not None else 0
+        truth = json.loads(Path(line["truth"]).read_text())
+        stayed = Counter(tier for h in self._hollows.values() if not h.fresh for tier in h.wants)
         report = {
             "here": len(self._hollows),
-            "stayed": sum(not h.fresh for h in self._hollows.values()),
-            "stale": stale,
+            "stayed": dict(stayed),
+            "stale": sum(hollow.is_stale(truth) for hollow in self._hollows.values()),
             "ready_ms": [
                 h.ready_ms - h.began_ms if h.ready_ms is not None else None
                 for h in self._hollows.values()
--- a/basaltspindle/scale/plan.py
+++ b/basaltspindle/scale/plan.py
@@ -15,7 +15,7 @@
 DEFECTS = ("polls", "quadratic-fan-out", "never-backs-off")  # see `plants`
 FIRST_PART = 0.1  # of the upstreams that belong to the first service; the others are alike
 CALLED = 8  # services that a balancer calls
-MECHANISMS = ("whole",)
+MECHANISMS = ("whole", "interest")
 RACK = 40  # upstreams that go with a rack
 PROCESSES_MOST, MEMORY_PART = 300, 0.5
 CLASSES = [{"name": "plain", "target": 100.0, "deadline": 1_000.0, "effect": "retryable", "worth": 1.0}]
@@ -40,6 +40,8 @@
     services: int = 1
     zones: int = 12
     lists: str = "whole"
+    part: int = 0
+    """By interest: servers of each service that are held in each zone at the least; 0 for all."""
     shared_reading: bool = False
     """Hollow balancers of a host read an answer that they all get only once: for sizes that one machine
     can't read for all. Their processor time is then too small, and real ones tell it alone."""
@@ -65,6 +67,8 @@
             raise PlanError(f"no defect {self.plant!r}; there are {', '.join(DEFECTS)}")
         if self.lists not in MECHANISMS:
             raise PlanError(f"no lists {self.lists!r}; there are {', '.join(MECHANISMS)}")
+        if self.lists == "interest" and self.shared_reading:
+            raise PlanError("shared_reading: by interest no two balancers get the same answer")
         if not self.steps or self.steps[0] != "start":
             raise PlanError("steps: the first is start")
         if not 0 <= self.hollow <= self.balancers - self.real:
@@ -98,6 +102,14 @@
         first = round(self.balancers * FIRST_PART) if self.services > 1 else self.balancers
         return 0 if number < first else 1 + number % (self.services - 1)
 
+    def tier(self, number: int) -> str:
+        """Where an upstream stands on the list: in its service, or with all."""
+        return f"v{self.service(number)}" if self.lists == "interest" else "first"
+
+    def wants(self, number: int) -> list[str]:
+        """The tiers that a balancer asks for."""
+        return [f"v{one}" for one in self.called(number)] if self.lists == "interest" else ["first"]
+
     def called(self, number: int) -> list[int]:
         """The services that a balancer calls: one in ten balancers calls the first."""
         others = range(1, self.services)
@@ -111,17 +123,25 @@
     return f"s{number}"
 
 
+def number_of(name: str) -> int:
+    """Its number again."""
+    return int(name.removeprefix("s"))
+
+
 def registration(plan: Plan, number: int, address: str, since_ms: float) -> dict[str, Any]:
     """What an upstream tells the list service of itself."""
     return {
-        "address": address, "zone": plan.zone(number), "type": "m", "weight": 4.0, "tier": "first",
+        "address": address, "zone": plan.zone(number), "type": "m", "weight": 4.0, "tier": plan.tier(number),
         "since_ms": since_ms, "lease_ms": plan.lease_s * 1_000,
     }  # fmt: skip
 
 
 def list_settings(plan: Plan, number: int, ways: list[str]) -> dict[str, Any]:
     """How one balancer asks the list service: the one place that knows the mechanism (`Plan.lists`)."""
-    return {"discovery": ways[0], "lists": {"others": ways[1:]}}
+    lists: dict[str, Any] = {"others": ways[1:]}
+    if plan.lists == "interest":
+        lists |= {"services": plan.wants(number)} | ({"part": plan.part} if plan.part else {})
+    return {"discovery": ways[0], "lists": lists}
 
 
 def balancer_config(plan: Plan, number: int, ways: list[str], listen: str) -> dict[str, Any]:
--- a/basaltspindle/scale/play.py
+++ b/basaltspindle/scale/play.py
@@ -138,7 +138,7 @@
             count = sum(held[name] if role == "hollow" else 1 for name in names)
             pss = sum(memory[name] for name in names) / max(count, 1)
             roles[role] = figures.cost(units, begin, end) | {"pss_mb": round(pss, 2), "units": count}
-        told = figures.in_force(changes, reports)
+        told = figures.in_force(changes, reports, has_part=bool(self._plan.part))
         if step == "start":
             ready = [ms for report in reports for ms in report["ready_ms"]]
             told |= figures.summary([ms for ms in ready if ms is not None])
@@ -160,9 +160,11 @@
 
     async def _truth(self) -> Path:
         """What the service lists, in the form that hollow balancers compare with."""
-        async with self._http.get(f"http://{self._crew.instances[-1]}/v1/servers?tier=first") as answer:
+        async with self._http.get(f"http://{self._crew.instances[-1]}/v1/state") as answer:
             told = await answer.json()
-        truth = {e["name"]: [WORDS[e["status"]], e["since_ms"]] for e in told["endpoints"]}
+        truth: dict[str, dict[str, list[Any]]] = {}
+        for entry in told["entries"]:
+            truth.setdefault(entry["tier"], {})[entry["name"]] = [WORDS[entry["status"]], entry["since_ms"]]
         path = self._out / "truth.json"
         path.write_text(json.dumps(truth))
         return path
--- a/basaltspindle/scale/steps.py
+++ b/basaltspindle/scale/steps.py
@@ -12,7 +12,7 @@
 
 from basaltspindle.drill.crew import DriveError
 from basaltspindle.scale.crew import Crew
-from basaltspindle.scale.plan import Plan
+from basaltspindle.scale.plan import Plan, number_of
 
 START_S = 120.0  # until all hollow balancers have their first list
 LAPSE_S = 30.0  # until leases that ran out are off the list
@@ -100,7 +100,10 @@
                 for row in await answer.json():
                     if row["what"] == "lapsed" and row["at_ms"] >= since_ms:
                         found[row["name"]] = min(found.get(row["name"], row["at_ms"]), row["at_ms"])
-        return [{"name": name, "state": "gone", "at_ms": at_ms} for name, at_ms in found.items()]
+        return [
+            {"name": name, "state": "gone", "at_ms": at_ms, "tier": self._plan.tier(number_of(name))}
+            for name, at_ms in found.items()
+        ]
 
     async def _rolling(self) -> Changes:
         """All upstreams and their balancers are started anew, in batches."""
@@ -170,7 +173,10 @@
         written = await self._crew.asked("registrar", {"do": "write", "writes": writes, "per_s": per_s})
         if lost := [w for w in written["written"] if w["status"] != 200]:
             raise DriveError(f"{len(lost)} changes were not taken, the first is {lost[0]}")
-        return [w | {"at_ms": w["sent_ms"]} for w in written["written"]]
+        return [
+            told | {"at_ms": told["sent_ms"], "tier": self._plan.tier(number_of(told["name"]))}
+            for told in written["written"]
+        ]
 
     async def restore(self) -> None:
         """Put back what a step has drained or removed."""
