--- a/basaltspindle/scale/plan.py
+++ b/basaltspindle/scale/plan.py
@@ -4,6 +4,7 @@
 
 import hashlib
 import random
+from collections import Counter
 from typing import Any
 
 import msgspec
@@ -110,6 +111,12 @@
         """The tiers that a balancer asks for."""
         return [f"v{one}" for one in self.called(number)] if self.lists == "interest" else ["first"]
 
+    def held(self) -> float:
+        """Upstreams on a hollow balancer's list, on average; a part is not taken off."""
+        sizes = Counter(self.tier(number) for number in range(self.balancers))
+        held = [sum(sizes[tier] for tier in self.wants(number)) for number in self.hollow_numbers()]
+        return sum(held) / len(held) if held else 0.0
+
     def called(self, number: int) -> list[int]:
         """The services that a balancer calls: one in ten balancers calls the first."""
         others = range(1, self.services)
--- a/basaltspindle/scale/play.py
+++ b/basaltspindle/scale/play.py
@@ -29,9 +29,10 @@
     plan.check()
     all_mb, _ = looking.memory_mb()
     own_mb = plan.hosts * HOST_MB + plan.real * REAL_MB + plan.instances * 2 * HOST_MB
-    pairs_mb = plan.hollow * plan.balancers * PAIR_KB / 1_024
+    held = plan.held()
+    pairs_mb = plan.hollow * held * PAIR_KB / 1_024
     if own_mb + pairs_mb > MEMORY_PART * all_mb:
-        room = int((MEMORY_PART * all_mb - own_mb) * 1_024 / PAIR_KB / plan.balancers)
+        room = int((MEMORY_PART * all_mb - own_mb) * 1_024 / PAIR_KB / held)
         raise PlanError(
             f"memory: {own_mb + pairs_mb:,.0f} MB, allowed are {MEMORY_PART:.0%} of {all_mb:,.0f}; "
             f" --hollow {max(room, 0)} at the most"
