Follow the watch's new calls in hollow balancers and in the planted defects

A failed call now tells within how long the next has to begin; hollow balancers pass that on as the driver does. The fan-out of whole lists is planted where reads are found now.

--- a/basaltspindle/scale/hollow.py
+++ b/basaltspindle/scale/hollow.py
@@ -118,7 +118,7 @@
         return not update.doubted
 
     def _failed(self) -> None:
-        self._tell(face.ListUpdate(ListKind.FAILED))
+        self._tell(face.ListUpdate(ListKind.FAILED, again_ms=self._discovery.again_ms))
 
     def _tell(self, event: face.Event) -> None:
         now = self._host.clock.now
--- a/basaltspindle/scale/plants.py
+++ b/basaltspindle/scale/plants.py
@@ -20,8 +20,8 @@
 
     real = Watch.ask
 
-    def ask(self: Watch) -> Ask:
-        told = real(self)
+    def ask(self: Watch, now: float = 0.0) -> Ask:
+        told = real(self, now)
         return replace(told, wait_ms=min(told.wait_ms, POLL_MS))
 
     Watch.ask = ask  # type: ignore[method-assign]
@@ -29,9 +29,9 @@
 
 def quadratic_fan_out() -> None:
     """Each change tells each watch the whole list."""
-    from basaltspindle.directory.service import Service
+    from basaltspindle.directory.reads import Reads
 
-    Service._changes = lambda self, tier, after: None  # type: ignore[method-assign]
+    Reads._goes_on = lambda self, asked: False  # type: ignore[method-assign]
 
 
 def never_backs_off() -> None:
@@ -42,12 +42,12 @@
 
     real_failed, real_watch = Roster.failed, Watch.failed
 
-    def failed(self: Roster, now: float) -> list[face.Action]:
-        told = real_failed(self, now)
+    def failed(self: Roster, now: float, again_ms: float) -> list[face.Action]:
+        told = real_failed(self, now, again_ms)
         return [replace(a, at_ms=now + AGAIN_S * 1_000) if isinstance(a, face.SetTimer) else a for a in told]
 
-    def watch_failed(self: Watch) -> float | None:
-        pause_s = real_watch(self)
+    def watch_failed(self: Watch, took_s: float, fell_silent: bool) -> float | None:
+        pause_s = real_watch(self, took_s, fell_silent)
         return None if pause_s is None else AGAIN_S
 
     Roster.failed, Watch.failed = failed, watch_failed  # type: ignore[method-assign]
