--- a/basaltspindle/scale/crew.py
+++ b/basaltspindle/scale/crew.py
@@ -21,7 +21,7 @@
 from basaltspindle.drill.processes import Line, Process
 from basaltspindle.scale import edge, hollow, looking, registrar
 from basaltspindle.scale.plan import Plan, balancer_config
-from basaltspindle.scale.relay import Relay
+from basaltspindle.scale.ways import Ways
 
 HOST = "127.0.0.1"
 READY_S = 60.0
@@ -41,15 +41,14 @@
 
 
 class Crew:
-    """All processes by name; `ways` are counted ways between them."""
+    """All processes by name, and the counted ways between some of them."""
 
     def __init__(self, plan: Plan, out: Path, http: aiohttp.ClientSession) -> None:
         self._plan, self._out, self._http = plan, out, http
         self.ones: dict[str, One] = {}
         self.ready: dict[str, Any] = {}
         self.instances = [f"{HOST}:{free_port(HOST)}" for _ in range(plan.instances)]
-        self.between: dict[tuple[int, int], Relay] = {}  # instances' ways to one another
-        self.real_ways: dict[int, list[Relay]] = {}  # a real balancer's ways to the instances
+        self.ways = Ways(self.instances)
         self.consoles: dict[int, str] = {}
         self.listens: dict[int, str] = {}
         self._changed = asyncio.Condition()
@@ -84,11 +83,7 @@
 
     async def start_instances(self) -> None:
         """Start the list service, and wait until it may be asked."""
-        for one in range(self._plan.instances):
-            for other in range(self._plan.instances):
-                if one != other:
-                    way = self.between[one, other] = Relay(self.instances[other])
-                    await way.start()
+        await self.ways.join()
         for number in range(self._plan.instances):
             self.start_instance(number)
         await self.wait_reached(range(self._plan.instances))
@@ -98,7 +93,7 @@
         file, at = self._out / f"list{number}.toml", self.instances
         lines = [f'listen = "{at[number]}"', f'database = "{self._out / f"list{number}.sqlite"}"']
         if len(at) > 1:
-            ways = [at[n] if n == number else self.between[number, n].at for n in range(len(at))]
+            ways = [at[n] if n == number else self.ways.between[number, n].at for n in range(len(at))]
             lines += [f"instances = {msgspec.json.encode(ways).decode()}", f"instance = {number}"]
         file.write_text("\n".join(lines) + "\n", encoding="utf-8")
         argv = [*directory_argv(""), "serve"]
@@ -128,25 +123,17 @@
 
     async def start_real(self, number: int) -> None:
         """Prepare a real balancer and its ways; `run_real` starts it."""
-        ways = [Relay(at) for at in self.instances]
-        for way in ways:
-            await way.start()
-        self.real_ways[number] = ways
+        ways = await self.ways.of_real(number)
         self.listens[number] = f"{HOST}:{free_port(HOST)}"
-        told = balancer_config(self._plan, number, [w.at for w in ways], self.listens[number])
+        told = balancer_config(self._plan, number, ways, self.listens[number])
         (self._out / f"b{number}.config.json").write_bytes(msgspec.json.encode(told))
 
     def run_real(self, number: int) -> None:
         """Start it."""
-        called = self.is_called(number)
-        kind = "real_called" if called else "real_idle"
+        kind = "real_called" if self._plan.is_called(number) else "real_idle"
         path = str(self._out / f"b{number}.config.json")
         self.launch(f"b{number}", kind, run_argv(None, ""), hears=False, LB_CONFIG=path)
 
-    def is_called(self, number: int) -> bool:
-        """Whether a real balancer gets calls: half of them, of either kind some at each of two instances."""
-        return (self._plan.balancers - 1 - number) % 4 in (1, 2)
-
     # ---- telling and hearing --------------------------------------------------------------------
 
     def _hear(self, name: str, line: Line) -> None:
@@ -220,32 +207,10 @@
             if one.seen_s:
                 one.rows.append({"second": second, "cpu": (cpu_s - one.cpu_s) / (now - one.seen_s)})
             one.cpu_s, one.seen_s = cpu_s, now
-        for number, ways in self.real_ways.items():
-            taken = {way.to: way.take() for way in ways}
-            if place := self.ones.get(f"b{number}"):
-                calls = {to: told["calls"] for to, told in taken.items()}
-                passed = {to: told["bytes"] for to, told in taken.items()}
-                place.rows.append({"second": second, "calls": calls, "bytes": passed})
-        self._look_between(second)
-
-    def _look_between(self, second: int) -> None:
-        passed = dict.fromkeys(range(self._plan.instances), 0)
-        asked = dict.fromkeys(range(self._plan.instances), 0)
-        for (asker, other), way in self.between.items():
-            taken = way.take()
-            passed[asker] += taken["bytes"]
-            passed[other] += taken["bytes"]
-            asked[other] += taken["calls"]
-        for number in passed:
-            row = {"second": second, "exchanged": passed[number], "asked": asked[number]}
-            if place := self.ones.get(f"list{number}"):
+        for name, row in self.ways.second(second):
+            if place := self.ones.get(name):
                 place.rows.append(row)
 
-    def memory(self) -> dict[str, float]:
-        """PSS of each process, in MB."""
-        found = {name: looking.pss_mb(one.process.pid) for name, one in self.ones.items()}
-        return {name: mb for name, mb in found.items() if mb is not None}
-
     def kill(self, name: str) -> None:
         """Kill a process."""
         self.ones[name].process.signal(signal.SIGKILL)
@@ -253,5 +218,4 @@
     async def finish(self) -> None:
         """End all."""
         await asyncio.gather(*(one.process.finish() for one in self.ones.values()))
-        for way in (*self.between.values(), *(w for ways in self.real_ways.values() for w in ways)):
-            way.close()
+        self.ways.close()
--- a/basaltspindle/scale/looking.py
+++ b/basaltspindle/scale/looking.py
@@ -29,6 +29,12 @@
     return None
 
 
+def memory_by_name(pids: dict[str, int]) -> dict[str, float]:
+    """PSS of each process that is there, in MB."""
+    found = {name: pss_mb(pid) for name, pid in pids.items()}
+    return {name: mb for name, mb in found.items() if mb is not None}
+
+
 def memory_mb() -> tuple[float, float]:
     """Of this machine: all its memory, and what is available now, in MB."""
     told = dict(line.split(":") for line in Path("/proc/meminfo").read_text().splitlines())
--- a/basaltspindle/scale/plan.py
+++ b/basaltspindle/scale/plan.py
@@ -90,6 +90,10 @@
         """The numbers of the real ones."""
         return list(range(self.balancers - self.real, self.balancers))
 
+    def is_called(self, number: int) -> bool:
+        """Whether a real balancer gets calls: half of them, of either kind some at each of two instances."""
+        return (self.balancers - 1 - number) % 4 in (1, 2)
+
     def zone(self, number: int) -> str:
         """The zone of an upstream and its balancer."""
         return f"z{number % self.zones}"
--- a/basaltspindle/scale/play.py
+++ b/basaltspindle/scale/play.py
@@ -120,7 +120,7 @@
         await asyncio.sleep(self._plan.settle_s)
         end, after = int(time.time()) + 1, looking.machine_s()
         await asyncio.sleep(1.1)  # the last second's lines are still on their way
-        memory = self._crew.memory()
+        memory = looking.memory_by_name({n: one.process.pid for n, one in self._crew.ones.items()})
         truth = await self._truth()
         reports = await self._reports(truth)
         self._steps[step] = told = self._measured(step, begin, end, changes, reports, memory)
--- a/basaltspindle/scale/steps.py
+++ b/basaltspindle/scale/steps.py
@@ -50,7 +50,7 @@
         while time.monotonic() < until and not (self._ready() >= self._plan.hollow and self._real_ask()):
             await asyncio.sleep(LOOK_S)
         for number in self._plan.real_numbers():
-            if self._crew.is_called(number):
+            if self._plan.is_called(number):
                 self._crew.ones["edge"].process.tell({"call": self._crew.listens[number]})
         return []
 
@@ -152,11 +152,9 @@
 
     async def _regions(self) -> Changes:
         """Instances can't reach one another while changes go on; those count from the cut's end."""
-        for way in self._crew.between.values():
-            way.cut(True)
+        self._crew.ways.cut(True)
         changes = await self._some(["start", "drain"], over_s=self._plan.away_s / 2)
-        for way in self._crew.between.values():
-            way.cut(False)
+        self._crew.ways.cut(False)
         healed_ms = time.time() * 1_000
         return [change | {"at_ms": max(change["at_ms"], healed_ms)} for change in changes]
 
--- a/tests/test_scale.py
+++ b/tests/test_scale.py
@@ -2,24 +2,28 @@
 
 from __future__ import annotations
 
+import asyncio
 import json
 import os
 import signal
 import subprocess
 import sys
 import time
+from collections import Counter
 from collections.abc import Iterator
 from concurrent.futures import Future, ThreadPoolExecutor
 from pathlib import Path
-from typing import Any
+from typing import Any, cast
 
 import pytest
 
+from basaltspindle.net.config import read_address
 from basaltspindle.scale import plants
 from basaltspindle.scale.allowances import Allowances, over
 from basaltspindle.scale.figures import kept
 from basaltspindle.scale.plan import DEFECTS, Plan, PlanError
 from basaltspindle.scale.play import guard
+from basaltspindle.scale.relay import Relay
 from basaltspindle.scale.report import write
 
 ROOT = Path(__file__).parent.parent
@@ -153,6 +157,46 @@
     assert left_in(out) == []
 
 
+class Echo(asyncio.Protocol):
+    def connection_made(self, transport: asyncio.BaseTransport) -> None:
+        self.transport = cast(asyncio.Transport, transport)
+
+    def data_received(self, data: bytes) -> None:
+        self.transport.write(data)
+
+
+async def pass_through_and_cut() -> tuple[bytes, Counter[str], list[bytes]]:
+    loop = asyncio.get_running_loop()
+    server = await loop.create_server(Echo, "127.0.0.1", 0)
+    relay = Relay("{}:{}".format(*server.sockets[0].getsockname()))
+    await relay.start()
+    host, port = read_address(relay.at)
+    reader, writer = await asyncio.open_connection(host, port)
+    writer.write(b"GET /one")
+    heard = await reader.readexactly(8)
+    passed = relay.take()
+    relay.cut(True)
+    after = [await reader.read()]
+    reader, writer = await asyncio.open_connection(host, port)
+    try:
+        after.append(await reader.read())
+    except ConnectionResetError:
+        after.append(b"")
+    relay.cut(False)
+    reader, writer = await asyncio.open_connection(host, port)
+    writer.write(b"POST /two")
+    after.append(await reader.readexactly(9))
+    relay.close()
+    server.close()
+    return heard, passed, after
+
+
+def test_a_way_counts_what_passes_and_nothing_passes_while_it_is_cut() -> None:
+    heard, passed, after = asyncio.run(pass_through_and_cut())
+    assert (heard, passed) == (b"GET /one", Counter(bytes=16, calls=1))
+    assert after == [b"", b"", b"POST /two"]
+
+
 @pytest.mark.parametrize(
     ("changes", "why"),
     [
