--- a/basaltspindle/scale/figures.py
+++ b/basaltspindle/scale/figures.py
@@ -121,7 +121,9 @@
         never += max((bool(wanted) if has_part else wanted) - counts[key], 0)
         if key in last:
             took.append(max(last[key] - change["at_ms"], 0.0))
-    return summary(took) | {"never_told": never, "stale_after": sum(report["stale"] for report in reports)}
+    stale = sum(report["stale"] for report in reports)
+    first = next((report["first_stale"] for report in reports if report["first_stale"]), "")
+    return summary(took) | {"never_told": never, "stale_after": stale, "first_stale": first}
 
 
 def summary(took_ms: list[float]) -> dict[str, Any]:
--- a/basaltspindle/scale/hollow.py
+++ b/basaltspindle/scale/hollow.py
@@ -60,6 +60,7 @@
         self._balancer = Balancer(config.settings, config.seed)
         self._discovery = discovery.Discovery(config, self._news, self._failed)
         self.list: dict[str, Endpoint] = {}
+        self.name, self._stopped = config.name, False
         self.wants = host.plan.wants(config.settings.number)
         self.began_ms = host.clock.now
         self.ready_ms: float | None = None  # when it had its first list
@@ -73,6 +74,7 @@
 
     def stop(self) -> None:
         """End as a process does that is killed."""
+        self._stopped = True
         for task in (self._discovery._task, self._discovery._comparing):
             if task is not None:
                 task.cancel()
@@ -83,16 +85,18 @@
         """The version of its list."""
         return self._discovery._watch.index
 
-    def is_stale(self, truth: Truth) -> bool:
-        """Whether it holds anything else than the service lists of what it wants.
+    def differs(self, truth: Truth) -> str:
+        """What it holds otherwise than the service lists it, of what it wants; empty for nothing.
 
         Of a part only what it holds is compared: which part it is, the service alone knows.
         """
         listed = {name: state for tier in self.wants for name, state in truth.get(tier, {}).items()}
         held = {n: [e.member.readiness.name, e.member.up_since_ms] for n, e in self.list.items()}
-        if self._host.plan.part:
-            return not held or any(listed.get(name) != state for name, state in held.items())
-        return held != listed
+        names = held if self._host.plan.part else listed | held
+        found = next((name for name in names if held.get(name) != listed.get(name)), "")
+        if found:
+            return f"{self.name}: {found} held as {held.get(found)}, listed as {listed.get(found)}"
+        return "" if held else f"{self.name}: nothing held"
 
     def _news(self, news: ServerList) -> bool:
         if self.ready_ms is None:
@@ -126,7 +130,7 @@
             if isinstance(action, face.SetTimer):
                 delay_s = max(action.at_ms - now, 0.0) / 1_000
                 asyncio.get_running_loop().call_later(delay_s, self._tell, face.TimerDue(action.token))
-            elif isinstance(action, face.Subscribe):
+            elif isinstance(action, face.Subscribe) and not self._stopped:
                 self._discovery.subscribe()
 
 
@@ -222,11 +226,13 @@
     def _report(self, line: dict[str, Any]) -> None:
         """Write what was told in this step, and who is stale, into a file; then say so."""
         truth = json.loads(Path(line["truth"]).read_text())
+        stale = [what for hollow in self._hollows.values() if (what := hollow.differs(truth))]
         stayed = Counter(tier for h in self._hollows.values() if not h.fresh for tier in h.wants)
         report = {
             "here": len(self._hollows),
             "stayed": dict(stayed),
-            "stale": sum(hollow.is_stale(truth) for hollow in self._hollows.values()),
+            "stale": len(stale),
+            "first_stale": next(iter(stale), ""),
             "ready_ms": [
                 h.ready_ms - h.began_ms if h.ready_ms is not None else None
                 for h in self._hollows.values()
