--- a/basaltspindle/cli/scale.py
+++ b/basaltspindle/cli/scale.py
@@ -73,6 +73,7 @@
     changes: Annotated[int, typer.Option(help="In the step of changes.")] = 60,
     changes_per_s: Annotated[float, typer.Option(help="15,000 a day are 0.17 a second.")] = 3.0,
     settle_s: Annotated[float, typer.Option(help="After each step, part of it.")] = 8.0,
+    patience_s: Annotated[float, typer.Option(help="Past that, for who is stale or untold.")] = 0.0,
     seed: Annotated[int, typer.Option(help="Chance of what is changed.")] = 1,
     plant: Annotated[str, typer.Option(help="Start with a known defect.")] = "",
 ) -> None:
@@ -85,7 +86,7 @@
         instances=instances, services=services, lists=lists, steps=tuple(steps.split(",")), seed=seed,
         part=part, shared_reading=shared_reading, start_s=start_s, quiet_s=quiet_s,
         away_s=away_s, changes=changes, changes_per_s=changes_per_s, settle_s=settle_s,
-        plant=plant,
+        patience_s=patience_s,         plant=plant,
     )  # fmt: skip
     play = Play(plan, out, lambda line: screen().print(line, highlight=False))
     with asyncio.Runner(loop_factory=uvloop.new_event_loop) as runner:
--- a/basaltspindle/scale/allowances.py
+++ b/basaltspindle/scale/allowances.py
@@ -18,6 +18,8 @@
     in_force_ms: float = 6_000.0
     quiet_calls_s: float = 1.0
     """A balancer, on average while nothing changes: a watch waits 2.4 s at the least."""
+    bytes_a_call: float = 4_000.0
+    """A hollow balancer, on average while single upstreams change: the entries of a few of them."""
     dials_s: float = 2.0
     """A balancer, over the worst ten seconds: pauses begin at half a second and double."""
 
@@ -44,6 +46,10 @@
                 judge(step, role, "pss_mb", cost["pss_mb"], allowed.pss_mb)
             if step == "quiet":
                 judge(step, role, "calls_s_mean", cost.get("calls_s_mean"), allowed.quiet_calls_s)
+        hollow = one["roles"].get("hollow", {})
+        if step == "changes" and hollow.get("calls_s_mean"):
+            a_call = hollow["bytes_s_mean"] / hollow["calls_s_mean"]
+            judge(step, "hollow", "bytes_a_call", a_call, allowed.bytes_a_call)
         force = one["in_force_ms"]
         judge(step, "all", "in_force_ms", force["max"], allowed.in_force_ms)
         judge(step, "all", "never_told", force["never_told"], 0)
--- a/basaltspindle/scale/plan.py
+++ b/basaltspindle/scale/plan.py
@@ -57,6 +57,9 @@
     changes_per_s: float = 3.0
     away_s: float = 30.0
     settle_s: float = 8.0
+    """After each step, part of it; who is stale then is counted."""
+    patience_s: float = 0.0
+    """So long past that, who is stale or untold is waited for: for checks on a machine of any speed."""
     calls_per_s: float = 20.0
     """At each real balancer that is called."""
 
