--- a/basaltspindle/scale/report.py
+++ b/basaltspindle/scale/report.py
@@ -3,7 +3,9 @@
 from __future__ import annotations
 
 import json
+import math
 from collections.abc import Iterable
+from itertools import pairwise
 from pathlib import Path
 from typing import Any
 
@@ -143,6 +145,8 @@
     for place, unit in enumerate(units):
         points = [(int(at) - first, values[key]) for at, values in unit.items() if key in values]
         points = sorted((at, value) for at, value in points if at >= 0)
+        gaps = [(at + 1, math.nan) for (at, _), (later, _) in pairwise(points) if later > at + 1]
+        points = sorted([*points, *gaps])  # nothing is drawn where a process was away
         label = f"{title} {place}" if len(units) > 1 else title
         axes.plot([at for at, _ in points], [value for _, value in points], linewidth=0.9, label=label)
 
