--- a/basaltspindle/net/discovery.py
+++ b/basaltspindle/net/discovery.py
@@ -12,7 +12,8 @@
 from basaltspindle.interface import Readiness
 from basaltspindle.net.config import Address, Config, Endpoint, Lists, ServerList, read_list
 from basaltspindle.net.upstreams import UNREADABLE, Answer, ResponseReader
-from basaltspindle.watching import Ask, Look, Paced, Subscription, Watch, Witnesses
+from basaltspindle.net.wants import Held, Wants
+from basaltspindle.watching import Ask, Look, Paced, Watch, Witnesses
 from basaltspindle.watching.watch import WHOLE
 
 PUSH_PAUSE_S = 0.5  # before the agent on this machine is called again, where lists are pushed
@@ -21,7 +22,6 @@
 LATE_S = 2.0  # after the end of its time, a call's answer is still taken: what is written counts as told
 CONNECT_S = 1.0  # for a connection to come up: the wait of a call is for its answer
 LIST_MAX = 4 * 1024 * 1024
-NO_INTERESTS = "the list service knows no interests: the whole of the service is taken"
 
 
 class SilentError(Exception):
@@ -140,12 +140,11 @@
         `fresh` asks for the whole list first, which is answered at once, whatever is known. `log` takes a
         line where a service can't tell what it is asked for.
         """
-        self._on_news, self._on_failed, self._log = on_news, on_failed, log
-        self._said = ""
+        self._on_news, self._on_failed = on_news, on_failed
         self._asked = config.settings.list_is_asked
         self._own, self._home = config.lists, config.discovery
-        self._wanted = _subscription(config, fresh)
-        is_known = config.known.endpoints and not fresh and self._wanted is None
+        self._wants = Wants(config, fresh, log)
+        is_known = config.known.endpoints and not fresh and not self._wants.by_interest
         self._watch = Watch(
             self._addresses(config.discovery), number=config.settings.number,
             balancers=config.settings.balancers, grace_ms=config.drain_grace_ms, own=self._own is not None,
@@ -184,12 +183,11 @@
         A call that waits is abandoned. What is held is told with what is wanted now, and the answer says
         outright what has left it; elsewhere, and of a service that knows no interests, it is the whole list.
         """
-        wanted, has_moved = self._wanted, address != self._home
-        is_other = wanted is not None and lists is not None and wanted.move(lists.services, lists.part)
-        if not has_moved and not is_other:
+        has_moved = address != self._home
+        if not self._wants.move(lists) and not has_moved:
             return
         self._home = address
-        if has_moved or (wanted is not None and not wanted.is_known):
+        if has_moved or not self._wants.is_known:
             self._watch.move(self._addresses(address))
         self._start_anew()
 
@@ -229,17 +227,21 @@
             try:
                 news = await self._call(ask)
             except Paced as paced:
-                if self._wanted is not None:
-                    self._wanted.paced(paced)
+                self._wants.paced(paced)
                 await asyncio.sleep(paced.after_s)
                 continue
             except Exception as error:
                 # Guards against a watch that ends unseen: whatever was wrong with a call, it has failed.
-                if isinstance(error, SilentError) and not ask.waits and self._wanted is None and self._link:
+                if (
+                    isinstance(error, SilentError)
+                    and not ask.waits
+                    and self._link
+                    and not self._wants.by_interest
+                ):
                     # What a late answer to interests holds would depend on what was wanted when it was asked.
                     self._late.listen(self._link, ask)
                     self._link = None
-                self._note_failed(ask.address, began, error)
+                self._wants.failed(ask.address, began, error)
                 self._close_link()
                 pause_s = watch.failed(loop.time() - began, isinstance(error, SilentError))
                 if pause_s is None and (pause_s := self._pause(ask, error)) is None:
@@ -253,18 +255,6 @@
             elif watch.went_home(loop.time()):
                 self._close_link()
 
-    def _note_failed(self, address: Address, began: float, error: Exception) -> None:
-        if self._wanted is not None:
-            self._wanted.failed(address, began)
-            if isinstance(error, ValueError):
-                self._say(str(error))
-
-    def _say(self, text: str) -> None:
-        """Log what is wrong with what a service tells, once."""
-        if text and text != self._said:
-            self._log(text)
-        self._said = text
-
     def _pause(self, ask: Ask, error: Exception) -> float | None:
         """Seconds until a platform's list is asked again after a call has failed; None if others say when.
 
@@ -291,35 +281,27 @@
             until = loop.time() + ask.limit_s if ask.waits else until
         try:
             async with asyncio.timeout_at(until):
-                news, held = await _ask(self._link, ask, self._query(), self._wanted)
+                news, held = await _ask(self._link, ask, self._wants)
         except TimeoutError:
             raise SilentError from None
         now = asyncio.get_running_loop().time()
         if self._watch.answered(news.index, now):
             news = replace(news, rewound=True)
         self._heard = now
-        if self._wanted is not None:
-            self._wanted.heard(*held)
-            self._say("" if self._wanted.is_known else NO_INTERESTS)
+        self._wants.heard(held)
         if self._own is not None:
             self._note(news, now)
         return news
 
     def _late_answer(self, ask: Ask, answer: Answer) -> None:
         """Take it as it is, and leave the watch where it is: the next answer tells the same, and more."""
-        news, _ = _read(answer, None)
+        news, _ = _read(answer, self._wants)
         if self._watch.is_news(ask, news.index):
             self._heard = asyncio.get_running_loop().time()
             if self._own is not None:
                 self._note(news, self._heard)
             self._on_news(news)
 
-    def _query(self) -> list[str]:
-        """What is wanted of the list, beside its version."""
-        if self._wanted is not None:
-            return self._wanted.query(asyncio.get_running_loop().time())
-        return [f"tier={self._own.tier}"] if self._own and self._own.tier else []
-
     def _note(self, news: ServerList, now: float) -> None:
         """What the list holds, to be held against another instance's."""
         before = dict(self._content)
@@ -347,62 +329,49 @@
             contradicted = bool(self.witnesses.against(loop.time()))
             if (address := watch.look_at(loop.time(), contradicted)) is None:
                 continue
-            other = await self._look(address)
+            other = await _look(address, self._wants)
             ours = Look(watch.sources.address, watch.index, frozenset(self._content.values()))
             if other is not None and watch.looked(ours, other, contradicted):
                 self._start_anew()
 
-    async def _look(self, address: Address) -> Look | None:
-        """Another instance's list; None if it does not tell."""
-        link: _Link | None = None
-        try:
-            async with asyncio.timeout(WHOLE_S):
-                link = await _connect(address)
-                ask = Ask(address, WHOLE, 0.0, WHOLE_S)
-                news, _ = await _ask(link, ask, self._query(), self._wanted)
-        except (OSError, ValueError, TimeoutError, Paced):
-            return None
-        finally:
-            if link is not None:
-                link.close()
-        return Look(address, news.index, frozenset(_entry(e) for e in news.endpoints))
-
 
 async def _connect(address: Address) -> _Link:
     _, link = await asyncio.get_running_loop().create_connection(_Link, *address)
     return link
 
 
-async def _ask(
-    link: _Link, ask: Ask, query: list[str], wanted: Subscription | None
-) -> tuple[ServerList, tuple[str, bool]]:
-    """One call: the list, and what of it is held then; ValueError if its answer is no list."""
+async def _ask(link: _Link, ask: Ask, wants: Wants) -> tuple[ServerList, Held]:
+    """One call: the list, and what is held with it; ValueError if its answer is no list."""
+    query = wants.query(asyncio.get_running_loop().time())
     if ask.after >= 0:
-        query = [*query, f"after={ask.after}&wait_ms={ask.wait_ms:.0f}"]
+        query.append(f"after={ask.after}&wait_ms={ask.wait_ms:.0f}")
     path, (host, port) = "/v1/servers" + ("?" + "&".join(query) if query else ""), ask.address
     answer = await link.call(f"GET {path} HTTP/1.1\r\nHost: {host}:{port}\r\n\r\n".encode())
-    return _read(answer, wanted)
+    return _read(answer, wants)
 
 
-def _read(answer: Answer, wanted: Subscription | None) -> tuple[ServerList, tuple[str, bool]]:
+def _read(answer: Answer, wants: Wants) -> tuple[ServerList, Held]:
+    """What an answer tells; ValueError if it is no list, Paced if it says when to come again."""
     if answer.status != 200:
-        if wanted is not None:
-            wanted.look_for_pace(answer.status, answer.body)
+        wants.look_for_pace(answer.status, answer.body)
         raise ValueError(f"discovery answered {answer.status}")
     told = json.loads(answer.body)
-    news = read_list(told)
-    return news, (wanted.check(told), "services" in told) if wanted is not None else ("", True)
+    return read_list(told), wants.read(told)
 
 
-def _subscription(config: Config, has_list: bool) -> Subscription | None:
-    """What is wanted of a list service that knows interests; None where the configuration names none."""
-    lists, settings = config.lists, config.settings
-    if lists is None or not lists.services:
+async def _look(address: Address, wants: Wants) -> Look | None:
+    """Another instance's list; None if it does not tell."""
+    link: _Link | None = None
+    try:
+        async with asyncio.timeout(WHOLE_S):
+            link = await _connect(address)
+            news, _ = await _ask(link, Ask(address, WHOLE, 0.0, WHOLE_S), wants)
+    except (OSError, ValueError, TimeoutError, Paced):
         return None
-    return Subscription(
-        lists.services, lists.part, name=f"{config.name}/{settings.number}", zone=settings.zone,
-        balancers=settings.balancers, holds_all=has_list or bool(config.known.endpoints),
-    )  # fmt: skip
+    finally:
+        if link is not None:
+            link.close()
+    return Look(address, news.index, frozenset(_entry(e) for e in news.endpoints))
 
 
 def _entry(endpoint: Endpoint) -> tuple[object, ...]:
