--- a/tests/test_interest.py
+++ b/tests/test_interest.py
@@ -434,25 +434,29 @@
 
 
 def test_a_service_at_the_edge_of_a_level_does_not_move_parts_to_and_fro() -> None:
-    site = Instance(rules=ROOMY)
-    seat = Client("a", part=4)
+    site, parts_of = Instance(rules=ROOMY), []
+    seat, shape = Client("a", part=4), Shape(4)
     seat.take(site.tell(seat.asked()))
     for number in range(200):
         site.put(f"s{number}", "a")
         seat.take(site.tell(seat.asked()))
-    assert len(seat.content) < 150
-    moved = 0
-    for turn in range(100):
-        level = seat.held
-        name = f"s{turn // 2}"
+        parts_of.append(Parts(site.catalog).best("a", shape)["east"])
+    edges = [n for n in range(1, 200) if parts_of[n] > parts_of[n - 1]]
+    assert len(edges) >= 3 and len(seat.content) < 150
+    for number in range(199, edges[-1], -1):
+        site.keep(site.catalog.remove(f"s{number}", 1e6))
+    moved, levels = 0, set()
+    for turn in range(20):
+        held, last = seat.held, f"s{edges[-1]}"
         if turn % 2:
-            site.put(name, "a", now=1e6 + turn)
+            site.put(last, "a", now=1e6 + turn)
         else:
-            site.keep(site.catalog.remove(name, 1e6 + turn))
+            site.keep(site.catalog.remove(last, 1e6 + turn))
         seat.take(site.tell(seat.asked()))
+        levels.add(Parts(site.catalog).best("a", shape)["east"])
         assert seat.content == seat.truth(site.catalog) and len(seat.content) >= 4
-        moved += seat.held != level
-    assert moved <= 2
+        moved += seat.held != held
+    assert len(levels) == 2 and moved <= 2
 
 
 def test_a_whole_list_is_never_finer_than_what_is_held_so_that_nobody_doubts_it() -> None:
