--- a/basaltspindle/directory/interests.py
+++ b/basaltspindle/directory/interests.py
@@ -112,6 +112,7 @@
     def __init__(self, names: list[str]) -> None:
         self.names = names
         self._finest: dict[int, int] = {}
+        self._slices: dict[int, dict[int, list[str]]] = {}  # by level and place
 
     def finest(self, least: int, balancers: int) -> int:
         """The finest level whose smallest slice has the least, or what gives each server its balancers."""
@@ -124,11 +125,25 @@
     def _find(self, least: int) -> int:
         level = 0
         while level < LEVEL_MOST and len(self.names) * COPIES >= least << (level + 1):
-            if _smallest(self.names, level + 1) < least:
+            slices = self._at(level + 1)
+            if len(slices) < 1 << (level + 1) or min(map(len, slices.values())) < least:
                 break
             level += 1
         return level
 
+    def slice(self, level: int, place: int) -> list[str]:
+        """The servers in the slice of a place."""
+        return self._at(level).get(place & ((1 << level) - 1), []) if level else self.names
+
+    def _at(self, level: int) -> dict[int, list[str]]:
+        """All slices of a level, found once for all watchers."""
+        if level not in self._slices:
+            mask, slices = (1 << level) - 1, self._slices.setdefault(level, {})
+            for name in self.names:
+                for place in {one & mask for one in slices_of(name)}:
+                    slices.setdefault(place, []).append(name)
+        return self._slices[level]
+
 
 class Parts:
     """The levels of parts, worked out once for all that ask for the same and until the service changes."""
@@ -162,6 +177,18 @@
             for name, zone in self._zones_of(service).items()
         )
 
+    def whole(self, view: View) -> list[Entry]:
+        """All that a view holds: it costs what is held, and not what the services have."""
+        names: list[str] = []
+        for service, levels in view.levels.items():
+            if not levels:
+                names += self._catalog.places.names(service)
+                continue
+            for name, zone in self._zones_of(service).items():
+                names += zone.slice(levels.get(name, 0), view.place)
+        entries = (self._catalog.entries[name] for name in dict.fromkeys(names))
+        return [entry for entry in entries if view.holds_entry(entry)]
+
     def _zones_of(self, service: str) -> dict[str, Zone]:
         """The same while nobody has come or gone: a drain, or another weight, moves no part."""
         stamp = self._catalog.places.stamps.get(service, 0)
@@ -201,14 +228,6 @@
     return known if known is not None and known.names == names else Zone(names)
 
 
-def _smallest(names: list[str], level: int) -> int:
-    mask, counts = (1 << level) - 1, [0] * (1 << level)
-    for name in names:
-        for one in {one & mask for one in slices_of(name)}:
-            counts[one] += 1
-    return min(counts)
-
-
 def _stay(best: Mapping[str, int], held: Mapping[str, int], whole: bool) -> dict[str, int]:
     levels = {}
     for zone in best.keys() | held.keys():
@@ -218,13 +237,6 @@
     return levels
 
 
-def whole(catalog: Catalog, view: View) -> list[Entry]:
-    """All that a view holds."""
-    names = (name for service in view.levels for name in catalog.places.names(service))
-    entries = (catalog.entries[name] for name in dict.fromkeys(names))
-    return [entry for entry in entries if view.holds_entry(entry)]
-
-
 def news(catalog: Catalog, held: View, view: View, after: int) -> list[Entry]:
     """What to tell who has held `held` up to a version that goes on, and holds `view` from now on.
 
--- a/basaltspindle/directory/reads.py
+++ b/basaltspindle/directory/reads.py
@@ -135,7 +135,7 @@
         key = asked.is_old, view.key, WHOLE, self._catalog.index
         data = self._answers.get(key)
         if data is None:
-            data = self._answers[key] = self._write(asked, WHOLE, view, interests.whole(self._catalog, view))
+            data = self._answers[key] = self._write(asked, WHOLE, view, self._parts.whole(view))
         return data
 
     def _write(self, asked: Asked, after: int, view: View, entries: list[Entry]) -> bytes:
