--- a/basaltspindle/directory/gate.py
+++ b/basaltspindle/directory/gate.py
@@ -16,7 +16,7 @@
 
 PART = 0.7  # of the service's time for those who return; the rest is for writes and for changes
 BURST_S = 0.25
-CALL_S, ENTRY_S = 150e-6, 2.5e-6  # of the service's time for a call, and for each entry of an answer
+CALL_S, ENTRY_S = 350e-6, 5e-6  # for a call, and for each entry of its answer (benchmarks/interest.py)
 ALL_IN_S = 4.0  # after an outage, by when the last is let in, over the pace or not
 EARLY_S = 0.02  # a ticket is good so long before its time: clocks and timers round
 
