--- a/basaltspindle/net/discovery.py
+++ b/basaltspindle/net/discovery.py
@@ -146,7 +146,7 @@
         self._wants = Wants(config, fresh, log)
         is_known = config.known.endpoints and not fresh and not self._wants.by_interest
         self._watch = Watch(
-            self._addresses(config.discovery), number=config.settings.number,
+            _addresses(config.discovery, self._own), number=config.settings.number,
             balancers=config.settings.balancers, grace_ms=config.drain_grace_ms, own=self._own is not None,
             seed=config.seed, index=config.known.index if is_known else WHOLE,
         )  # fmt: skip
@@ -160,10 +160,6 @@
         self._heard = self._changed = -math.inf
         self.witnesses = Witnesses()
 
-    def _addresses(self, first: Address) -> tuple[Address, ...]:
-        others = self._own.others if self._own else ()
-        return (first, *(other for other in others if other != first))
-
     def start(self) -> None:
         """Where lists are pushed, listen from the start: nobody subscribes there."""
         if not self._asked:
@@ -188,7 +184,7 @@
             return
         self._home = address
         if has_moved or not self._wants.is_known:
-            self._watch.move(self._addresses(address))
+            self._watch.move(_addresses(address, self._own))
         self._start_anew()
 
     def _start_anew(self) -> None:
@@ -232,13 +228,7 @@
                 continue
             except Exception as error:
                 # Guards against a watch that ends unseen: whatever was wrong with a call, it has failed.
-                if (
-                    isinstance(error, SilentError)
-                    and not ask.waits
-                    and self._link
-                    and not self._wants.by_interest
-                ):
-                    # What a late answer to interests holds would depend on what was wanted when it was asked.
+                if self._link and isinstance(error, SilentError) and self._wants.may_be_late(ask):
                     self._late.listen(self._link, ask)
                     self._link = None
                 self._wants.failed(ask.address, began, error)
@@ -335,6 +325,11 @@
                 self._start_anew()
 
 
+def _addresses(first: Address, own: Lists | None) -> tuple[Address, ...]:
+    others = own.others if own else ()
+    return (first, *(other for other in others if other != first))
+
+
 async def _connect(address: Address) -> _Link:
     _, link = await asyncio.get_running_loop().create_connection(_Link, *address)
     return link
--- a/basaltspindle/net/wants.py
+++ b/basaltspindle/net/wants.py
@@ -14,7 +14,7 @@
 from typing import Any
 
 from basaltspindle.net.config import Address, Config, Lists
-from basaltspindle.watching import Paced, Subscription
+from basaltspindle.watching import Ask, Paced, Subscription
 
 NO_INTERESTS = "the list service knows no interests: the whole of the service is taken"
 Held = tuple[str, bool]
@@ -35,6 +35,11 @@
         """Whether services are asked for by name."""
         return self._wanted is not None
 
+    def may_be_late(self, ask: Ask) -> bool:
+        """Whether the answer of a call that was given up is of use: by interests it would depend on what was
+        wanted when it was asked."""
+        return self._wanted is None and not ask.waits
+
     @property
     def is_known(self) -> bool:
         """Whether the service can tell what has left an interest that changes."""
