--- a/benchmarks/capacity_page.py
+++ b/benchmarks/capacity_page.py
@@ -163,9 +163,8 @@
         if quantity.part in figures:
             rows.append(_slope(quantity, figures))
     head = ["quantity", "unit", "sizes, plays", "fit", "at the largest: foreseen", "measured", ""]
-    programs = ", ".join(
-        f"{name} {one['about']['program']}" for name, one in figures.items() if "about" in one
-    )
+    about = {name: one["about"] for name, one in figures.items() if "about" in one}
+    programs = ", ".join(f"{name} {one['program']}" for name, one in about.items() if "program" in one)
     return table(head, rows) + f"\nPrograms by part: {programs}.\n"
 
 
