--- a/basaltspindle/scale/hollow.py
+++ b/basaltspindle/scale/hollow.py
@@ -79,6 +79,7 @@
             if task is not None:
                 task.cancel()
         self._discovery._close_link()
+        self._discovery._late.drop()
 
     @property
     def index(self) -> int:
