--- a/tests/test_interest.py
+++ b/tests/test_interest.py
@@ -336,6 +336,24 @@
         site.begin(2e6)
 
 
+def test_after_a_write_that_was_not_kept_each_interest_hears_what_came_before_it_and_no_more() -> None:
+    site = Instance()
+    site.put("s0", "a")
+    site.put("s1", "a")
+    seat, other = Client("a"), Client("b")
+    seat.take(site.tell(seat.asked()))
+    other.take(site.tell(other.asked()))
+    site.keep(site.catalog.drain("s0", 1e6))
+    site.put("s2", "a")
+    moved = site.catalog.register("s1", told("a", "west", 5.0), 1e6)
+    assert moved is not None
+    site.catalog.undo([moved])
+    seat.take(site.tell(seat.asked()))
+    assert sorted(seat.last) == ["s0", "s2"] and seat.content == seat.truth(site.catalog)
+    other.take(site.tell(other.asked()))
+    assert other.last == []
+
+
 def test_a_file_that_an_earlier_version_has_kept_since_is_not_taken_at_its_old_floors() -> None:
     site = Instance()
     site.store.begin(site.catalog.index + 1, 5, (), {"a": 9})
