--- a/tests/test_ready.py
+++ b/tests/test_ready.py
@@ -5,8 +5,6 @@
 import asyncio
 import json
 import math
-import os
-import sys
 import time
 from collections.abc import AsyncIterator
 from contextlib import asynccontextmanager
@@ -19,7 +17,7 @@
 from basaltspindle.drill.fleet import free_port
 from basaltspindle.net.config import read_config
 from basaltspindle.net.driver import Driver
-from tests.loopback import config_text, entry, response, run
+from tests.loopback import config_text, entry, program, response, run
 
 HOST = "127.0.0.1"
 READY_S = 10.0  # the operators' term, for nine in ten
@@ -78,15 +76,8 @@
     """One balancer as the platform starts it; gives the port that it listens on, and ends it."""
     port = free_port(HOST)
     path.write_text(json.dumps(config | {"listen": f"{HOST}:{port}"}))
-    started = await asyncio.create_subprocess_exec(
-        sys.executable, "-m", "basaltspindle", env=os.environ | {"LB_CONFIG": str(path)}
-    )
-    try:
+    async with program(path):
         yield port
-    finally:
-        if started.returncode is None:
-            started.kill()
-        await started.wait()
 
 
 def configuration(address: str, how: str, knows: bool, own: bool = False) -> dict[str, Any]:
