--- a/basaltspindle/conf/model.py
+++ b/basaltspindle/conf/model.py
@@ -10,14 +10,14 @@
 import msgspec
 from msgspec import Meta
 
-from basaltspindle.net.config import LIST_DOUBT
+from basaltspindle.net.config import LIST_DOUBT, PART_MOST, SERVICE
 
 DURATION = r"^[0-9]+(\.[0-9]+)?(ms|s|m)$"
 Duration = Annotated[float, Meta(ge=0)] | Annotated[str, Meta(pattern=DURATION)]
 ADDRESS = r"(\[[0-9a-fA-F:.]+\]|[0-9]{1,3}(\.[0-9]{1,3}){3}):[0-9]{1,5}"
 Address = Annotated[str, Meta(pattern=f"^{ADDRESS}$", description="host:port")]
 AddressOrNone = Annotated[str, Meta(pattern=f"^({ADDRESS})?$", description="host:port, or empty")]
-ServiceName = Annotated[str, Meta(pattern=r"^[A-Za-z0-9][A-Za-z0-9._:-]{0,127}$")]
+ServiceName = Annotated[str, Meta(pattern=SERVICE.pattern)]
 Share = Annotated[float, Meta(ge=0, le=1)]
 Count = Annotated[int, Meta(ge=1)]
 Amount = Annotated[float, Meta(ge=0)]
@@ -144,7 +144,7 @@
     """A whole list that leaves out more than this part of the ready servers is doubted."""
     services: tuple[ServiceName, ...] = ()
     """What is asked for in place of a tier, where the service knows interests; several are one pool."""
-    part: Annotated[int, Meta(ge=0, le=100_000)] = 0
+    part: Annotated[int, Meta(ge=0, le=PART_MOST)] = 0
     """Servers of each service that are held in each zone at the least; 0 for all."""
 
 
