Give the pace of a tier that asks for the list again one definition

The pause of each balancer and its spread stood in policy/roster.py and, multiplied out, in watching/watch.py. Both take them from interface.py now, and the page on the budget says where the pace goes first.

--- a/basaltspindle/interface.py
+++ b/basaltspindle/interface.py
@@ -63,6 +63,10 @@
 """The outcomes that prove that the attempt had no effect."""
 
 
+LIST_CALL_MS = 25.0
+"""Pause of each balancer of a tier after a failed call for the list, on the mean: after an outage all ask."""
+LIST_SPREAD = 0.5
+"""Part by which such a pause is shorter or longer, by chance, so that they do not ask in step."""
 LIST_AGAIN_MS = 2_750.0
 """See `watching.budget`: one instance whose call failed at once. Hosts that know more say so."""
 
--- a/basaltspindle/policy/roster.py
+++ b/basaltspindle/policy/roster.py
@@ -8,14 +8,13 @@
 from dataclasses import replace
 
 from basaltspindle import interface as face
-from basaltspindle.interface import ListKind, Outcome, Readiness, Settings
+from basaltspindle.interface import LIST_CALL_MS, LIST_SPREAD, ListKind, Outcome, Readiness, Settings
 from basaltspindle.policy.servers import Server
 
 SUBSET_MIN = 12  # servers that a balancer keeps to at the least: losing a few must leave a choice
 SUBSET_COVER = 30  # balancers that keep to each server: their chance parts then even out to a fifth
 HOMES = 6  # servers near our place on the ring, where an inner balancer's free ones are taken first
 LIST_RETRY_MS = 500.0  # first pause before the list is asked again, doubled at each failure
-LIST_CALL_MS = 25.0  # of that first pause for each balancer of the tier at the least: after an outage all ask
 
 STRIKES = 2  # connections in a row that do not come up: one may be lost on the way, or to a crowd
 
@@ -82,10 +81,17 @@
     def failed(self, now: float, again_ms: float) -> list[face.Action]:
         """The list is out of reach: the old one stands; ask again in time, not all balancers in step."""
         first = max(LIST_RETRY_MS, LIST_CALL_MS * self._settings.balancers)
-        pause = min(first * 2 ** min(self._failures, 9), self._settings.ask_within_ms / 3, again_ms / 1.5)
+        pause = min(
+            first * 2 ** min(self._failures, 9),
+            self._settings.ask_within_ms / 3,
+            again_ms / (1 + LIST_SPREAD),
+        )
         self._failures += 1
         told = [face.Log("server list out of reach; keeping the last one")] if self._failures == 1 else []
-        return [*told, face.SetTimer(now + pause * (0.5 + self._random.random()), "list")]
+        return [
+            *told,
+            face.SetTimer(now + pause * (1 - LIST_SPREAD + 2 * LIST_SPREAD * self._random.random()), "list"),
+        ]
 
     def believe(self, event: face.ListUpdate) -> face.ListUpdate:
         """What a list is taken for.
--- a/basaltspindle/watching/budget.py
+++ b/basaltspindle/watching/budget.py
@@ -13,6 +13,9 @@
     answer                           0.5    0.5    0.5    0.5    2.25 s
     n rounds and an answer           5.0    5.0    5.0    5.0    5.0 s
 
+A large tier shares the platform's discovery, which answers so many calls a second and no more: over 73
+balancers its pace (`watch.PACE_MS`) is longer than the round, and goes first.
+
 What a call did not use of its round may be spent on the pause after it: balancers that are refused at once
 spread over all of it. The call that tells may take longer than `answer`, up to its limit; what it takes
 longer goes off the slack.
--- a/basaltspindle/watching/watch.py
+++ b/basaltspindle/watching/watch.py
@@ -6,6 +6,7 @@
 import random
 from dataclasses import dataclass
 
+from basaltspindle.interface import LIST_CALL_MS, LIST_SPREAD
 from basaltspindle.watching.budget import call_s, round_s
 from basaltspindle.watching.sources import Address, Look, Sources
 
@@ -18,7 +19,7 @@
 DOUBT_S = 1.0  # before a list that is not believed is asked for whole again, or CALL_MS for each balancer
 SAID_S = 1.0  # the first pause between looks while servers contradict the list, doubled at each
 COMPARE_S, COMPARE_MS = 30.0, 100.0  # between looks at another instance, and for each balancer of the tier
-PACE_MS = 37.5  # from failed call to call, for each of a tier: asked faster, the platform answers nobody
+PACE_MS = LIST_CALL_MS * (1 + LIST_SPREAD)  # from failed call to call: faster, the platform answers nobody
 WHOLE = -1  # in place of a version: the whole list
 
 
