--- a/basaltspindle/policy/roster.py
+++ b/basaltspindle/policy/roster.py
@@ -88,10 +88,8 @@
         )
         self._failures += 1
         told = [face.Log("server list out of reach; keeping the last one")] if self._failures == 1 else []
-        return [
-            *told,
-            face.SetTimer(now + pause * (1 - LIST_SPREAD + 2 * LIST_SPREAD * self._random.random()), "list"),
-        ]
+        spread = self._random.uniform(1 - LIST_SPREAD, 1 + LIST_SPREAD)
+        return [*told, face.SetTimer(now + pause * spread, "list")]
 
     def believe(self, event: face.ListUpdate) -> face.ListUpdate:
         """What a list is taken for.
