--- a/basaltspindle/scale/counting.py
+++ b/basaltspindle/scale/counting.py
@@ -1,11 +1,14 @@
-"""Counts of one second, told to the driver as that second ends."""
+"""What stand-ins share: counts of one second, told to the driver as it ends, and the loop they run on."""
 
 from __future__ import annotations
 
 import asyncio
 import time
 from collections import Counter
-from collections.abc import Awaitable, Callable
+from collections.abc import Awaitable, Callable, Coroutine
+from typing import Any
+
+import uvloop
 
 from basaltspindle.drill.standin import say
 
@@ -42,3 +45,9 @@
     task = asyncio.ensure_future(work, loop=loop)
     task.add_done_callback(lambda t: loop.stop() if not t.cancelled() and t.exception() else None)
     return task
+
+
+def run(work: Coroutine[Any, Any, None]) -> None:
+    """Be a stand-in until its work is over, on the loop that real balancers run on."""
+    with asyncio.Runner(loop_factory=uvloop.new_event_loop) as runner:
+        runner.run(work)
--- a/basaltspindle/scale/edge.py
+++ b/basaltspindle/scale/edge.py
@@ -9,10 +9,9 @@
 from typing import Any, cast
 
 import aiohttp
-import uvloop
 
 from basaltspindle.drill.standin import Place, follow, read_spec, request_of, say
-from basaltspindle.scale.counting import in_background, tell_each_second
+from basaltspindle.scale.counting import in_background, run, tell_each_second
 
 ANSWER = b"HTTP/1.1 200 OK\r\nContent-Type: text/plain\r\nContent-Length: 3\r\n\r\nok\n"
 END = b"\r\n\r\n"
@@ -80,11 +79,5 @@
     task.cancel()
 
 
-def main() -> None:
-    """Run until the driver goes."""
-    with asyncio.Runner(loop_factory=uvloop.new_event_loop) as runner:
-        runner.run(serve())
-
-
 if __name__ == "__main__":
-    main()
+    run(serve())
--- a/basaltspindle/scale/hollow.py
+++ b/basaltspindle/scale/hollow.py
@@ -17,7 +17,6 @@
 from typing import Any
 
 import msgspec
-import uvloop
 
 from basaltspindle import interface as face
 from basaltspindle.drill.clock import RealClock
@@ -27,7 +26,7 @@
 from basaltspindle.net.config import Config, Endpoint, ServerList, read_config, read_list
 from basaltspindle.net.upstreams import Answer
 from basaltspindle.policy import Balancer
-from basaltspindle.scale.counting import Tally, in_background, tell_each_second
+from basaltspindle.scale.counting import Tally, in_background, run, tell_each_second
 from basaltspindle.scale.plan import Plan, balancer_config
 
 GONE = "gone"
@@ -295,11 +294,5 @@
     task.cancel()
 
 
-def main() -> None:
-    """Run on the loop that real balancers run on."""
-    with asyncio.Runner(loop_factory=uvloop.new_event_loop) as runner:
-        runner.run(serve())
-
-
 if __name__ == "__main__":
-    main()
+    run(serve())
--- a/basaltspindle/scale/plants.py
+++ b/basaltspindle/scale/plants.py
@@ -69,9 +69,10 @@
         host.serve(told, host.open_service(told))
         return
     from basaltspindle.scale import edge, hollow, registrar
+    from basaltspindle.scale.counting import run
 
     sys.argv = [kind, path]  # the specification is the first argument there
-    {"hollow": hollow, "registrar": registrar, "edge": edge}[kind].main()
+    run({"hollow": hollow, "registrar": registrar, "edge": edge}[kind].serve())
 
 
 if __name__ == "__main__":
--- a/basaltspindle/scale/registrar.py
+++ b/basaltspindle/scale/registrar.py
@@ -12,14 +12,12 @@
 from dataclasses import dataclass
 from typing import Any
 
-import uvloop
-
 from basaltspindle.directory.lease import RENEW_PART
 from basaltspindle.drill.clock import RealClock
 from basaltspindle.drill.standin import Place, follow, read_spec, say
 from basaltspindle.net import discovery
 from basaltspindle.net.config import read_address
-from basaltspindle.scale.counting import Tally, in_background, tell_each_second
+from basaltspindle.scale.counting import Tally, in_background, run, tell_each_second
 from basaltspindle.scale.plan import Plan, name_of, registration
 
 WORKERS = 12  # connections to each instance at the most, for leases; one more for changes
@@ -218,11 +216,5 @@
     await follow(registrar.command)
 
 
-def main() -> None:
-    """Run until the driver goes."""
-    with asyncio.Runner(loop_factory=uvloop.new_event_loop) as runner:
-        runner.run(serve())
-
-
 if __name__ == "__main__":
-    main()
+    run(serve())
