--- a/benchmarks/cold.py
+++ b/benchmarks/cold.py
@@ -285,25 +285,20 @@
 
     def do_handover(self, known: list[Upstream]) -> None:
         """All servers restart, and all callers are replaced: for some seconds both processes are there."""
-        old = self.callers
-        self.stop(*known)
-        new = [self.caller(i) for i in range(self.count)]
-        for one, other in zip(old, new, strict=True):
-            other.balancer.inherit(one.balancer.learned(self.now), self.now)
-            self.tell(one, face.Succession(True))
-            one.weight = other.weight = one.weight / 2
-        self.callers = old + new
-        self.play(self.now + 1_000)
-        self.start(*known)
-        self.play(self.now + 4_000)
-        self.callers = new
+        self._replace_callers(known, is_told=True)
 
     def do_crash(self, known: list[Upstream]) -> None:
         """As `handover`, but the new processes know nothing, nor the old ones of them."""
+        self._replace_callers(known, is_told=False)
+
+    def _replace_callers(self, known: list[Upstream], is_told: bool) -> None:
         old = self.callers
         self.stop(*known)
         new = [self.caller(i) for i in range(self.count)]
         for one, other in zip(old, new, strict=True):
+            if is_told:
+                other.balancer.inherit(one.balancer.learned(self.now), self.now)
+                self.tell(one, face.Succession(True))
             one.weight = other.weight = one.weight / 2
         self.callers = old + new
         self.play(self.now + 1_000)
