Look once for whom a change wakes where watches may be woken at once

Each change was held against all that wait twice: to see how many there are, and again to wake them. The look is handed on; only where the pace puts a wake off it is made anew. The tests of interests, directory and instances pass as they are.

--- a/basaltspindle/directory/reads.py
+++ b/basaltspindle/directory/reads.py
@@ -22,7 +22,7 @@
 from basaltspindle.directory.interests import Parts, View
 from basaltspindle.directory.pace import Pace
 from basaltspindle.directory.store import Store
-from basaltspindle.directory.waits import Waits
+from basaltspindle.directory.waits import Found, Waits
 
 ANSWERS_KEPT = 64  # that watchers share
 
@@ -157,17 +157,24 @@
         """Wake those whose interest holds what has changed, at their pace."""
         if self._waking is not None:
             return
-        loop, since = asyncio.get_running_loop(), self._told_up_to
-        due = self.pace.due(self.waits.touched(self._catalog.changed_since(since), since))
+        loop, found = asyncio.get_running_loop(), self._find_woken()
+        due = self.pace.due(len(found.waiting))
         if due > loop.time():
-            self._waking = loop.call_at(due, self._wake_now)
+            self._waking = loop.call_at(due, self._wake_late)
         else:
-            self._wake_now()
+            self._tell(found)
 
-    def _wake_now(self) -> None:
-        since, self._told_up_to, self._waking = self._told_up_to, self._catalog.index, None
-        woken = self.waits.wake(self._catalog.changed_since(since), since)
-        self.pace.woke(asyncio.get_running_loop().time(), woken)
+    def _wake_late(self) -> None:
+        self._waking = None
+        self._tell(self._find_woken())
+
+    def _find_woken(self) -> Found:
+        since = self._told_up_to
+        return self.waits.find(self._catalog.changed_since(since), since)
+
+    def _tell(self, found: Found) -> None:
+        self._told_up_to = self._catalog.index
+        self.pace.woke(asyncio.get_running_loop().time(), self.waits.tell(found))
 
     def close(self) -> None:
         """Wake nobody from now on."""
--- a/basaltspindle/directory/waits.py
+++ b/basaltspindle/directory/waits.py
@@ -12,6 +12,7 @@
 import asyncio
 from collections.abc import Hashable, Iterable, Iterator
 from contextlib import contextmanager
+from typing import NamedTuple
 
 from basaltspindle.directory.entries import Entry
 from basaltspindle.directory.interests import LEVEL_MOST, Parts, Shape, View, places_left, slices_of
@@ -19,6 +20,13 @@
 Woken = asyncio.Future[None]
 
 
+class Found(NamedTuple):
+    """Those to wake, and the services that have changed."""
+
+    waiting: set[Woken]
+    services: set[str]
+
+
 class Waits:
     """Who waits for what, by the services, the slices and the shapes of parts."""
 
@@ -68,21 +76,20 @@
 
     def wake(self, changed: Iterable[Entry], after: int) -> int:
         """Wake those who wait for one of the servers that have changed since a version; how many."""
-        woken, services = self._find(changed, after)
-        for one in woken:
+        return self.tell(self.find(changed, after))
+
+    def tell(self, found: Found) -> int:
+        """Wake whom a look of this very moment has found; how many."""
+        for one in found.waiting:
             if not one.done():
                 one.set_result(None)
-        for service in services & self._shapes.keys():
+        for service in found.services & self._shapes.keys():
             for shape in self._shapes[service]:
                 self._shapes[service][shape] = self._parts.best(service, shape)
-        return len(woken)
-
-    def touched(self, changed: Iterable[Entry], after: int) -> int:
-        """How many would be woken."""
-        return len(self._find(changed, after)[0])
+        return len(found.waiting)
 
-    def _find(self, changed: Iterable[Entry], after: int) -> tuple[set[Woken], set[str]]:
-        """Those to wake, and the services that have changed."""
+    def find(self, changed: Iterable[Entry], after: int) -> Found:
+        """Whom the servers that have changed since a version would wake."""
         found: set[Woken] = set()
         services: set[str] = set()
         for entry in changed:
@@ -96,7 +103,7 @@
             for shape, best in self._shapes[service].items():
                 if self._parts.best(service, shape) != best:
                     found |= self._by.get((service, shape), set())
-        return found, services
+        return Found(found, services)
 
 
 def _slices(service: str, zone: str, name: str) -> Iterator[Hashable]:
