Count a look's floors once for a tier, not for each lease that has run out

Cause: `Catalog._is_spared` went over all of a tier twice for each entry whose lease had run out. `Floors` counts the tier's zones and groups once a look and keeps the counts as entries are taken.

Found on the way: where another instance had told that a server lapsed, there was no time of it here, and the next look at that tier ended in an IndexError (`lapses_ms[-1]`). Such a one counts by the end of its lease here.

--- a/basaltspindle/directory/catalog.py
+++ b/basaltspindle/directory/catalog.py
@@ -20,6 +20,7 @@
 import xxhash
 
 from basaltspindle.directory.entries import Entry, Registration, Rules, Status
+from basaltspindle.directory.floors import Floors
 from basaltspindle.directory.merge import Shared, disagree, join, share
 from basaltspindle.directory.places import Places, left_by
 
@@ -218,9 +219,15 @@
                 self._lapses.setdefault(entry.told.tier, deque()).append(now)
         for tier in {e.told.tier for e in over}:
             self._see_whether_to_doubt(tier, now)
+        floors: dict[str, Floors] = {}
         for entry in over:
+            tier = entry.told.tier
             settles = now <= entry.lease_end_ms + self._rules.settle_ms
-            if settles or self.doubts.get(entry.told.tier, 0.0) > now or self._is_spared(entry, now):
+            if tier not in floors:
+                floors[tier] = Floors(self._all_of(tier), self._rules, now)
+            stays = settles or self.doubts.get(tier, 0.0) > now or floors[tier].spare(entry)
+            floors[tier].take(entry)
+            if stays:
                 entry.lapsed = True
                 continue
             entry.lapsed, entry.lapsed_at = False, entry.beats
@@ -238,24 +245,6 @@
         if len(recent) > max(rules.doubt_part * count, 1.0):
             self.doubts[tier] = now + rules.doubt_ms
 
-    def _is_spared(self, entry: Entry, now: float) -> bool:
-        """Whether its zone or its group would be left with too few, counted with those that lapsed lately."""
-        for field in ("zone", "group"):
-            place = getattr(entry.told, field)
-            mine = [
-                e
-                for e in self._all_of(entry.told.tier)
-                if getattr(e.told, field) == place and self._counts(e, now)
-            ]
-            well = sum(e.status is Status.IN_SERVICE and not e.lapsed for e in mine if e is not entry)
-            if len(mine) > 1 and well < self._rules.floor_part * len(mine):
-                return True
-        return False
-
-    def _counts(self, entry: Entry, now: float) -> bool:
-        lately = now - self._rules.floor_ms
-        return entry.is_listed or (entry.by_lapse and entry.lapses_ms[-1] > lately)
-
     def _is_over(self, entry: Entry, now: float) -> bool:
         return entry.is_listed and now > entry.lease_end_ms
 
--- a/basaltspindle/drill/plants.py
+++ b/basaltspindle/drill/plants.py
@@ -152,9 +152,10 @@
 def believes_lapses() -> None:
     """The list service takes every lease that runs out for a server that is gone."""
     from basaltspindle.directory import Catalog
+    from basaltspindle.directory.floors import Floors
 
     Catalog._see_whether_to_doubt = lambda self, tier, now: None  # type: ignore[method-assign]
-    Catalog._is_spared = lambda self, entry, now: False  # type: ignore[method-assign]
+    Floors.spare = lambda self, entry: False  # type: ignore[method-assign]
 
 
 def reuses_versions() -> None:
