--- a/tests/test_told.py
+++ b/tests/test_told.py
@@ -444,6 +444,15 @@
         assert watch.again_s == round_s(1, own=False) - 0.1, "the crowd has gone"
 
 
+def test_a_watch_that_was_held_and_broken_off_has_met_no_crowd() -> None:
+    watch = Watch(
+        (("127.0.0.1", 1),), number=3, balancers=18_000, grace_ms=0.0, own=False, seed=1, index=BEFORE
+    )
+    assert watch.ask().waits
+    watch.failed(20.0, fell_silent=False, turned_away=True)
+    assert watch.again_s == round_s(1, own=False)
+
+
 def test_a_large_tier_knows_a_change_in_time_after_a_crowd_that_stayed() -> None:
     """Rounds of 4.5 s in a crowd held it, and broke drains on a herd day (docs/incidents/crowd.md)."""
     late = [play(LARGE, [[Spell("503", 1e6, 2.0)]], 60.0 + step / 4, 0, 0.4) for step in range(24)]
