Renew upstreams of a scale run again that were silent and start anew

Cause: its turn came while it was silent and was dropped by the worker, but it still counted as held, so that `start` did not put it up again. All upstreams of a rack or a zone lapsed a lease after their return.

--- a/basaltspindle/scale/registrar.py
+++ b/basaltspindle/scale/registrar.py
@@ -129,6 +129,7 @@
         while True:
             upstream = await self._jobs.get()
             if upstream.silent:
+                upstream.held = False  # who speaks for it again has to put it up anew
                 continue
             lease_ms, part = self._spec.plan.lease_s * 1_000, RENEW_PART
             first = not upstream.held
