--- a/basaltspindle/watching/watch.py
+++ b/basaltspindle/watching/watch.py
@@ -126,7 +126,7 @@
         service ended it and did not tell.
         """
         was_held = self._waits and not fell_silent and took_s > self._call_s
-        self._crowded += turned_away and not was_held and took_s > answer_s(own=True)
+        self._crowded += turned_away and took_s > answer_s(own=True)
         self.again_s = max(self._turn_s() - (0.0 if was_held else took_s), 0.0)
         self._has_failed = True
         if not self._own:
