--- a/basaltspindle/watching/budget.py
+++ b/basaltspindle/watching/budget.py
@@ -31,7 +31,6 @@
 CALL_PART = 0.9  # of a round, at the most: the rest is for the pause after a call that took all its time
 OWN_CALL_S, PLATFORM_CALL_S = 2.0, 2.25  # the platform works through calls in turn and ends those of over 2 s
 OWN_ANSWER_S, PLATFORM_ANSWER_S = 0.5, PLATFORM_CALL_S  # a service of one's own answers at once
-CROWDED_ROUND_S = TOLD_S - SLACK_S - OWN_ANSWER_S  # while the platform's is crowded, for large tiers
 
 
 def round_s(instances: int, own: bool) -> float:
@@ -47,3 +46,6 @@
 def answer_s(own: bool) -> float:
     """Seconds in which a service that can be reached answers a call that need not wait."""
     return OWN_ANSWER_S if own else PLATFORM_ANSWER_S
+
+
+CROWDED_ROUND_S = round_s(1, own=True)  # while the platform's is crowded, for large tiers
