--- a/loadbalancer/policy/weighted_sampling.py
+++ b/loadbalancer/policy/weighted_sampling.py
@@ -31,6 +31,9 @@
     def __len__(self) -> int:
         return len(self._slots)
 
+    def __iter__(self) -> Iterator[Server]:
+        return (server for server in self._servers if server is not None)
+
     def set_weight(self, server: Server, weight: float) -> None:
         """Add a server, or change its weight."""
         slot = self._slots.get(server.endpoint.server)
@@ -103,6 +106,9 @@
     def __len__(self) -> int:
         return len(self._zones)
 
+    def __iter__(self) -> Iterator[Server]:
+        return (server for tree in self._trees.values() for server in tree)
+
     def set_weight(self, server: Server, weight: float) -> None:
         """Add a server, or change its weight; it may have moved to another zone."""
         name = server.endpoint.server
