Tell the weighted sampler of removed servers by name, so that they get no request

Cause: EndpointSet.take_changed_servers turned the changed names into known servers and left out those that are not known any more. A dead server without a call of ours in flight is forgotten before that, so that the sampler was never told to remove it, and it kept its weight. Change: the selector takes the changed names themselves and removes each that is not ready and in the subset. Same kind, also mended: an uncordoned server that had left the list with calls in flight stayed among those awaiting their first call, for good.

--- a/loadbalancer/policy/endpoints.py
+++ b/loadbalancer/policy/endpoints.py
@@ -33,11 +33,6 @@
         self._uncordoned_at_ms: dict[str, float] = {}
         self._backoff = ListBackoff(settings, chance)
 
-    def take_changed_servers(self) -> list[Server]:
-        """Return the known servers that may have entered or left the subset since the last call."""
-        names = self.ready.take_changed_names()
-        return [self.servers[name] for name in names if name in self.servers]
-
     def handle_list_failure(self, now: float, retry_within_ms: float) -> list[interface.Action]:
         """Keep the previous list, and request it again after a backoff of at most `retry_within_ms`."""
         actions: list[interface.Action] = []
@@ -83,7 +78,8 @@
             self._uncordoned_at_ms[event.server] = event.returned_at_ms
             if server:
                 server.reset_evidence(now)
-                self.awaiting_first_call[event.server] = server
+                if server.is_listed:
+                    self.awaiting_first_call[event.server] = server
         if server:
             self._update(server, server.endpoint)
 
--- a/loadbalancer/policy/server_selection.py
+++ b/loadbalancer/policy/server_selection.py
@@ -86,16 +86,21 @@
             self._freed.append(server)
 
     def handle_endpoints_changed(self, now: float) -> None:
-        """Bring the sampler up to date with the subset."""
-        changed = self._endpoints.take_changed_servers()
+        """Bring the sampler up to date with the subset, also by names that are no longer known."""
+        changed = self._ready.take_changed_names()
         if self._ready.subset_size <= MAX_SCANNED_SERVERS:
             self._sampler.clear()
             return
-        for server in changed if self._sampler else self._ready.subset(0, self._ready.subset_size):
-            if self._ready.is_in_subset(server):
+        if not self._sampler:
+            for server in self._ready.subset(0, self._ready.subset_size):
                 self._update_weight(server, now)
+            return
+        for name in changed:
+            known = self._ready.by_name.get(name)
+            if known is not None and self._ready.is_in_subset(known):
+                self._update_weight(known, now)
             else:
-                self._sampler.remove(server.endpoint.server)
+                self._sampler.remove(name)
 
     def _may_get(self, request: Request, server: Server, now: float) -> bool:
         """Return whether a server can accept the next attempt, and has had none of this request."""
