Spread the first calls of new processes for the platform's list over their tier

Those who lose their list six seconds after the return are these new processes. Change: a new process that has a list makes its first call within 25 ms for each balancer of the tier, at most one retry interval (2.75 s), so that it knows a change as soon as one whose call has failed. Without a list, after a hot restart, with pushed lists and of a service of one's own it calls at once.

--- a/loadbalancer/endpoint_watch/retry_backoff.py
+++ b/loadbalancer/endpoint_watch/retry_backoff.py
@@ -26,6 +26,7 @@
             0.0 if is_own_service else CONGESTED_RETRY_PER_BALANCER_MS * balancer_count / 1_000
         )
         self._failover_spread_s = FAILOVER_SPREAD_PER_BALANCER_MS * balancer_count / 1_000
+        self._start_spread_s = LIST_RETRY_MEAN_BACKOFF_MS * balancer_count / 1_000
         self._congested_calls = 0  # since the last answer
         self.set_instance_count(instance_count)
 
@@ -51,6 +52,15 @@
         self._congested_calls += rejected and duration_s > answer_time_s(is_own_service=True)
         self.retry_within_s = max(self._interval_s() - (0.0 if was_waiting else duration_s), 0.0)
 
+    def start_window_s(self) -> float:
+        """Return the time over which the first requests of processes that start together are spread.
+
+        It is bounded like the pause after a failed call, so that a change is known as soon as after one.
+        """
+        if self._is_own_service:
+            return 0.0
+        return min(self._start_spread_s, self._base_interval_s)
+
     def failover_window_s(self) -> float:
         """Return the time over which the balancers' calls to the next instance are spread."""
         return min(self._failover_spread_s, self.retry_within_s)
--- a/loadbalancer/endpoint_watch/time_budget.py
+++ b/loadbalancer/endpoint_watch/time_budget.py
@@ -20,6 +20,9 @@
 intervals, of 4.5 s at first: a service whose congestion has ended answers at once, as one's own does. While
 congestion lasts, that limit goes before the 6 s.
 
+A new process that has a list begins within a retry interval, like one whose call has just failed:
+processes that start together are spread over up to that, by the size of their tier.
+
 What a call did not use of its interval may be spent on the pause after it: balancers whose calls are refused
 at once spread over all of it. The call that is answered may take longer than the answer time, up to its
 timeout; what it takes longer comes out of the slack.
--- a/loadbalancer/endpoint_watch/watch.py
+++ b/loadbalancer/endpoint_watch/watch.py
@@ -61,6 +61,16 @@
         self._backoff.set_instance_count(len(addresses))
         self.index = FULL_SNAPSHOT
 
+    def first_request_delay_s(self) -> float:
+        """Return how long a new process that has a list waits before its first request, in seconds.
+
+        The platform's service answers a limited number of requests a second, and spends as much on one that
+        it answers too late. A release restarts many balancers together, whose requests would come at once.
+        """
+        if self.index < 0:
+            return 0.0
+        return self._backoff.start_window_s() * self._random.random()
+
     def next_request(self, now: float = 0.0) -> ListRequest:
         """Return the next call; `now` counts while a full list is scheduled.
 
--- a/loadbalancer/net/discovery/client.py
+++ b/loadbalancer/net/discovery/client.py
@@ -70,6 +70,7 @@
         )
         self._watch_task: asyncio.Task[None] | None = None
         self._has_reopened = False  # a broken watch, since the last answer
+        self._has_begun = False
         self._answered_at_s = -math.inf
 
     @property
@@ -141,6 +142,7 @@
 
     async def _run(self) -> None:
         loop = asyncio.get_running_loop()
+        await self._wait_for_first_request()
         while True:
             began = loop.time()
             request = self._watch.next_request(began)
@@ -158,6 +160,14 @@
             else:
                 self._handle_update(update)
 
+    async def _wait_for_first_request(self) -> None:
+        """Spread the first requests of balancers that start together, where all call one service."""
+        if self._has_begun:
+            return
+        self._has_begun = True
+        if self._is_polled:
+            await asyncio.sleep(self._watch.first_request_delay_s())
+
     async def _call(self, request: ListRequest) -> EndpointList:
         answer = await self._caller.call(request)
         update = answer.update
