--- a/loadbalancer/endpoint_watch/request_schedule.py
+++ b/loadbalancer/endpoint_watch/request_schedule.py
@@ -5,6 +5,7 @@
 import math
 import random
 from dataclasses import dataclass
+from enum import Enum
 
 from loadbalancer.endpoint_watch.instance_selection import Address
 
@@ -17,6 +18,15 @@
 FULL_SNAPSHOT = -1  # in place of a version: request the full list
 
 
+class RequestKind(Enum):
+    """What a request for the list asks, for logs."""
+
+    FULL_SNAPSHOT = "full_snapshot"
+    DELTA = "delta"
+    """What has changed, answered at once."""
+    LONG_POLL = "long_poll"
+
+
 @dataclass(frozen=True, slots=True)
 class ListRequest:
     """One call for the list."""
@@ -34,6 +44,13 @@
         """Whether the service holds the request until there is an update."""
         return self.wait_ms > RECOVERY_WAIT_MS
 
+    @property
+    def kind(self) -> RequestKind:
+        """What it asks."""
+        if self.after_index < 0:
+            return RequestKind.FULL_SNAPSHOT
+        return RequestKind.LONG_POLL if self.is_long_poll else RequestKind.DELTA
+
 
 class RequestSchedule:
     """Holds how long requests may wait, and when a quarantined list is requested in full again."""
--- a/loadbalancer/net/discovery/client.py
+++ b/loadbalancer/net/discovery/client.py
@@ -51,6 +51,8 @@
         """
         self._on_update = on_update
         self._on_failure = on_failure
+        self.on_request_failed: Callable[[ListRequest, float, Exception], None] = lambda *_: None
+        """Takes each request that failed, its time with connecting in seconds, and why."""
         self._is_polled = config.settings.polls_endpoint_list
         self._registry = config.registry
         self._address = config.discovery
@@ -202,8 +204,10 @@
                 self._late_answer.wait_for(connection, request)
         self._interest.record_failure(request.address, began, error)
         self._caller.close()
+        duration_s = asyncio.get_running_loop().time() - began
+        self.on_request_failed(request, duration_s, error)
         pause_s = self._watch.record_failure(
-            asyncio.get_running_loop().time() - began,
+            duration_s,
             response_timed_out=isinstance(error, ResponseTimeoutError),
             rejected=isinstance(error, RequestRejectedError | ConnectionResetError),
         )
--- a/loadbalancer/net/endpoint_list.py
+++ b/loadbalancer/net/endpoint_list.py
@@ -9,6 +9,7 @@
 from dataclasses import replace
 
 from loadbalancer import interface
+from loadbalancer.endpoint_watch import ListRequest
 from loadbalancer.interface import Outcome, Readiness, UpdateKind
 from loadbalancer.net.config import AddressedEndpoint, Config, EndpointList
 from loadbalancer.net.discovery import DiscoveryClient
@@ -43,6 +44,7 @@
         self._config = config
         self._balancer = balancer
         self._upstreams = upstreams
+        self._log = log
         self._dispatch = dispatch
         self._snapshot_written_ms = snapshot_written_ms
         self.endpoints: dict[str, AddressedEndpoint] = {}
@@ -56,6 +58,7 @@
             needs_full_list,
             lambda text: log.event("interest_subscription_failed", text),
         )
+        self.discovery.on_request_failed = self.on_request_failed
 
     def start(self) -> None:
         """Begin to watch the list, where it is pushed."""
@@ -86,6 +89,16 @@
         self._first_response.set()
         self._dispatch(self.discovery.failure_update())
 
+    def on_request_failed(self, request: ListRequest, duration_s: float, error: Exception) -> None:
+        """Log a request that failed: what it asked and how long it took tell a crowd from an outage."""
+        self._log.event(
+            "list_request_failed",
+            "a request for the endpoint list failed",
+            request=request.kind.value,
+            duration_ms=round(duration_s * 1_000),
+            error=f"{type(error).__name__}: {error}",
+        )
+
     def apply_cached(self, known: EndpointList) -> None:
         """Go on from the list of another process or a snapshot, unless the configured one is newer."""
         if known.endpoints and known.index >= self._config.initial_list.index:
--- a/tests/test_endpoint_list.py
+++ b/tests/test_endpoint_list.py
@@ -167,3 +167,24 @@
             assert kinds == [UpdateKind.FAILED] * 2
 
     run_scenario(scenario())
+
+
+def test_a_failed_request_for_the_list_is_logged_with_what_it_asked_and_how_long_it_took(
+    capfd: pytest.CaptureFixture[str],
+) -> None:
+    """Without these the logs of a herd day did not tell who called when, and how long each call waited."""
+
+    async def scenario() -> None:
+        async with ProxyHarness(Upstream()) as harness:
+            for _ in range(2):
+                await harness.discovery.request_lines.get()
+                harness.discovery.responses.put_nowait(http_response(503, b""))
+            await harness.discovery.request_lines.get()
+
+    run_scenario(scenario())
+    lines = [
+        line for line in capfd.readouterr().err.splitlines() if "a request for the endpoint list" in line
+    ]
+    assert [line.partition("request=")[2].split()[0] for line in lines] == ["long_poll", "delta"]
+    assert all("error=RequestRejectedError: discovery answered 503" in line for line in lines)
+    assert all(0 <= int(line.partition("duration_ms=")[2].split()[0]) < 2_000 for line in lines)
