Add a soak: drills made from seeds, of restarts, signals in series and crowds

Change: loadbalancer drill soak makes a drill from a seed (drill/soak/plan.py), plays it on real processes, and judges it by the checks of drills and one more: clients that use a connection for one request after another until the balancer ends it find requests that were not read, or forwarded and not answered. New steps: hup, crowd, and a SIGKILL at the earliest moment after SIGTERM. Bounds are the platform's; what it does not bound is not checked. Callers that fill discovery are not in it: the list is slow or failing instead.

--- a/loadbalancer/cli/drill.py
+++ b/loadbalancer/cli/drill.py
@@ -15,6 +15,7 @@
 from rich.table import Table
 
 from loadbalancer.cli.output import output_console
+from loadbalancer.cli.soak import soak
 from loadbalancer.cli.usage_error import UsageError, find_file
 from loadbalancer.drill import history
 from loadbalancer.drill.checks import judgement
@@ -25,6 +26,7 @@
 from loadbalancer.drill.scenario.tables import DrillScenario
 
 app = typer.Typer(no_args_is_help=True, help="A fleet of real processes on this machine, with faults.")
+app.command()(soak)
 DRILL_FOLDER = Path("drills")
 EXIT_CHECK_FAILED = 1
 PRINTED_CHECK_FIELDS = ("name", "held", "measured", "bound")  # of each check, by `--json`
--- a/loadbalancer/drill/checks/requests.py
+++ b/loadbalancer/drill/checks/requests.py
@@ -10,6 +10,11 @@
 from loadbalancer.drill.scenario.tables import DrillScenario
 
 MIN_REQUESTS_PER_SECOND = 5  # first attempts, below which a second's success rate says nothing
+CROSSING_WINDOW_MS = 150 + 50
+"""From a request's last byte to the end of its connection, for the two to have crossed.
+
+A balancer may be held up for 0.15 s, and each time limit of the platform is 50 ms longer.
+"""
 EXCUSING_FAULTS = ("kill", "stop")  # of a balancer: they excuse the loss of what it had in flight
 LATE_TOLERANCE_MS = 50  # for the clients' own delay
 
@@ -40,6 +45,24 @@
     ]
 
 
+def check_crossed_requests(timeline: Timeline, scenario: DrillScenario) -> CheckResult:
+    """Check that requests whose connection ended with no answer crossed its end, and were not forwarded.
+
+    Clients that use one connection for many requests send such a request again on another connection.
+    """
+    forwarded = {event["id"] for event, _ in timeline.arrivals()}
+    excuses = {name: _excuses(timeline, name) for name in timeline.location_by_name}
+    violations = []
+    for event in timeline.events_by_kind["crossed"]:
+        if any(begin <= event["t"] <= last for begin, last in excuses[event["to"]]):
+            continue
+        if event["id"] in forwarded:
+            violations.append(f"{event['id']} at {event['to']} was forwarded, and not answered")
+        elif event["after_ms"] > CROSSING_WINDOW_MS:
+            violations.append(f"{event['id']} at {event['to']} was lost after {event['after_ms']:.0f} ms")
+    return count_violations("crossings", violations)
+
+
 def check_answer_origins(timeline: Timeline, scenario: DrillScenario) -> CheckResult:
     """Check that what was forwarded as served was made by a server for this very request."""
     executions = {(e["id"], e["run"]) for e in timeline.events_by_kind["ended"] if e["run"]}
--- a/loadbalancer/drill/defects/names.py
+++ b/loadbalancer/drill/defects/names.py
@@ -7,6 +7,8 @@
     "forgets-drain": "proxy",
     "keeps-dead-server": "proxy",
     "answers-from-nowhere": "proxy",
+    "closes-unread": "proxy",
+    "ends-on-second-reload": "proxy",
     "trusts-any-list": "endpoint_list",
     "deaf-to-peers": "membership",
     "never-gives-up": "membership",
--- a/loadbalancer/drill/execution/step_execution.py
+++ b/loadbalancer/drill/execution/step_execution.py
@@ -63,6 +63,10 @@
                 self._membership.send_foreign_datagrams(step.count)
             case steps.ChangeLoad():
                 self._change_load(step)
+            case steps.ReloadConfiguration():
+                self._reload(step)
+            case steps.OpenIdleConnections():
+                self._open_idle_connections(step)
             case _:
                 await self._change_process(step)
 
@@ -82,8 +86,10 @@
             case steps.KillProcess(target=name):
                 self._signal("kill", name, signal.SIGKILL)
                 await self._supervisor.wait_for_exit(self._topology.with_companion(name))
-            case steps.TerminateProcess(target=name):
+            case steps.TerminateProcess(target=name, kill_after_s=kill_after_s):
                 self._signal("term", name, signal.SIGTERM)
+                if kill_after_s:
+                    self._track(asyncio.create_task(self._kill_later(name, kill_after_s)))
             case steps.PauseProcess(target=name, duration_s=duration_s):
                 self._signal("stop", name, signal.SIGSTOP)
                 self._track(asyncio.create_task(self._resume(name, duration_s)))
@@ -102,6 +108,26 @@
         for each in names:
             self._supervisor[each].signal(number)
 
+    async def _kill_later(self, name: str, delay_s: float) -> None:
+        """Kill what SIGTERM has not ended in time; that excuses nothing, so it is not recorded as a fault."""
+        processes = [self._supervisor[each] for each in self._topology.with_companion(name)]
+        await asyncio.sleep(delay_s)
+        for process in processes:
+            process.signal(signal.SIGKILL)
+
+    def _reload(self, step: steps.ReloadConfiguration) -> None:
+        """Move the endpoint list's address in the file, and have the balancer read it."""
+        balancer = self._topology.placements[step.target]
+        balancer.is_list_moved = not balancer.is_list_moved
+        self._files.write_balancer_config(balancer, balancer.console)
+        self._record_fault("hup", [step.target], on=True)
+        self._supervisor[step.target].signal(signal.SIGHUP)
+
+    def _open_idle_connections(self, step: steps.OpenIdleConnections) -> None:
+        self._record_fault("crowd", [step.target], on=True, count=step.count)
+        crowd = {"balancer": step.target, "count": step.count, "for_s": step.duration_s}
+        self._supervisor["clients"].send_command({"crowd": crowd})
+
     async def _resume(self, name: str, duration_s: float) -> None:
         await asyncio.sleep(duration_s)
         names = self._topology.with_companion(name)
--- a/loadbalancer/drill/processes/placement.py
+++ b/loadbalancer/drill/processes/placement.py
@@ -36,6 +36,8 @@
     started_at_ms: float = 0.0
     status: str = "in_service"
     version: str = ""
+    is_list_moved: bool = False
+    """Whether it reaches the endpoint list at its other address."""
 
     @property
     def address(self) -> Address:
--- a/loadbalancer/drill/processes/process_files.py
+++ b/loadbalancer/drill/processes/process_files.py
@@ -15,7 +15,7 @@
     format_address,
 )
 from loadbalancer.drill.processes.registry_config import write_registry_config
-from loadbalancer.drill.processes.topology import Topology
+from loadbalancer.drill.processes.topology import MOVED_SUFFIX, Topology
 from loadbalancer.drill.scenario.tables import ServerVersion
 from loadbalancer.drill.servers.clients import ClientsSpecification
 from loadbalancer.drill.servers.endpoint_list import EndpointListSpecification
@@ -141,7 +141,9 @@
         config: dict[str, Any] = {
             "name": balancer.name,
             "listen": format_address(balancer.address),
-            "discovery": self._link_address(balancer.name, "list"),
+            "discovery": self._link_address(
+                balancer.name + (MOVED_SUFFIX if balancer.is_list_moved else ""), "list"
+            ),
             "console": console or balancer.console,
             "seed": f"{random.Random(f'{self._seed}/{balancer.name}').getrandbits(63):x}",
             "limits": {"cores": 1.0, "memory_mb": 192, "sockets": 1024},
--- a/loadbalancer/drill/scenario/steps.py
+++ b/loadbalancer/drill/scenario/steps.py
@@ -40,7 +40,13 @@
 
 
 class TerminateProcess(TargetedStep, frozen=True, kw_only=True, tag="term"):
-    """SIGTERM."""
+    """SIGTERM, and SIGKILL `kill_after_s` later if it still runs; 0 for never."""
+
+    kill_after_s: float = 0.0
+
+
+class ReloadConfiguration(TargetedStep, frozen=True, kw_only=True, tag="hup"):
+    """SIGHUP to a balancer, with a configuration that moves the endpoint list to another address."""
 
 
 class PauseProcess(
@@ -153,6 +159,15 @@
     count: int = 200
 
 
+class OpenIdleConnections(
+    TargetedStep, frozen=True, kw_only=True, tag="crowd", rename={"target": "who", "duration_s": "for_s"}
+):  # fmt: skip
+    """Idle clients connect to a balancer, and stay for a time unless they are closed."""
+
+    count: int = 100
+    duration_s: float = 3.0
+
+
 class ChangeLoad(Step, frozen=True, kw_only=True, tag="surge"):
     """Clients send at another rate, with other retries, from now on."""
 
@@ -177,6 +192,8 @@
     | EvacuateZone
     | ReplaceBalancer
     | ChangeLoad
+    | OpenIdleConnections
+    | ReloadConfiguration
     | ExpectMemberState
     | SendForeignDatagrams
 )
--- a/loadbalancer/drill/scenario/tables.py
+++ b/loadbalancer/drill/scenario/tables.py
@@ -116,6 +116,8 @@
     """First attempts of the whole drill."""
     retries: int = 2
     backoff_ms: float = 20.0
+    persistent_connections: int = 0
+    """Connections to each balancer, used for one request after another until the balancer ends them."""
     retry_after_compliance: float = 1.0
     """The fraction of clients that wait as Retry-After says."""
     classes: tuple[RequestClass, ...] = DEFAULT_CLASSES
--- a/loadbalancer/drill/servers/specification.py
+++ b/loadbalancer/drill/servers/specification.py
@@ -65,3 +65,12 @@
     await loop.connect_read_pipe(lambda: asyncio.StreamReaderProtocol(reader), sys.stdin)
     while line := await reader.readline():
         on_command(json.loads(line))
+
+
+def execution_id(body: bytes, request_id: str) -> str:
+    """Return who made an answer, as it says; empty where it says nothing, or answers something else."""
+    try:
+        answer = json.loads(body)
+        return str(answer["run"]) if answer["id"] == request_id else ""
+    except (ValueError, KeyError, TypeError):
+        return ""
