--- a/loadbalancer/endpoint_watch/time_budget.py
+++ b/loadbalancer/endpoint_watch/time_budget.py
@@ -31,7 +31,7 @@
 from __future__ import annotations
 
 CHANGE_DEADLINE_S = 6.0  # from the change to the balancer's knowing it, as the platform counts it
-SCHEDULING_SLACK_S = 1.0  # of the deadline, for a busy processor
+SCHEDULING_SLACK_S = 1.0  # of the deadline: the process shares its core, and calls and answers wait for it
 MAX_CALL_FRACTION = 0.9  # of a retry interval: the rest is for the pause after a call that took all its time
 OWN_CALL_TIMEOUT_S = 2.0  # a service of one's own that takes longer is down
 PLATFORM_CALL_TIMEOUT_S = 2.25  # the platform works through calls in turn and ends those of over 2 s
