Judge the soak's lost requests by the crossing rule, and test that Ctrl-C leaves nothing

Change: in a soak every client sends a request once more whose connection ended before a byte of its answer came, as the platform's do, and the check of crossings judges it: forwarded ones, and those that were unread for over 200 ms, are lost.

--- a/loadbalancer/drill/servers/clients.py
+++ b/loadbalancer/drill/servers/clients.py
@@ -153,10 +153,16 @@
             name = self.rotation.next_balancer()
             sent = {"wish": number, "id": request_id, "try": attempt, "cls": request_class.name, "to": name}
             self.history.write("asked", **sent, deadline=round(remaining_ms, 3))
+            began_ms = self._clock.now
             try:
                 return await self._send(request_id, name, request_class, remaining_ms, is_retry=attempt > 1)
             except aiohttp.ClientConnectorError:
                 self.history.write("lost", id=request_id, how="refused", sent=False)
+            except (aiohttp.ClientOSError, aiohttp.ServerDisconnectedError) as error:
+                if not self._load.persistent_connections:
+                    self.history.write("lost", id=request_id, how=type(error).__name__, sent=True)
+                    return AttemptResult("lost")
+                self._record_crossing(request_id, name, began_ms, error)
             except (aiohttp.ClientError, OSError) as error:
                 self.history.write("lost", id=request_id, how=type(error).__name__, sent=True)
                 return AttemptResult("lost")
@@ -165,6 +171,15 @@
                 return AttemptResult("left")
         return AttemptResult("lost")
 
+    def _record_crossing(self, request_id: str, balancer: str, began_ms: float, error: Exception) -> None:
+        """Record a connection that ended before a byte of the answer came; the request is sent once more.
+
+        Whether the two may have crossed is for a check to say, by the time since the request was sent.
+        """
+        self.history.write("lost", id=request_id, how="crossed", sent=False)
+        after_ms = round(self._clock.now - began_ms, 3)
+        self.history.write("crossed", id=request_id, to=balancer, after_ms=after_ms, how=type(error).__name__)
+
     async def _send(
         self, request_id: str, balancer: str, request_class: RequestClass, remaining_ms: float, *,
         is_retry: bool,
--- a/tests/test_soak.py
+++ b/tests/test_soak.py
@@ -2,9 +2,13 @@
 
 from __future__ import annotations
 
+import contextlib
 import json
+import os
+import signal
 import subprocess
 import sys
+import time
 from collections.abc import Iterator
 from pathlib import Path
 from typing import Any
@@ -147,6 +151,29 @@
     assert json.loads((tmp_path / f"seed-{seed}" / "plan.json").read_text())["seed"] == seed
 
 
+def processes_of(folder: Path) -> list[str]:
+    """Return the command lines that name a folder, of processes that run."""
+    lines = []
+    for path in Path("/proc").glob("[0-9]*/cmdline"):
+        with contextlib.suppress(OSError):
+            lines.append(path.read_text().replace("\0", " "))
+    return [line for line in lines if str(folder) in line]
+
+
+def test_ended_by_ctrl_c_it_leaves_no_process(tmp_path: Path) -> None:
+    arguments = ["drill", "soak", "--seeds", "1-2", "--jobs", "2", "--out", str(tmp_path)]
+    soak = subprocess.Popen([sys.executable, "-c", COMMAND, *arguments], start_new_session=True)
+    deadline_s = time.monotonic() + 60
+    while len(processes_of(tmp_path)) < 8 and time.monotonic() < deadline_s:
+        time.sleep(0.05)
+    assert len(processes_of(tmp_path)) >= 8, "both drills have begun"
+    os.killpg(soak.pid, signal.SIGINT)
+    assert soak.wait(30) != 0
+    while processes_of(tmp_path) and time.monotonic() < deadline_s:
+        time.sleep(0.05)
+    assert not processes_of(tmp_path)
+
+
 @pytest.mark.parametrize(
     ("arguments", "hint"),
     [
