--- a/loadbalancer/cli/soak.py
+++ b/loadbalancer/cli/soak.py
@@ -46,15 +46,15 @@
                 _print_plan(seed)
             return
         if replay is not None:
-            all_held = _replay(replay, folder, defect, is_shortened=is_shortened)
+            all_passed = _replay(replay, folder, defect, is_shortened=is_shortened)
         elif len(chosen) == 1:
             _print_plan(chosen[0])
             result = runs.play_seed(chosen[0], folder, defect)
             typer.echo(str(result))
-            all_held = not result.failed
+            all_passed = not result.failed
         else:
-            all_held = asyncio.run(runs.play_in_processes(chosen, jobs, folder, defect, typer.echo))
-    if not all_held:
+            all_passed = asyncio.run(runs.play_in_processes(chosen, jobs, folder, defect, typer.echo))
+    if not all_passed:
         raise typer.Exit(runs.EXIT_CHECK_FAILED)
 
 
--- a/loadbalancer/drill/servers/persistent_clients.py
+++ b/loadbalancer/drill/servers/persistent_clients.py
@@ -37,7 +37,8 @@
     """A request that is being sent, with its number of sends."""
 
     request_class: RequestClass
-    wish: str
+    logical_id: str
+    """The same for a request that is sent again."""
     sends: int = 0
 
 
@@ -127,10 +128,10 @@
         """Send a request and read its answer; NoAnswerError if the connection ended without a byte of it."""
         request.sends += 1
         kind = request.request_class
-        request_id = f"{request.wish}-{request.sends}-{self._random.randrange(1 << 48):012x}"
+        request_id = f"{request.logical_id}-{request.sends}-{self._random.randrange(1 << 48):012x}"
         begun_ms = self._clock.now
         self._history.write(
-            "asked", wish=request.wish, id=request_id, **{"try": request.sends}, cls=kind.name, to=name,
+            "asked", wish=request.logical_id, id=request_id, **{"try": request.sends}, cls=kind.name, to=name,
             deadline=kind.deadline_ms,
         )  # fmt: skip
         written_ms = begun_ms
@@ -226,11 +227,11 @@
     def open(self, balancer: str, count: int, for_s: float) -> None:
         """Open connections to a balancer, and keep them for a time."""
         for _ in range(count):
-            task = asyncio.get_running_loop().create_task(self._hold(balancer, for_s))
+            task = asyncio.get_running_loop().create_task(self._keep_open(balancer, for_s))
             self._tasks.add(task)
             task.add_done_callback(self._tasks.discard)
 
-    async def _hold(self, balancer: str, for_s: float) -> None:
+    async def _keep_open(self, balancer: str, for_s: float) -> None:
         host, _, port = self._balancers[balancer].rpartition(":")
         with contextlib.suppress(OSError):
             _, writer = await asyncio.open_connection(host, int(port))
--- a/loadbalancer/drill/soak/run.py
+++ b/loadbalancer/drill/soak/run.py
@@ -83,10 +83,10 @@
 ) -> bool:
     """Play seeds, so many at once, each in a process of its own; return whether all held."""
     free = asyncio.Semaphore(jobs)
-    all_held = True
+    all_passed = True
 
     async def _play_one(seed: int) -> None:
-        nonlocal all_held
+        nonlocal all_passed
         async with free:
             arguments = ["drill", "soak", "--seeds", f"{seed}-{seed}", "--out", str(out), "--plant", defect]
             process = await asyncio.create_subprocess_exec(
@@ -99,14 +99,14 @@
                 if process.returncode is None:
                     process.terminate()
                     await process.wait()
-            all_held = all_held and process.returncode == 0
+            all_passed = all_passed and process.returncode == 0
             lines = output.decode().strip().splitlines()
             on_line(lines[-1] if lines else f"seed {seed}: ended with status {process.returncode}")
 
     async with asyncio.TaskGroup() as group:
         for seed in seeds:
             group.create_task(_play_one(seed))
-    return all_held
+    return all_passed
 
 
 def shorten(
@@ -133,9 +133,9 @@
 
 def _without_step(scenario: DrillScenario, index: int) -> DrillScenario:
     """Drop a step; what comes after it keeps its time."""
-    kept = list(scenario.step)
-    dropped = kept.pop(index)
-    if index < len(kept):
-        following = kept[index]
-        kept[index] = msgspec.structs.replace(following, after=following.after + dropped.after)
-    return msgspec.structs.replace(scenario, step=tuple(kept))
+    remaining = list(scenario.step)
+    dropped = remaining.pop(index)
+    if index < len(remaining):
+        following = remaining[index]
+        remaining[index] = msgspec.structs.replace(following, after=following.after + dropped.after)
+    return msgspec.structs.replace(scenario, step=tuple(remaining))
--- a/tests/test_head_memory.py
+++ b/tests/test_head_memory.py
@@ -18,6 +18,7 @@
 
 import pytest
 
+from loadbalancer.drill.processes.addresses import find_free_port
 from loadbalancer.net.http_framing import MAX_HEAD_BYTES
 from tests.loopback import (
     ListServer,
@@ -30,7 +31,7 @@
     status_of,
     wait_until,
 )
-from tests.test_endings_shutdown import connected, free_port, send_and_go
+from tests.test_endings_shutdown import connected, send_and_go
 
 MEMORY_LIMIT_MB = 64
 UNFINISHED_HEAD = b"GET /read/x HTTP/1.1\r\n" + b"X: y\r\n" * 9_000
@@ -45,7 +46,12 @@
 
 def test_a_flood_of_long_heads_keeps_the_program_within_its_memory_limit(tmp_path: Path) -> None:
     async def scenario() -> None:
-        upstream, lists, path, port = Upstream(), ListServer(), tmp_path / "config.json", free_port()
+        upstream, lists, path, port = (
+            Upstream(),
+            ListServer(),
+            tmp_path / "config.json",
+            find_free_port("127.0.0.1"),
+        )
         config = json.loads(config_text(await lists.start(), [endpoint_entry("s0", await upstream.start())]))
         limits = {"cores": 1.0, "memory_mb": MEMORY_LIMIT_MB, "sockets": 256}
         path.write_text(json.dumps(config | {"listen": f"127.0.0.1:{port}", "console": "", "limits": limits}))
--- a/tests/test_program.py
+++ b/tests/test_program.py
@@ -14,6 +14,7 @@
 
 import pytest
 
+from loadbalancer.drill.processes.addresses import find_free_port
 from loadbalancer.net.clock import Clock
 from tests.loopback import SCENARIO_TIMEOUT_S, config_text
 
@@ -34,14 +35,6 @@
         assert len(done.stderr.splitlines()) == 1, done.stderr
 
 
-def free_port() -> int:
-    """Return a port that nobody listens on."""
-    with socket.socket() as probe:
-        probe.bind(("127.0.0.1", 0))
-        port: int = probe.getsockname()[1]
-        return port
-
-
 def get_health(port: int) -> int:
     """Return the status of the health check."""
     connection = http.client.HTTPConnection("127.0.0.1", port, timeout=SCENARIO_TIMEOUT_S)
@@ -66,7 +59,7 @@
 
 def test_running_out_of_descriptors_is_survived(tmp_path: Path) -> None:
     """With fewer descriptors than the configuration says, accepting fails; it must go on later."""
-    port = free_port()
+    port = find_free_port("127.0.0.1")
     path = tmp_path / "config.json"
     path.write_text(config_text("127.0.0.1:9", []).replace("127.0.0.1:0", f"127.0.0.1:{port}"))
     limits = (MAX_DESCRIPTORS, MAX_DESCRIPTORS)
