--- a/tests/test_soak.py
+++ b/tests/test_soak.py
@@ -25,7 +25,6 @@
 
 COMMAND = "from loadbalancer.cli import main; main()"
 SEEDS_IN_CI = (1, 2, 3)  # the first ones of the range
-SEED_OF_PLANTED_DEFECTS = 2  # its plan has two SIGHUPs to one balancer, and a SIGTERM
 PLANS = [make_scenario(seed) for seed in range(1, 201)]
 
 
@@ -140,10 +139,13 @@
 
 
 @pytest.mark.parametrize(
-    ("defect", "check"), [("closes-unread", "crossings"), ("ends-on-second-reload", "standing")]
+    ("defect", "check", "seed"),
+    # Seed 3 has SIGHUPs to one balancer a second apart: closer ones may be delivered as one.
+    [("closes-unread", "crossings", 2), ("ends-on-second-reload", "standing", 3)],
 )
-def test_a_planted_defect_is_found_and_its_history_is_kept(defect: str, check: str, tmp_path: Path) -> None:
-    seed = SEED_OF_PLANTED_DEFECTS
+def test_a_planted_defect_is_found_and_its_history_is_kept(
+    defect: str, check: str, seed: int, tmp_path: Path
+) -> None:
     status, output = run_soak("--seeds", str(seed), "--out", str(tmp_path), "--plant", defect)
     assert status == 1, output
     assert f"seed {seed}: FAILED" in output
