Show that a long command is lost while its upstream hangs

The time of a request with a long body begins when the balancer has parsed its last byte. While the upstream takes nothing, reading is paused, and the last bytes stay in the kernel: the command has been taken, and nothing limits its time but the 20 s without progress of an attempt.

--- /dev/null
+++ b/review/standins.py
@@ -0,0 +1,384 @@
+"""Stand-ins for clients, upstreams and discovery after PROTOCOL, and the start of the balancer.
+
+Each script of `review/` uses this module; it needs the standard library alone. `python standins.py upstream`
+serves as one upstream in a process of its own, which a script may stop and continue by signals.
+"""
+
+from __future__ import annotations
+
+import asyncio
+import http.client
+import json
+import os
+import signal
+import socket
+import subprocess
+import sys
+import tempfile
+import threading
+import time
+import tomllib
+from pathlib import Path
+from typing import Any
+
+ROOT = Path(__file__).resolve().parent.parent
+HELD = 0
+BROKEN = 1
+COULD_NOT_RUN = 2
+START_TIMEOUT_S = 20.0
+POLL_INTERVAL_S = 0.02
+RECEIVE_BUFFER_BYTES = 65_536  # of an upstream's connections: small machines hold many of them
+
+
+class CaseError(Exception):
+    """The case could not run."""
+
+
+def is_troubled() -> bool:
+    """Return whether the disruption is to be played: `TROUBLE=0` leaves it out."""
+    return os.environ.get("TROUBLE", "1") != "0"
+
+
+def free_port() -> int:
+    """Return a port of the loopback address that is free now."""
+    with socket.socket() as probe:
+        probe.bind(("127.0.0.1", 0))
+        return int(probe.getsockname()[1])
+
+
+class Record:
+    """The lines of `record.txt`: what was sent, answered and run, with seconds since the start."""
+
+    def __init__(self, folder: Path) -> None:
+        """Begin an empty record in the folder of the case."""
+        self._file = (folder / "record.txt").open("w", encoding="utf-8")
+        self._lock = threading.Lock()
+        self._started_s = time.monotonic()
+
+    def write(self, text: str) -> None:
+        """Add one line."""
+        with self._lock:
+            self._file.write(f"{time.monotonic() - self._started_s:8.3f} {text}\n")
+            self._file.flush()
+
+
+class Discovery(threading.Thread):
+    """Discovery as PROTOCOL describes it: the whole list, and a watch with `after` and `wait_ms`."""
+
+    def __init__(self, record: Record, entries: list[dict[str, Any]]) -> None:
+        """Serve these entries on a free port, each change with a higher index."""
+        super().__init__(daemon=True)
+        self.port = free_port()
+        self.index = 41
+        self._record = record
+        self._entries = {entry["name"]: entry for entry in entries}
+        self._changed_at = dict.fromkeys(self._entries, self.index)
+        self._loop = asyncio.new_event_loop()
+        self._changed: asyncio.Event | None = None
+        self._ready = threading.Event()
+        self.start()
+        self._ready.wait(START_TIMEOUT_S)
+
+    def full_list(self) -> dict[str, Any]:
+        """Return the whole list."""
+        return {"index": self.index, "snapshot": True, "endpoints": list(self._entries.values())}
+
+    def change(self, name: str, **fields: Any) -> None:
+        """Change an entry, and answer the watches."""
+        self._loop.call_soon_threadsafe(self._change, name, fields)
+
+    def _change(self, name: str, fields: dict[str, Any]) -> None:
+        self.index += 1
+        self._entries[name] = self._entries[name] | fields
+        self._changed_at[name] = self.index
+        self._record.write(f"discovery: {name} changed, {fields}, index {self.index}")
+        assert self._changed is not None
+        self._changed.set()
+        self._changed = asyncio.Event()
+
+    def run(self) -> None:
+        """Serve until the process ends."""
+        asyncio.set_event_loop(self._loop)
+        self._changed = asyncio.Event()
+        self._loop.run_until_complete(asyncio.start_server(self._serve, "127.0.0.1", self.port))
+        self._ready.set()
+        self._loop.run_forever()
+
+    async def _serve(self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter) -> None:
+        try:
+            while True:
+                head = (await reader.readuntil(b"\r\n\r\n")).decode("latin-1")
+                target = head.split(" ")[1]
+                query = dict(part.partition("=")[::2] for part in target.partition("?")[2].split("&") if part)
+                body = json.dumps(await self._answer(query)).encode()
+                writer.write(b"HTTP/1.1 200 OK\r\nContent-Length: %d\r\n\r\n%b" % (len(body), body))
+                await writer.drain()
+        except (OSError, asyncio.IncompleteReadError):
+            writer.close()
+
+    async def _answer(self, query: dict[str, str]) -> dict[str, Any]:
+        after = int(query.get("after", "-1"))
+        if after < 0:
+            return self.full_list()
+        deadline = self._loop.time() + float(query.get("wait_ms", "0")) / 1000
+        while after >= self.index and (remaining := deadline - self._loop.time()) > 0:
+            assert self._changed is not None
+            try:
+                await asyncio.wait_for(self._changed.wait(), remaining)
+            except TimeoutError:
+                break
+        changed = [self._entries[name] for name, index in self._changed_at.items() if index > after]
+        return {"index": self.index, "snapshot": False, "endpoints": changed}
+
+
+def entry(name: str, port: int, **fields: Any) -> dict[str, Any]:
+    """Return an entry of the list."""
+    base = {
+        "name": name,
+        "address": f"127.0.0.1:{port}",
+        "zone": "zagreb-dc",
+        "type": "ulaz-b",
+        "group": 0,
+        "status": "in_service",
+        "weight": 2.0,
+        "since_ms": 0,
+    }
+    return base | fields
+
+
+def settings(**fields: Any) -> dict[str, Any]:
+    """Return the settings of a small deployment, with the values of the example in WIRE, section 6."""
+    classes = [("karta", 400.0, 2000.0, "retryable", 1.0), ("voznja", 1000.0, 2500.0, "retryable", 1.0)]
+    classes.append(("otkljucaj", 1200.0, 4000.0, "fragile", 10.0))
+    keys = ("name", "target", "deadline", "effect", "worth")
+    common = {"keyScope": "all", "repeatWindow": 5000.0, "stream": False, "lateShare": 0.0}
+    base: dict[str, Any] = {
+        "azs": ["zagreb-dc", "split-dc"],
+        "balancers": 1,
+        "classes": [dict(zip(keys, values, strict=True)) | common for values in classes],
+        "clients": {"marksRetry": True},
+        "contract": {
+            "askWithin": 10000.0,
+            "cold": 8700.0,
+            "coldFrom": 0.32,
+            "drainGrace": 3000.0,
+            "graceToAnswer": 8.0,
+            "overloadFactor": 2.5,
+            "tipAfter": 2000.0,
+        },
+        "discovery": "ask",
+        "family": "chain",
+        "familyInfo": {"passesDeadline": True},
+        "goal": {"whole": 0.25, "worstClass": 0.2, "worstTenant": 0.4, "worstWindow": 0.15},
+        "kinds": ["ulaz-a", "ulaz-b"],
+        "limits": {
+            "attemptsCap": 5,
+            "connIdle": 15000.0,
+            "connectTimeout": 120.0,
+            "cpuUsPerRequest": 0.0,
+            "cpuUsPerS": 500000,
+            "maxRetryAfter": 2000.0,
+            "mayCancel": True,
+            "mayDuplicate": True,
+            "openCap": 20000,
+            "peers": False,
+            "probes": True,
+            "retryAfter": True,
+            "streamsPerConn": 1,
+        },
+        "myNumber": 0,
+        "orgs": [{"name": "grad-zagreb", "portion": 1.0, "quotaPerS": 175.0}],
+        "overShareWorth": 0.05,
+        "stages": ["ulaz", "jezgra"],
+        "telemetry": {"fields": ["concurrent", "mean_ms"], "how": "probe"},
+        "tick": 2.0,
+        "tier": 0,
+        "weights": "rough",
+        "worthBy": "work",
+        "zone": "zagreb-dc",
+    }
+    return base | fields
+
+
+class Process:
+    """A process that the case has started, in a session of its own."""
+
+    def __init__(self, arguments: list[str], log: Path, **environment: str) -> None:
+        """Start it from the root of the repository; its output goes to a file."""
+        with log.open("ab") as output:
+            self._process = subprocess.Popen(
+                arguments,
+                cwd=ROOT,
+                env=os.environ | environment,
+                stdin=subprocess.DEVNULL,
+                stdout=output,
+                stderr=output,
+                start_new_session=True,
+            )
+        self.pid = self._process.pid
+
+    def send(self, number: signal.Signals) -> None:
+        """Send it a signal."""
+        if self._process.poll() is None:
+            self._process.send_signal(number)
+
+    def has_ended(self) -> bool:
+        """Return whether it has ended."""
+        return self._process.poll() is not None
+
+    def end(self) -> None:
+        """End it at once."""
+        self.send(signal.SIGKILL)
+        self._process.wait()
+
+
+class Balancer(Process):
+    """One balancer, started by the command `run` of the deploy file."""
+
+    def __init__(self, folder: Path, discovery: Discovery, name: str = "n1", **more: Any) -> None:
+        """Start it with `known` as discovery's present list; `more` goes into the configuration."""
+        self.port = free_port()
+        limits = {"cores": 1.0, "memory_mb": 192, "sockets": 1024}
+        configuration = {
+            "name": name,
+            "listen": f"127.0.0.1:{self.port}",
+            "discovery": f"127.0.0.1:{discovery.port}",
+            "seed": "8c1f30d27a5be964",
+            "limits": limits,
+            "known": discovery.full_list(),
+            "settings": settings(),
+        }
+        path = folder / f"{name}.json"
+        path.write_text(json.dumps(configuration | more), encoding="utf-8")
+        temporary = folder / f"{name}.tmp"
+        temporary.mkdir()
+        run = tomllib.loads((ROOT / "deploy/balancer.toml").read_text(encoding="utf-8"))["run"]
+        command = ["/bin/sh", "-c", run]
+        super().__init__(command, folder / f"{name}.log", LB_CONFIG=str(path), TMPDIR=str(temporary))
+        wait_until(lambda: health(self.port) == http.client.OK or self.has_ended(), "the balancer is ready")
+        if self.has_ended():
+            raise CaseError("the balancer has ended")
+
+
+class UpstreamProcess(Process):
+    """One upstream in a process of its own."""
+
+    def __init__(self, folder: Path, name: str, work_ms: float) -> None:
+        """Start it; it writes a line for each request that it has run to the file `runs`."""
+        self.name = name
+        self.port = free_port()
+        self.runs = folder / f"{name}.runs"
+        arguments = [sys.executable, str(Path(__file__).resolve()), "upstream", name, str(self.port)]
+        super().__init__([*arguments, str(work_ms), str(self.runs)], folder / f"{name}.log")
+        wait_until(lambda: is_listening(self.port), "an upstream is ready")
+
+
+def is_listening(port: int) -> bool:
+    """Return whether a connection to a port comes up."""
+    try:
+        socket.create_connection(("127.0.0.1", port), 1.0).close()
+    except OSError:
+        return False
+    return True
+
+
+def health(port: int) -> int:
+    """Return the status of a balancer's health check; 0 while nothing answers."""
+    connection = http.client.HTTPConnection("127.0.0.1", port, timeout=2.0)
+    try:
+        connection.request("GET", "/healthz")
+        return connection.getresponse().status
+    except OSError:
+        return 0
+    finally:
+        connection.close()
+
+
+def wait_until(condition: Any, what: str, timeout_s: float = START_TIMEOUT_S) -> None:
+    """Wait until a condition holds; CaseError if it does not in time."""
+    deadline_s = time.monotonic() + timeout_s
+    while not condition():
+        if time.monotonic() > deadline_s:
+            raise CaseError(f"not in time: {what}")
+        time.sleep(POLL_INTERVAL_S)
+
+
+def run_case(folder: Path, play: Any) -> int:
+    """Play a case in a temporary folder, end its processes and return its exit status.
+
+    `play` gets the record, the temporary folder and a list to which it adds each process that it starts; it
+    returns whether the rule has held.
+    """
+    record = Record(folder)
+    processes: list[Process] = []
+    status = COULD_NOT_RUN
+    with tempfile.TemporaryDirectory(ignore_cleanup_errors=True) as temporary:
+        try:
+            status = HELD if play(record, Path(temporary), processes) else BROKEN
+        except (CaseError, OSError) as error:
+            record.write(f"the case could not run: {error}")
+        finally:
+            for process in processes:
+                process.end()
+            for log in sorted(Path(temporary).glob("*.log")):
+                for line in log.read_text(errors="replace").splitlines()[-20:]:
+                    record.write(f"log of {log.stem}: {line}")
+    verdict = {HELD: "the rule held", BROKEN: "the rule was broken", COULD_NOT_RUN: "the case could not run"}
+    record.write(f"{verdict[status]}: exit status {status}")
+    print(verdict[status])
+    return status
+
+
+# ---- an upstream ------------------------------------------------------------------------------------
+
+
+class Upstream:
+    """An upstream after PROTOCOL: it begins a request when its last byte has come, and answers 200."""
+
+    def __init__(self, name: str, work_s: float, runs: Path) -> None:
+        """Work on each request for `work_s`; write a line to `runs` for each request that has run."""
+        self._name = name
+        self._work_s = work_s
+        self._runs = runs.open("a", encoding="utf-8")
+
+    async def serve(self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter) -> None:
+        """Serve one connection."""
+        try:
+            while True:
+                head = (await reader.readuntil(b"\r\n\r\n")).decode("latin-1")
+                lines = [line.partition(":")[::2] for line in head.split("\r\n")[1:]]
+                headers = {name.strip().lower(): value.strip() for name, value in lines if name}
+                if headers.get("transfer-encoding", "").lower() == "chunked":
+                    received = await self._read_chunks(reader)
+                else:
+                    received = len(await reader.readexactly(int(headers.get("content-length", "0"))))
+                request_id = headers.get("x-request-id", "")
+                self._runs.write(f"{time.time():.3f} {request_id} {received}\n")
+                self._runs.flush()
+                await asyncio.sleep(self._work_s)
+                body = f"{request_id} by {self._name}\n".encode()
+                writer.write(b"HTTP/1.1 200 OK\r\nContent-Length: %d\r\n\r\n%b" % (len(body), body))
+                await writer.drain()
+        except (OSError, asyncio.IncompleteReadError):
+            writer.close()
+
+    async def _read_chunks(self, reader: asyncio.StreamReader) -> int:
+        received = 0
+        while size := int(await reader.readuntil(b"\r\n"), 16):
+            received += len(await reader.readexactly(size + 2)) - 2
+        await reader.readuntil(b"\r\n")
+        return received
+
+
+async def _serve_upstream(name: str, port: str, work_ms: str, runs: str) -> None:
+    upstream = Upstream(name, float(work_ms) / 1000, Path(runs))
+    listener = socket.socket()
+    listener.setsockopt(socket.SOL_SOCKET, socket.SO_REUSEADDR, 1)
+    listener.setsockopt(socket.SOL_SOCKET, socket.SO_RCVBUF, RECEIVE_BUFFER_BYTES)
+    listener.bind(("127.0.0.1", int(port)))
+    server = await asyncio.start_server(upstream.serve, sock=listener, backlog=128)
+    await server.serve_forever()
+
+
+if __name__ == "__main__":
+    asyncio.run(_serve_upstream(*sys.argv[2:]))
