--- a/review/standins.py
+++ b/review/standins.py
@@ -235,17 +235,20 @@
 class Balancer(Process):
     """One balancer, started by the command `run` of the deploy file."""
 
-    def __init__(self, folder: Path, discovery: Discovery, name: str = "n1", **more: Any) -> None:
-        """Start it with `known` as discovery's present list; `more` goes into the configuration."""
+    def __init__(self, folder: Path, discovery: Discovery | int, name: str = "n1", **more: Any) -> None:
+        """Start it with `known` as discovery's present list; `more` goes into the configuration.
+
+        `discovery` may be the port of a list service, whose list is then not known yet.
+        """
         self.port = free_port()
         limits = {"cores": 1.0, "memory_mb": 192, "sockets": 1024}
         configuration = {
             "name": name,
             "listen": f"127.0.0.1:{self.port}",
-            "discovery": f"127.0.0.1:{discovery.port}",
+            "discovery": f"127.0.0.1:{discovery if isinstance(discovery, int) else discovery.port}",
             "seed": "8c1f30d27a5be964",
             "limits": limits,
-            "known": discovery.full_list(),
+            "known": None if isinstance(discovery, int) else discovery.full_list(),
             "settings": settings(),
         }
         path = folder / f"{name}.json"
