--- a/review/2/play.py
+++ b/review/2/play.py
@@ -1,4 +1,4 @@
-"""A drain that the registry has answered with 200 has to be on the disk: the registry is killed and returns."""
+"""A drain answered with 200 has to be on the disk: the registry is killed, and returns."""
 
 from __future__ import annotations
 
@@ -31,7 +31,7 @@
 
 
 def play(record: Record, temporary: Path, processes: list[Process]) -> bool:
-    """Return whether the drain that was answered with 200 is still on the list after the registry's return."""
+    """Return whether the drain that was answered with 200 is still there after the return."""
     registry = Registry(temporary)
     processes.append(registry)
     upstreams = []
--- a/review/registry.py
+++ b/review/registry.py
@@ -48,6 +48,12 @@
             raise CaseError(f"the list was answered with {status}")
         return {entry["name"]: entry["status"] for entry in json.loads(answer)["endpoints"]}
 
+    def start_of(self, name: str) -> float | None:
+        """Return when a server on the list was last started, by its own words; None if it is not listed."""
+        _, answer = call("GET", self.port, "/v1/servers")
+        starts = {entry["name"]: entry["since_ms"] for entry in json.loads(answer)["endpoints"]}
+        return starts.get(name)
+
 
 def call(method: str, port: int, path: str) -> tuple[int, bytes]:
     """Return the status and the body of an answer."""
