Show that clients get one another's answers after a second answer

A connection to an upstream is used again 6 ms after an answer. A second answer that comes 8 ms late is taken for the answer to the next request, whose own answer then goes to the one after it.

--- a/review/standins.py
+++ b/review/standins.py
@@ -10,6 +10,7 @@
 import http.client
 import json
 import os
+import random
 import signal
 import socket
 import subprocess
@@ -27,6 +28,7 @@
 COULD_NOT_RUN = 2
 START_TIMEOUT_S = 20.0
 POLL_INTERVAL_S = 0.02
+SECOND_ANSWER_S = 0.008  # from an answer to its repetition: "some milliseconds late"
 RECEIVE_BUFFER_BYTES = 65_536  # of an upstream's connections: small machines hold many of them
 
 
@@ -266,13 +268,17 @@
 class UpstreamProcess(Process):
     """One upstream in a process of its own."""
 
-    def __init__(self, folder: Path, name: str, work_ms: float) -> None:
-        """Start it; it writes a line for each request that it has run to the file `runs`."""
+    def __init__(self, folder: Path, name: str, work_ms: float, *, repeated_share: float = 0.0) -> None:
+        """Start it; it writes a line for each request that it has run to the file `runs`.
+
+        So many of its answers come a second time, `SECOND_ANSWER_S` later.
+        """
         self.name = name
         self.port = free_port()
         self.runs = folder / f"{name}.runs"
         arguments = [sys.executable, str(Path(__file__).resolve()), "upstream", name, str(self.port)]
-        super().__init__([*arguments, str(work_ms), str(self.runs)], folder / f"{name}.log")
+        arguments += [str(work_ms), str(self.runs), str(repeated_share)]
+        super().__init__(arguments, folder / f"{name}.log")
         wait_until(lambda: is_listening(self.port), "an upstream is ready")
 
 
@@ -338,10 +344,12 @@
 class Upstream:
     """An upstream after PROTOCOL: it begins a request when its last byte has come, and answers 200."""
 
-    def __init__(self, name: str, work_s: float, runs: Path) -> None:
+    def __init__(self, name: str, work_s: float, runs: Path, repeated_share: float) -> None:
         """Work on each request for `work_s`; write a line to `runs` for each request that has run."""
         self._name = name
         self._work_s = work_s
+        self._repeated_share = repeated_share
+        self._random = random.Random(name)
         self._runs = runs.open("a", encoding="utf-8")
 
     async def serve(self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter) -> None:
@@ -356,15 +364,22 @@
                 else:
                     received = len(await reader.readexactly(int(headers.get("content-length", "0"))))
                 request_id = headers.get("x-request-id", "")
-                self._runs.write(f"{time.time():.3f} {request_id} {received}\n")
-                self._runs.flush()
+                self._note(f"{request_id} {received}")
                 await asyncio.sleep(self._work_s)
                 body = f"{request_id} by {self._name}\n".encode()
-                writer.write(b"HTTP/1.1 200 OK\r\nContent-Length: %d\r\n\r\n%b" % (len(body), body))
+                answer = b"HTTP/1.1 200 OK\r\nContent-Length: %d\r\n\r\n%b" % (len(body), body)
+                writer.write(answer)
                 await writer.drain()
+                if self._random.random() < self._repeated_share:
+                    self._note(f"second answer to {request_id}")
+                    asyncio.get_running_loop().call_later(SECOND_ANSWER_S, writer.write, answer)
         except (OSError, asyncio.IncompleteReadError):
             writer.close()
 
+    def _note(self, text: str) -> None:
+        self._runs.write(f"{time.time():.3f} {text}\n")
+        self._runs.flush()
+
     async def _read_chunks(self, reader: asyncio.StreamReader) -> int:
         received = 0
         while size := int(await reader.readuntil(b"\r\n"), 16):
@@ -373,8 +388,8 @@
         return received
 
 
-async def _serve_upstream(name: str, port: str, work_ms: str, runs: str) -> None:
-    upstream = Upstream(name, float(work_ms) / 1000, Path(runs))
+async def _serve_upstream(name: str, port: str, work_ms: str, runs: str, repeated_share: str) -> None:
+    upstream = Upstream(name, float(work_ms) / 1000, Path(runs), float(repeated_share))
     listener = socket.socket()
     listener.setsockopt(socket.SOL_SOCKET, socket.SO_REUSEADDR, 1)
     listener.setsockopt(socket.SOL_SOCKET, socket.SO_RCVBUF, RECEIVE_BUFFER_BYTES)
