Trace the second answers to held-back writes, and count commands run twice

Upstreams without TCP_NODELAY hold a second, small answer back until the first is acknowledged, and the acknowledgement goes with the next request: the rest of 6 ms does not hold it off.

--- a/review/standins.py
+++ b/review/standins.py
@@ -28,7 +28,9 @@
 COULD_NOT_RUN = 2
 START_TIMEOUT_S = 20.0
 POLL_INTERVAL_S = 0.02
-SECOND_ANSWER_S = 0.008  # from an answer to its repetition: "some milliseconds late"
+MAX_CASE_S = 115  # a script has 120 s
+CROWDED_CALL_S = 2.0  # until discovery ends a call, as the site file has it (`timeout_ms`)
+SECOND_ANSWER_S = 0.003  # from an answer to its repetition: "some milliseconds late"
 RECEIVE_BUFFER_BYTES = 65_536  # of an upstream's connections: small machines hold many of them
 
 
@@ -73,6 +75,10 @@
         self.port = free_port()
         self.index = 41
         self._record = record
+        self.ended_calls = 0
+        """How many calls were ended because they had waited too long."""
+        self._is_crowded = False
+        self._writers: set[asyncio.StreamWriter] = set()
         self._entries = {entry["name"]: entry for entry in entries}
         self._changed_at = dict.fromkeys(self._entries, self.index)
         self._loop = asyncio.new_event_loop()
@@ -89,6 +95,18 @@
         """Change an entry, and answer the watches."""
         self._loop.call_soon_threadsafe(self._change, name, fields)
 
+    def set_crowded(self, *, is_crowded: bool) -> None:
+        """Have too many callers, so that each call waits too long and is ended, or answer again."""
+        self._loop.call_soon_threadsafe(self._set_crowded, is_crowded)
+
+    def _set_crowded(self, is_crowded: bool) -> None:  # noqa: FBT001 called by the event loop
+        self._is_crowded = is_crowded
+        self._record.write(
+            f"discovery: {'has too many callers, and watches end' if is_crowded else 'is back'}"
+        )
+        for writer in self._writers if is_crowded else ():
+            writer.transport.abort()
+
     def _change(self, name: str, fields: dict[str, Any]) -> None:
         self.index += 1
         self._entries[name] = self._entries[name] | fields
@@ -107,9 +125,18 @@
         self._loop.run_forever()
 
     async def _serve(self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter) -> None:
+        self._writers.add(writer)
         try:
             while True:
                 head = (await reader.readuntil(b"\r\n\r\n")).decode("latin-1")
+                self._record.write(f"discovery: called: {head.splitlines()[0]}")
+                if self._is_crowded:
+                    await asyncio.sleep(CROWDED_CALL_S)
+                    self.ended_calls += 1
+                    self._record.write("discovery: the call has waited too long: 503")
+                    writer.write(b"HTTP/1.1 503 Service Unavailable\r\nContent-Length: 0\r\n\r\n")
+                    await writer.drain()
+                    continue
                 target = head.split(" ")[1]
                 query = dict(part.partition("=")[::2] for part in target.partition("?")[2].split("&") if part)
                 body = json.dumps(await self._answer(query)).encode()
@@ -117,6 +144,8 @@
                 await writer.drain()
         except (OSError, asyncio.IncompleteReadError):
             writer.close()
+        finally:
+            self._writers.discard(writer)
 
     async def _answer(self, query: dict[str, str]) -> dict[str, Any]:
         after = int(query.get("after", "-1"))
@@ -268,16 +297,25 @@
 class UpstreamProcess(Process):
     """One upstream in a process of its own."""
 
-    def __init__(self, folder: Path, name: str, work_ms: float, *, repeated_share: float = 0.0) -> None:
+    def __init__(
+        self,
+        folder: Path,
+        name: str,
+        work_ms: float,
+        *,
+        repeated_share: float = 0.0,
+        max_requests: int = 1_000_000,
+    ) -> None:
         """Start it; it writes a line for each request that it has run to the file `runs`.
 
-        So many of its answers come a second time, `SECOND_ANSWER_S` later.
+        So many of its answers come a second time, `SECOND_ANSWER_S` later. It turns away what comes while it
+        has `max_requests`.
         """
         self.name = name
         self.port = free_port()
         self.runs = folder / f"{name}.runs"
         arguments = [sys.executable, str(Path(__file__).resolve()), "upstream", name, str(self.port)]
-        arguments += [str(work_ms), str(self.runs), str(repeated_share)]
+        arguments += [str(work_ms), str(self.runs), str(repeated_share), str(max_requests)]
         super().__init__(arguments, folder / f"{name}.log")
         wait_until(lambda: is_listening(self.port), "an upstream is ready")
 
@@ -312,6 +350,10 @@
         time.sleep(POLL_INTERVAL_S)
 
 
+def _end_case(number: int, _: object) -> None:
+    raise CaseError(f"ended by {signal.Signals(number).name}")
+
+
 def run_case(folder: Path, play: Any) -> int:
     """Play a case in a temporary folder, end its processes and return its exit status.
 
@@ -321,6 +363,9 @@
     record = Record(folder)
     processes: list[Process] = []
     status = COULD_NOT_RUN
+    for number in (signal.SIGALRM, signal.SIGTERM, signal.SIGINT):
+        signal.signal(number, _end_case)
+    signal.alarm(MAX_CASE_S)
     with tempfile.TemporaryDirectory(ignore_cleanup_errors=True) as temporary:
         try:
             status = HELD if play(record, Path(temporary), processes) else BROKEN
@@ -344,16 +389,21 @@
 class Upstream:
     """An upstream after PROTOCOL: it begins a request when its last byte has come, and answers 200."""
 
-    def __init__(self, name: str, work_s: float, runs: Path, repeated_share: float) -> None:
+    def __init__(
+        self, name: str, work_s: float, runs: Path, repeated_share: float, max_requests: int
+    ) -> None:
         """Work on each request for `work_s`; write a line to `runs` for each request that has run."""
         self._name = name
         self._work_s = work_s
         self._repeated_share = repeated_share
+        self._max_requests = max_requests
+        self._request_count = 0
         self._random = random.Random(name)
         self._runs = runs.open("a", encoding="utf-8")
 
     async def serve(self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter) -> None:
-        """Serve one connection."""
+        """Serve one connection, with the system's default of holding small writes back (no TCP_NODELAY)."""
+        writer.get_extra_info("socket").setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 0)
         try:
             while True:
                 head = (await reader.readuntil(b"\r\n\r\n")).decode("latin-1")
@@ -364,18 +414,25 @@
                 else:
                     received = len(await reader.readexactly(int(headers.get("content-length", "0"))))
                 request_id = headers.get("x-request-id", "")
-                self._note(f"{request_id} {received}")
-                await asyncio.sleep(self._work_s)
-                body = f"{request_id} by {self._name}\n".encode()
-                answer = b"HTTP/1.1 200 OK\r\nContent-Length: %d\r\n\r\n%b" % (len(body), body)
+                if self._request_count >= self._max_requests:
+                    answer = b"HTTP/1.1 503 Service Unavailable\r\nX-Not-Run: 1\r\nContent-Length: 0\r\n\r\n"
+                else:
+                    answer = await self._work(request_id, received)
                 writer.write(answer)
                 await writer.drain()
                 if self._random.random() < self._repeated_share:
-                    self._note(f"second answer to {request_id}")
                     asyncio.get_running_loop().call_later(SECOND_ANSWER_S, writer.write, answer)
         except (OSError, asyncio.IncompleteReadError):
             writer.close()
 
+    async def _work(self, request_id: str, received: int) -> bytes:
+        self._request_count += 1
+        self._note(f"{request_id} {received}")
+        await asyncio.sleep(self._work_s)
+        self._request_count -= 1
+        body = f"{request_id} by {self._name}\n".encode()
+        return b"HTTP/1.1 200 OK\r\nContent-Length: %d\r\n\r\n%b" % (len(body), body)
+
     def _note(self, text: str) -> None:
         self._runs.write(f"{time.time():.3f} {text}\n")
         self._runs.flush()
@@ -388,8 +445,10 @@
         return received
 
 
-async def _serve_upstream(name: str, port: str, work_ms: str, runs: str, repeated_share: str) -> None:
-    upstream = Upstream(name, float(work_ms) / 1000, Path(runs), float(repeated_share))
+async def _serve_upstream(  # noqa: PLR0913, PLR0917 the arguments of the command line
+    name: str, port: str, work_ms: str, runs: str, repeated_share: str, max_requests: str
+) -> None:
+    upstream = Upstream(name, float(work_ms) / 1000, Path(runs), float(repeated_share), int(max_requests))
     listener = socket.socket()
     listener.setsockopt(socket.SOL_SOCKET, socket.SO_REUSEADDR, 1)
     listener.setsockopt(socket.SOL_SOCKET, socket.SO_RCVBUF, RECEIVE_BUFFER_BYTES)
