--- a/review/registry.py
+++ b/review/registry.py
@@ -71,7 +71,7 @@
     completed = subprocess.run(
         [str(COMMAND), "directory", *arguments, "--at", f"127.0.0.1:{registry_port}"],
         cwd=ROOT,
-        env=os.environ | {"LC_ALL": "C.UTF-8"},
+        env=os.environ | {"LC_ALL": "C.UTF-8", "LOGNAME": "operator"},
         stdin=subprocess.DEVNULL,
         capture_output=True,
         text=True,
