End each process of a review script, also one that is just starting

A process was on the list of those to be ended only after its constructor, and an unexpected error ended a script with 1, which means a broken rule: it ends with 2 now.

--- a/review/standins.py
+++ b/review/standins.py
@@ -20,7 +20,7 @@
 import time
 import tomllib
 from pathlib import Path
-from typing import Any
+from typing import Any, ClassVar
 
 ROOT = Path(__file__).resolve().parent.parent
 HELD = 0
@@ -234,6 +234,9 @@
 class Process:
     """A process that the case has started, in a session of its own."""
 
+    started: ClassVar[list[Process]] = []
+    """All of them, from their first moment on: each is ended with the case."""
+
     def __init__(self, arguments: list[str], log: Path, **environment: str) -> None:
         """Start it from the root of the repository; its output goes to a file."""
         with log.open("ab") as output:
@@ -247,6 +250,7 @@
                 start_new_session=True,
             )
         self.pid = self._process.pid
+        Process.started.append(self)
 
     def send(self, number: signal.Signals) -> None:
         """Send it a signal."""
@@ -369,10 +373,11 @@
     with tempfile.TemporaryDirectory(ignore_cleanup_errors=True) as temporary:
         try:
             status = HELD if play(record, Path(temporary), processes) else BROKEN
-        except (CaseError, OSError) as error:
-            record.write(f"the case could not run: {error}")
+        except Exception as error:  # only a broken rule may end with 1
+            record.write(f"the case could not run: {type(error).__name__}: {error}")
         finally:
-            for process in processes:
+            signal.alarm(0)
+            for process in Process.started:
                 process.end()
             for log in sorted(Path(temporary).glob("*.log")):
                 for line in log.read_text(errors="replace").splitlines()[-20:]:
