Log bodies of which an upstream has taken only a part

Change: an attempt that fails while its request's body is incomplete logs `body_not_taken` with the server, the bytes that were read, those that wait in the kernel (FIONREAD) and those that the head announced.

--- a/loadbalancer/net/downstream_connection.py
+++ b/loadbalancer/net/downstream_connection.py
@@ -10,7 +10,7 @@
 from loadbalancer.net.downstream_pipeline import PipelineListener, RequestPipeline
 from loadbalancer.net.downstream_reader import RequestReader
 from loadbalancer.net.message_body import BufferBudget
-from loadbalancer.net.sockets import has_peer_closed, peek_socket, set_no_delay
+from loadbalancer.net.sockets import has_peer_closed, peek_socket, set_no_delay, unread_bytes
 from loadbalancer.net.upstream_attempt import STALL_TIMEOUT_S
 
 # How long to read on after a half-close, so that no reset overtakes the response.
@@ -91,6 +91,12 @@
         """Resume reading, if it waited for a response."""
         self.reader.on_pipeline_advanced()
 
+    def unread_bytes(self) -> int:
+        """Return how many bytes from the client the kernel has and the loop has not read."""
+        if self._transport is None or self._transport.is_closing():
+            return 0
+        return unread_bytes(self._transport)
+
     def on_body_sink_ready(self) -> None:
         """Resume reading, if it waited for the upstream."""
         self.reader.update()
--- a/loadbalancer/net/downstream_request.py
+++ b/loadbalancer/net/downstream_request.py
@@ -61,6 +61,9 @@
     def pipeline(self) -> ResponseWriter:
         """The writer of its responses."""
 
+    def unread_bytes(self) -> int:
+        """Return how many bytes from the client the kernel has and the loop has not read."""
+
     def on_body_sink_ready(self) -> None:
         """Resume reading, if it waited for the upstream."""
 
@@ -168,6 +171,10 @@
         """Return whether its client is connected right now; if not, its connection is closed at once."""
         return self.is_open and self._connection.is_client_connected()
 
+    def unread_bytes(self) -> int:
+        """Return how many bytes from its client the kernel has and the loop has not read."""
+        return self._connection.unread_bytes()
+
     def validate(self, class_names: frozenset[str]) -> RequestRejection | None:
         """Read what the balancer needs; return why the request is not acceptable, if it is not."""
         path = self.target.partition(b"?")[0]
--- a/loadbalancer/net/request_attempts.py
+++ b/loadbalancer/net/request_attempts.py
@@ -7,9 +7,9 @@
 
 from loadbalancer import interface
 from loadbalancer.interface import OUTCOMES_WITHOUT_EFFECT, Outcome
-from loadbalancer.net.clock import Clock
 from loadbalancer.net.downstream_request import DownstreamRequest
 from loadbalancer.net.http_framing import end_to_end_headers
+from loadbalancer.net.log import Log
 from loadbalancer.net.request_counters import RequestCounters
 from loadbalancer.net.request_table import RESPONSE_MARGIN_MS, RequestInFlight, RequestTable
 from loadbalancer.net.upstream_attempt import Attempt, AttemptHandler
@@ -69,6 +69,8 @@
 
     def on_attempt_ended(self, outcome: Outcome, answer: UpstreamResponse | None) -> None:
         """Report the outcome."""
+        if self.body is not None and not self.body.is_complete and outcome is Outcome.CONNECT_FAILED:
+            self._attempts.log_unfinished_body(self._request.downstream, self._server)
         self._attempts.on_attempt_ended(self._request, self._index, self._server, outcome, answer)
 
 
@@ -79,16 +81,17 @@
         self,
         requests: RequestTable,
         upstreams: UpstreamPools,
-        clock: Clock,
         counters: RequestCounters,
         on_outcome: Callable[[str, Outcome], None],
+        log: Log,
     ) -> None:
         """Create the sender of attempts; `on_outcome` receives the server and the outcome of each."""
         self._requests = requests
         self._upstreams = upstreams
-        self.clock = clock
+        self.clock = requests.clock
         self._counters = counters
         self._on_outcome = on_outcome
+        self._log = log
 
     def send(self, action: interface.SendAttempt) -> None:
         """Begin an attempt; one that can't begin ends at once."""
@@ -119,6 +122,17 @@
         if attempt is not None:
             attempt.cancel()
 
+    def log_unfinished_body(self, downstream: DownstreamRequest, server: str) -> None:
+        """Log that an attempt ended before its server had taken the whole body."""
+        self._log.event(
+            "body_not_taken",
+            "a server has not taken the whole body of a request",
+            server=server,
+            read_bytes=downstream.body.received_bytes,
+            unread_bytes=downstream.unread_bytes(),
+            expected_bytes="unknown" if downstream.body.length is None else downstream.body.length,
+        )
+
     def on_attempt_written(self) -> None:
         """Count an attempt that has been written in full."""
         self._counters.record_attempt()
--- a/loadbalancer/net/request_table.py
+++ b/loadbalancer/net/request_table.py
@@ -74,7 +74,7 @@
     ) -> None:
         """Create an empty table; `dispatch` passes events to the decision module."""
         self._loop = loop
-        self._clock = clock
+        self.clock = clock
         self._counters = counters
         self._dispatch = dispatch
         self._last_id = 0
@@ -83,7 +83,7 @@
     def add(self, downstream: DownstreamRequest, remaining_ms: float) -> RequestInFlight:
         """Add a request that arrived with this much time remaining until its deadline."""
         self._last_id += 1
-        respond_by_ms = self._clock.now() + remaining_ms - RESPONSE_MARGIN_MS
+        respond_by_ms = self.clock.now() + remaining_ms - RESPONSE_MARGIN_MS
         request = RequestInFlight(self._last_id, downstream, respond_by_ms)
         downstream.request_id = request.id
         self.by_id[request.id] = request
--- a/loadbalancer/net/sockets.py
+++ b/loadbalancer/net/sockets.py
@@ -4,9 +4,11 @@
 
 import asyncio
 import contextlib
+import fcntl
 import select
 import socket
 import struct
+import termios
 
 
 def set_no_delay(transport: asyncio.BaseTransport) -> None:
@@ -33,6 +35,17 @@
         return False
 
 
+def unread_bytes(transport: asyncio.BaseTransport) -> int:
+    """Return how many bytes the kernel has received and the loop has not read (FIONREAD); 0 if unknown."""
+    count = struct.Struct("i")
+    try:
+        descriptor = transport.get_extra_info("socket").fileno()
+        (size,) = count.unpack(fcntl.ioctl(descriptor, termios.FIONREAD, bytes(count.size)))
+    except OSError:
+        return 0
+    return int(size)
+
+
 def peek_socket(transport: asyncio.BaseTransport) -> bytes | None:
     """Return the first byte that the kernel has received and the loop has not read.
 
--- a/tests/test_streaming.py
+++ b/tests/test_streaming.py
@@ -188,6 +188,35 @@
     run_scenario(scenario())
 
 
+def test_a_body_that_an_upstream_takes_in_part_is_logged_with_what_was_read(
+    capsys: pytest.CaptureFixture[str],
+) -> None:
+    """Guards against silence on a body that stands still: was it the client, or was it not read?"""
+
+    async def cut(reader: asyncio.StreamReader, writer: asyncio.StreamWriter) -> None:
+        await reader.readexactly(20_000)
+        writer.transport.abort()
+
+    async def scenario() -> None:
+        async with ProxyHarness(Upstream()) as harness:
+            harness.upstreams[0].server.close()
+            server = await asyncio.start_server(cut, "127.0.0.1", 0)
+            address = f"127.0.0.1:{server.sockets[0].getsockname()[1]}"
+            harness.discovery.publish(8, harness.entries[0] | {"address": address}, snapshot=True)
+            await harness.discovery.request_lines.get()
+            await harness.discovery.request_lines.get()
+            client = await harness.connect()
+            client.writer.write(head(more=f"Content-Length: {len(LONG_BODY)}\r\n") + LONG_BODY[:90_000])
+            assert status_of(await client.read_response()) == 503
+
+    run_scenario(scenario())
+    (line,) = [line for line in capsys.readouterr().err.splitlines() if "the whole body" in line]
+    fields = dict(word.split("=") for word in line.split() if "=" in word)
+    assert (fields["server"], fields["expected_bytes"]) == ("s0", str(len(LONG_BODY)))
+    assert int(fields["read_bytes"]) + int(fields["unread_bytes"]) <= 90_000
+    assert int(fields["read_bytes"]) > 0
+
+
 def test_a_long_request_that_no_upstream_takes_is_rejected_before_its_end() -> None:
     async def scenario() -> None:
         async with ProxyHarness() as harness:
