Count a request's time from the writing of its last byte, not the reading

Cause: the time of a request with a long body began when the balancer had read its last byte. While the upstream takes nothing, `RequestReader` pauses, so that the rest stays in the kernel and that moment never comes: no safety timer, no timeout of the attempt but STALL_TIMEOUT_S (20 s without a byte, anew with each byte), and the client's timer is stopped. Where the upstream went on after a stall, the deadline began anew.

Change: `ReadLag` knows since when bytes of a client may have been waiting to be read: since reading paused or fell behind, until everything was read with the window open. The deadline of a request counts from there, for the safety timer, for an attempt whose body still arrives, and, through `RequestCompleted.elapsed_ms`, for the decision module. A client that still sends is read up to its last byte and keeps its time; so does one of whose body more is missing than a sender's kernel holds.

Why it works: the time no longer depends on who has read the last byte. It can't have been written before the moment from which the time counts, so that no answer is late, and stalls add up, since nothing but catching up moves that moment.

--- a/loadbalancer/interface.py
+++ b/loadbalancer/interface.py
@@ -242,6 +242,8 @@
     """The last byte of the body of a request that arrived incomplete has been received."""
 
     request_id: int
+    elapsed_ms: float = 0.0
+    """The part of its time that may have passed: the byte may have been written before it was received."""
 
 
 @dataclass(frozen=True, slots=True)
--- a/loadbalancer/net/downstream_connection.py
+++ b/loadbalancer/net/downstream_connection.py
@@ -39,6 +39,7 @@
         self.reader = RequestReader(self, self.pipeline, self._loop)
         self.closes_after_body = False  # the response was sent before the body was complete
         self._is_half_closed = False  # by us
+        self._offered_bytes = 0  # for the next read
         self._unsent_at_last_check = 0  # bytes, in a lingering close
         self.is_lost = False
         self.idle_since_s = time.monotonic()
@@ -55,7 +56,9 @@
 
     def get_buffer(self, sizehint: int) -> memoryview:
         """Return the buffer to read into."""
-        return self.buffers.receive_buffer()
+        buffer = self.buffers.receive_buffer()
+        self._offered_bytes = len(buffer)
+        return buffer
 
     def buffer_updated(self, nbytes: int) -> None:
         """Parse requests; input after an invalid one is dropped, so that the response arrives."""
@@ -64,7 +67,7 @@
         has_open_request = self.reader.has_open_request() and not self.closes_after_body
         if has_open_request and not self.is_client_connected():
             return  # these bytes may complete a request whose client has disconnected right after them
-        self.reader.feed(self.buffers.received(nbytes))
+        self.reader.feed(self.buffers.received(nbytes), is_drained=nbytes < self._offered_bytes)
 
     def pause_writing(self) -> None:
         """Pause the upstream: the client reads too slowly."""
@@ -97,6 +100,10 @@
             return 0
         return unread_bytes(self._transport)
 
+    def written_after_s(self) -> float:
+        """Return when the next byte to be read can have been written at the earliest (monotonic clock)."""
+        return self.reader.lag.written_after_s()
+
     def on_body_sink_ready(self) -> None:
         """Resume reading, if it waited for the upstream."""
         self.reader.update()
--- a/loadbalancer/net/downstream_flow.py
+++ b/loadbalancer/net/downstream_flow.py
@@ -6,6 +6,9 @@
 import time
 from collections.abc import Callable
 
+from loadbalancer.net.downstream_read_lag import ReadLag
+from loadbalancer.net.sockets import unread_bytes
+
 # Between disconnect checks while reading is paused: no attempt may begin 0.1 s after a disconnect.
 DISCONNECT_POLL_INTERVAL_S = 0.03
 
@@ -16,8 +19,12 @@
     Otherwise a disconnect would go unnoticed, since the end of the stream comes after unread bytes.
     """
 
-    def __init__(self, loop: asyncio.AbstractEventLoop, is_disconnected: Callable[[], bool]) -> None:
+    def __init__(
+        self, loop: asyncio.AbstractEventLoop, lag: ReadLag, is_disconnected: Callable[[], bool]
+    ) -> None:
+        """`lag` is told of each pause."""
         self._loop = loop
+        self._lag = lag
         self._is_disconnected = is_disconnected
         self._paused_at_s = 0.0
         self._poll_handle: asyncio.TimerHandle | None = None
@@ -28,12 +35,14 @@
         self.is_paused = True
         self._paused_at_s = time.monotonic()
         transport.pause_reading()
+        self._lag.on_paused()
         self._poll_handle = self._loop.call_later(DISCONNECT_POLL_INTERVAL_S, self._poll)
 
     def resume(self, transport: asyncio.Transport) -> float:
         """Resume reading; return for how many seconds it was paused."""
         self.is_paused = False
         paused_s = time.monotonic() - self._paused_at_s
+        self._lag.on_resumed(unread_bytes(transport))
         transport.resume_reading()
         self.stop_polling()
         return paused_s
--- /dev/null
+++ b/loadbalancer/net/downstream_read_lag.py
@@ -0,0 +1,73 @@
+"""How far reading from a client is behind what the client may have written.
+
+The time of a request counts from the writing of its last byte, which the balancer sees only when it reads
+it. While it does not read, since an upstream takes nothing, that byte may already wait in the kernel, here or
+on the client's machine. So the time counts from the last moment at which everything written is known to have
+been read.
+"""
+
+from __future__ import annotations
+
+import math
+import time
+
+# With no more than this unread, the receive window has stayed open, so that the client could send.
+OPEN_WINDOW_BYTES = 32_768
+# After a closed window has opened, a client with more to send has sent some of it within this time.
+WINDOW_UPDATE_S = 0.1
+# The most that a sender's kernel holds by default (the last value of Linux' net.ipv4.tcp_wmem).
+MAX_SEND_BUFFER_BYTES = 4_194_304
+
+
+class ReadLag:
+    """Since when bytes that a client has written may have been waiting to be read, on one connection."""
+
+    __slots__ = ("_behind_since_s", "_is_drained", "_window_opened_s")
+
+    def __init__(self) -> None:
+        self._behind_since_s: float | None = None
+        self._is_drained = True  # whether the kernel had nothing to read at the last look
+        self._window_opened_s = -math.inf  # it may have been closed until then
+
+    def written_after_s(self) -> float:
+        """Return when the next byte to be read can have been written at the earliest (monotonic clock)."""
+        self._catch_up()
+        return time.monotonic() if self._behind_since_s is None else self._behind_since_s
+
+    def on_paused(self) -> None:
+        """Handle that nothing is read from now on."""
+        self._catch_up()
+        self._is_drained = False
+        self._fall_behind()
+
+    def on_resumed(self, unread_bytes: int) -> None:
+        """Handle that reading resumes, with so many bytes in the kernel."""
+        self._is_drained = unread_bytes == 0
+        if unread_bytes > OPEN_WINDOW_BYTES:
+            self._window_opened_s = time.monotonic()
+
+    def on_read(self, *, is_drained: bool) -> None:
+        """Handle a read, after which the kernel had nothing more (`is_drained`), or may have."""
+        if is_drained and self._behind_since_s is None:
+            return
+        self._catch_up()
+        self._is_drained = is_drained
+        if not is_drained:
+            self._fall_behind()
+
+    def on_bytes_missing(self, missing_bytes: int) -> None:
+        """Handle that a request lacks so many bytes that have not even reached this machine.
+
+        More than a sender's kernel holds can't have been written yet.
+        """
+        if missing_bytes > MAX_SEND_BUFFER_BYTES and self._behind_since_s is not None:
+            self._behind_since_s = time.monotonic()
+
+    def _fall_behind(self) -> None:
+        if self._behind_since_s is None:
+            self._behind_since_s = time.monotonic()
+
+    def _catch_up(self) -> None:
+        """Forget the lag once everything is read, and the client had the time to send what it held back."""
+        if self._is_drained and time.monotonic() >= self._window_opened_s + WINDOW_UPDATE_S:
+            self._behind_since_s = None
--- a/loadbalancer/net/downstream_reader.py
+++ b/loadbalancer/net/downstream_reader.py
@@ -3,15 +3,15 @@
 from __future__ import annotations
 
 import asyncio
-import time
 from typing import Protocol
 
 from loadbalancer.net.downstream_flow import ReadingControl
 from loadbalancer.net.downstream_parser import InvalidRequestError, RequestParser
 from loadbalancer.net.downstream_pipeline import RequestPipeline
+from loadbalancer.net.downstream_read_lag import MAX_SEND_BUFFER_BYTES, ReadLag
 from loadbalancer.net.downstream_request import DownstreamRequest, RequestConnection
 from loadbalancer.net.downstream_timeout import RequestTimer
-from loadbalancer.net.sockets import peek_socket
+from loadbalancer.net.sockets import peek_socket, unread_bytes
 
 
 class ReaderConnection(RequestConnection, Protocol):
@@ -38,7 +38,8 @@
         self._transport: asyncio.Transport | None = None
         self._parser = RequestParser(connection, self)
         self._timer = RequestTimer(loop, self._on_timeout)
-        self.control = ReadingControl(loop, connection.close_if_disconnected)
+        self.lag = ReadLag()
+        self.control = ReadingControl(loop, self.lag, connection.close_if_disconnected)
         self.is_stopped = False  # no more requests are accepted; further input is read and dropped
         self.has_received_request = False  # a complete one
 
@@ -55,8 +56,8 @@
         """Return whether the body of a request is still incomplete."""
         return self._parser.request is not None
 
-    def feed(self, data: memoryview) -> None:
-        """Parse received bytes, and serve what can be served."""
+    def feed(self, data: memoryview, *, is_drained: bool) -> None:
+        """Parse received bytes, and serve what can be served; `is_drained` if the kernel has no more."""
         rest: memoryview | None = data
         while rest is not None and not self.is_stopped:
             try:
@@ -64,12 +65,20 @@
             except InvalidRequestError as error:
                 self._reject(error.status, error.reason)
                 return
+        self._update_lag(is_drained=is_drained)
         request = self._parser.request
         if request is not None and not self._is_queued(request) and request.body.is_too_large_to_buffer():
             self._pipeline.append(request)
         self._pipeline.advance()
         self._update_timer()
 
+    def _update_lag(self, *, is_drained: bool) -> None:
+        self.lag.on_read(is_drained=is_drained)
+        request = self._parser.request
+        missing_bytes = 0 if request is None else request.body.missing_bytes()
+        if missing_bytes > MAX_SEND_BUFFER_BYTES and self._transport is not None:
+            self.lag.on_bytes_missing(missing_bytes - unread_bytes(self._transport))
+
     def _is_queued(self, request: DownstreamRequest) -> bool:
         return self._pipeline.has(request) or self._connection.closes_after_body
 
@@ -104,7 +113,7 @@
     def on_request_received(self, request: DownstreamRequest) -> None:
         """Handle the end of a request."""
         self.has_received_request = True
-        request.arrived_at_s = time.monotonic()
+        request.written_after_s = self.lag.written_after_s()
         request.body.complete()
         if self._connection.closes_after_body:
             self._connection.half_close()
--- a/loadbalancer/net/downstream_request.py
+++ b/loadbalancer/net/downstream_request.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import math
+import time
 from dataclasses import dataclass
 from typing import Protocol
 
@@ -64,6 +65,9 @@
     def unread_bytes(self) -> int:
         """Return how many bytes from the client the kernel has and the loop has not read."""
 
+    def written_after_s(self) -> float:
+        """Return when the next byte to be read can have been written at the earliest (monotonic clock)."""
+
     def on_body_sink_ready(self) -> None:
         """Resume reading, if it waited for the upstream."""
 
@@ -96,7 +100,6 @@
     __slots__ = (
         "_connection",
         "_writer",
-        "arrived_at_s",
         "body",
         "class_name",
         "cost_hint_ms",
@@ -114,6 +117,7 @@
         "target",
         "tenant",
         "version",
+        "written_after_s",
     )
 
     def __init__(self, connection: RequestConnection, method: bytes, target: bytes, headers: Headers) -> None:
@@ -126,7 +130,8 @@
         self.body = Body(connection.buffers, body_length(headers), connection.on_body_sink_ready)
         self.version = "1.1"
         self.expects_continue = dict(headers).get(b"expect", b"").lower() == b"100-continue"
-        self.arrived_at_s = 0.0  # when it was complete, on the monotonic clock
+        # When its last byte can have been written at the earliest, on the monotonic clock, once that is read.
+        self.written_after_s = 0.0
         self.keep_alive = True
         self.is_open = True  # until its response is complete, or nobody waits for one
         self.class_name = ""
@@ -175,6 +180,16 @@
         """Return how many bytes from its client the kernel has and the loop has not read."""
         return self._connection.unread_bytes()
 
+    def remaining_ms(self) -> float:
+        """Return the time until its deadline, which counts from the writing of its last byte.
+
+        It is the least that may be left: the byte may have been written some time before it is read.
+        """
+        written_after_s = (
+            self.written_after_s if self.body.is_complete else self._connection.written_after_s()
+        )
+        return self.deadline_ms - (time.monotonic() - written_after_s) * 1000
+
     def validate(self, class_names: frozenset[str]) -> RequestRejection | None:
         """Read what the balancer needs; return why the request is not acceptable, if it is not."""
         path = self.target.partition(b"?")[0]
--- a/loadbalancer/net/proxy.py
+++ b/loadbalancer/net/proxy.py
@@ -66,8 +66,8 @@
         self._counters = RequestCounters(c.name for c in config.settings.classes)
         self.buffers = BufferBudget(int(config.memory_mb * BUFFER_MEMORY_FRACTION * 1_000_000))
         self.upstreams = UpstreamPools(config, loop, self.buffers)
-        self.requests = RequestTable(loop, self.clock, self._counters, self._decisions.dispatch)
-        self.intake = RequestIntake(self.requests, self.clock)
+        self.requests = RequestTable(loop, self._counters, self._decisions.dispatch)
+        self.intake = RequestIntake(self.requests)
         self.downstream = self._create_downstream_listener()
         self.console = Console(config.console, loop, self) if config.console else None
         self._snapshots = self._create_snapshot_writer()
--- a/loadbalancer/net/request_attempts.py
+++ b/loadbalancer/net/request_attempts.py
@@ -29,10 +29,7 @@
         self._server = send.server
         self._index = index
         downstream = request.downstream
-        if downstream.body.is_complete:
-            remaining_ms = request.respond_by_ms - attempts.clock.now()
-        else:
-            remaining_ms = downstream.deadline_ms - RESPONSE_MARGIN_MS
+        remaining_ms = downstream.remaining_ms() - RESPONSE_MARGIN_MS
         timeout_ms = min(send.timeout_ms, remaining_ms) if send.timeout_ms else remaining_ms
         self.timeout_ms = max(timeout_ms, 0.0)
         self._ends_at_s = time.monotonic() + self.timeout_ms / 1000
@@ -42,6 +39,10 @@
         """Return whether the client is connected: no attempt begins for one that is not."""
         return self._request.downstream.is_client_connected()
 
+    def remaining_s(self) -> float:
+        """Return the time in which the request has to be answered."""
+        return (self._request.downstream.remaining_ms() - RESPONSE_MARGIN_MS) / 1000
+
     def build_request(self) -> bytes:
         """Return the head with the remaining time, and the body if it is complete."""
         downstream = self._request.downstream
@@ -88,7 +89,6 @@
         """Create the sender of attempts; `on_outcome` receives the server and the outcome of each."""
         self._requests = requests
         self._upstreams = upstreams
-        self.clock = requests.clock
         self._counters = counters
         self._on_outcome = on_outcome
         self._log = log
--- a/loadbalancer/net/request_intake.py
+++ b/loadbalancer/net/request_intake.py
@@ -2,10 +2,7 @@
 
 from __future__ import annotations
 
-import time
-
 from loadbalancer import interface
-from loadbalancer.net.clock import Clock
 from loadbalancer.net.downstream_request import DownstreamRequest
 from loadbalancer.net.request_table import RESPONSE_MARGIN_MS, RequestTable
 
@@ -13,10 +10,9 @@
 class RequestIntake:
     """Handles the requests of the downstream listener."""
 
-    def __init__(self, requests: RequestTable, clock: Clock) -> None:
+    def __init__(self, requests: RequestTable) -> None:
         """Create an intake that adds to `requests`."""
         self._requests = requests
-        self._clock = clock
         self.is_closed = False
 
     def on_request_arrived(self, downstream: DownstreamRequest) -> None:
@@ -25,31 +21,25 @@
             downstream.body.discard()
             downstream.send_response(503)
             return
-        is_complete = downstream.body.is_complete
-        waited_ms = (time.monotonic() - downstream.arrived_at_s) * 1000 if is_complete else 0.0
-        remaining_ms = downstream.deadline_ms - waited_ms
-        request = self._requests.add(downstream, remaining_ms)
-        if is_complete:
-            self._requests.start_safety_timer(request, remaining_ms)
+        request = self._requests.add(downstream)
+        self._requests.start_safety_timer(request)
         arrival = interface.RequestArrived(
             request.id,
             downstream.class_name,
-            max(remaining_ms - RESPONSE_MARGIN_MS, 0.0),
+            max(downstream.remaining_ms() - RESPONSE_MARGIN_MS, 0.0),
             downstream.tenant,
             downstream.is_retry,
             downstream.cost_hint_ms,
-            is_complete,
+            downstream.body.is_complete,
         )
         self._requests.dispatch(request, arrival)
 
     def on_request_completed(self, downstream: DownstreamRequest) -> None:
-        """Handle the end of a request's body: its deadline counts from now."""
+        """Handle the end of a request's body: its deadline is known now."""
         request = self._requests.get_open(downstream.request_id)
         if request is not None:
-            request.respond_by_ms = self._clock.now() + downstream.deadline_ms - RESPONSE_MARGIN_MS
-            if request.streaming_attempt is None:
-                self._requests.start_safety_timer(request, downstream.deadline_ms)
-            self._requests.dispatch(request, interface.RequestCompleted(request.id))
+            elapsed_ms = downstream.deadline_ms - downstream.remaining_ms()
+            self._requests.dispatch(request, interface.RequestCompleted(request.id, elapsed_ms))
 
     def on_request_failed(self, downstream: DownstreamRequest, status: int) -> None:
         """End a request with this status, as the rest of its body will not arrive."""
--- a/loadbalancer/net/request_table.py
+++ b/loadbalancer/net/request_table.py
@@ -6,7 +6,6 @@
 from collections.abc import Callable
 
 from loadbalancer import interface
-from loadbalancer.net.clock import Clock
 from loadbalancer.net.downstream_request import DownstreamRequest
 from loadbalancer.net.http_framing import Headers
 from loadbalancer.net.request_counters import RequestCounters
@@ -27,16 +26,14 @@
         "id",
         "is_open",
         "pending_events",
-        "respond_by_ms",
         "safety_timer",
         "streaming_attempt",
     )
 
-    def __init__(self, request_id: int, downstream: DownstreamRequest, respond_by_ms: float) -> None:
-        """Create an open request without attempts; `respond_by_ms` is in Unix milliseconds."""
+    def __init__(self, request_id: int, downstream: DownstreamRequest) -> None:
+        """Create an open request without attempts."""
         self.id = request_id
         self.downstream = downstream
-        self.respond_by_ms = respond_by_ms
         self.attempts: list[Attempt | None] = []
         self.is_open = True  # until its final response, or until its client has disconnected
         self.has_run = False  # whether an attempt that has ended may have run
@@ -68,23 +65,20 @@
     def __init__(
         self,
         loop: asyncio.AbstractEventLoop,
-        clock: Clock,
         counters: RequestCounters,
         dispatch: Callable[[interface.Event], None],
     ) -> None:
         """Create an empty table; `dispatch` passes events to the decision module."""
         self._loop = loop
-        self.clock = clock
         self._counters = counters
         self._dispatch = dispatch
         self._last_id = 0
         self.by_id: dict[int, RequestInFlight] = {}
 
-    def add(self, downstream: DownstreamRequest, remaining_ms: float) -> RequestInFlight:
-        """Add a request that arrived with this much time remaining until its deadline."""
+    def add(self, downstream: DownstreamRequest) -> RequestInFlight:
+        """Add a request that has arrived, complete or with the rest of its body to follow."""
         self._last_id += 1
-        respond_by_ms = self.clock.now() + remaining_ms - RESPONSE_MARGIN_MS
-        request = RequestInFlight(self._last_id, downstream, respond_by_ms)
+        request = RequestInFlight(self._last_id, downstream)
         downstream.request_id = request.id
         self.by_id[request.id] = request
         self._counters.record_request()
@@ -115,10 +109,17 @@
             self.by_id.pop(request.id, None)
             request.downstream.body.discard()
 
-    def start_safety_timer(self, request: RequestInFlight, remaining_ms: float) -> None:
+    def start_safety_timer(self, request: RequestInFlight) -> None:
         """Set a timer that answers the request shortly before its deadline, if it is still open."""
-        delay_s = max(remaining_ms - SAFETY_MARGIN_MS, 0.0) / 1000
-        request.safety_timer = self._loop.call_later(delay_s, self.respond_with_error, request.id)
+        delay_s = max(request.downstream.remaining_ms() - SAFETY_MARGIN_MS, 0.0) / 1000
+        request.safety_timer = self._loop.call_later(delay_s, self._on_safety_timer, request)
+
+    def _on_safety_timer(self, request: RequestInFlight) -> None:
+        """Answer the request, unless its deadline has moved, as it does while the client still sends."""
+        if request.downstream.remaining_ms() > SAFETY_MARGIN_MS:
+            self.start_safety_timer(request)
+        else:
+            self.respond_with_error(request.id)
 
     def respond_with_error(self, request_id: int | None) -> None:
         """Answer an open request with an error: 503 only if no attempt can have run, else 502."""
--- a/loadbalancer/net/upstream_attempt.py
+++ b/loadbalancer/net/upstream_attempt.py
@@ -58,6 +58,10 @@
         """Return whether the attempt is still to be sent; called right before it is."""
         return True
 
+    def remaining_s(self) -> float:
+        """Return the time until the response to the request is due; it moves while the body arrives."""
+        return math.inf
+
     def build_request(self) -> bytes:
         """Return the request, or its head if the body follows; called once there is a connection."""
         raise NotImplementedError
@@ -97,7 +101,7 @@
         self._last_progress_s = time.monotonic()
 
     def _on_stall(self) -> None:
-        """Handle that no byte was sent or received for too long."""
+        """Handle that no byte was sent or received for too long, or that the time is over."""
         raise NotImplementedError
 
     def _set_timer(self, after_s: float, callback: Callable[[], None]) -> None:
@@ -105,15 +109,23 @@
             self._timer.cancel()
         self._timer = self._loop.call_later(after_s, callback)
 
+    def _remaining_s(self) -> float:
+        """Return the time that is left in all; it may move."""
+        return math.inf
+
     def _watch_progress(self) -> None:
-        """Limit the time without progress, not the total: long bodies may take any time."""
+        """Limit the time without progress, and the total where `_remaining_s` does."""
         self.on_progress()
-        self._set_timer(STALL_TIMEOUT_S, self._check_progress)
+        self._set_timer(self._until_check_s(), self._check_progress)
+
+    def _until_check_s(self) -> float:
+        stalls_in_s = self._last_progress_s + STALL_TIMEOUT_S - time.monotonic()
+        return max(min(stalls_in_s, self._remaining_s()), 0.0)
 
     def _check_progress(self) -> None:
-        remaining_s = self._last_progress_s + STALL_TIMEOUT_S - time.monotonic()
-        if remaining_s > 0:
-            self._set_timer(remaining_s, self._check_progress)
+        until_check_s = self._until_check_s()
+        if until_check_s:
+            self._set_timer(until_check_s, self._check_progress)
         else:
             self._on_stall()
 
@@ -157,8 +169,9 @@
     def start(self, timeout_s: float, write_within_s: float, connect_within_s: float) -> None:
         """Begin on an idle connection, or open one; the handler is not notified before this returns.
 
-        The timeout runs from now, or from the last byte of a body that is still arriving. If that byte is not
-        sent within `write_within_s`, or a new connection not up within `connect_within_s`, the attempt ends.
+        The timeout runs from now, or from the last byte of a body that is still arriving. In that case the
+        attempt also ends once its handler has no time left, sent or not. If the last byte is not sent within
+        `write_within_s`, or a new connection not up within `connect_within_s`, the attempt ends.
         """
         self._timeout_s = timeout_s
         if write_within_s < math.inf:
@@ -201,7 +214,8 @@
         """Handle that the last byte was sent: the response's timeout begins."""
         self._handler.on_request_written()
         if self._is_body_incomplete and not self._is_over:
-            self._set_timer(self._timeout_s, self._on_timeout)
+            timeout_s = min(self._timeout_s, self._handler.remaining_s())
+            self._set_timer(max(timeout_s, 0.0), self._on_timeout)
 
     def is_streaming(self) -> bool:
         """Return whether the response is being streamed to the client: it can't be replaced any more."""
@@ -278,6 +292,9 @@
         self._connection = connection
         connection.send_request(self, self._handler.build_request(), self._handler.body)
 
+    def _remaining_s(self) -> float:
+        return math.inf if self._is_written() else self._handler.remaining_s()
+
     def _on_stall(self) -> None:
         self._end(Outcome.TIMED_OUT)
 
--- a/loadbalancer/policy/request_lifecycle.py
+++ b/loadbalancer/policy/request_lifecycle.py
@@ -71,7 +71,7 @@
         """Restart a request's clock, since its body is complete."""
         request = self.open_requests.get(event.request_id)
         if request is not None:
-            request.restart_clock(now)
+            request.restart_clock(now, event.elapsed_ms)
             request.is_complete = True
 
     def handle_response_start(self, event: interface.ResponseStarted, now: float) -> None:
--- a/loadbalancer/policy/requests.py
+++ b/loadbalancer/policy/requests.py
@@ -84,15 +84,18 @@
         """How many times longer than an average request it may take; at least 1."""
         return max(self.relative_work, 1.0)
 
-    def restart_clock(self, now: float) -> None:
-        """Count all its times from `now` on, since its body was still being received until then."""
+    def restart_clock(self, now: float, elapsed_ms: float = 0.0) -> None:
+        """Count all its times from `now` on, since its body was still being received until then.
+
+        Its deadline counts from `elapsed_ms` earlier.
+        """
         passed = now - self.arrived_at_ms
         self.arrived_at_ms = now
-        self.useful_until_ms += passed
+        self.useful_until_ms += passed - elapsed_ms
         for attempt in self.attempts:
             if attempt.is_in_flight:
                 attempt.sent_at_ms += passed
-                attempt.times_out_at_ms += passed
+                attempt.times_out_at_ms += passed - elapsed_ms
 
     def queue_order(self) -> tuple[float, float, int]:
         """Return the sort key of the wait queue: by priority weight, then by when it must be served."""
--- /dev/null
+++ b/tests/test_read_lag.py
@@ -0,0 +1,80 @@
+"""How far reading from a client is behind what it may have written, on a clock that the test sets."""
+
+from __future__ import annotations
+
+import pytest
+
+from loadbalancer.net import downstream_read_lag
+from loadbalancer.net.downstream_read_lag import (
+    MAX_SEND_BUFFER_BYTES,
+    OPEN_WINDOW_BYTES,
+    WINDOW_UPDATE_S,
+    ReadLag,
+)
+
+
+class ManualClock:
+    """A monotonic clock that a test sets."""
+
+    now_s = 1_000.0
+
+    def monotonic(self) -> float:
+        return self.now_s
+
+
+@pytest.fixture
+def clock(monkeypatch: pytest.MonkeyPatch) -> ManualClock:
+    manual = ManualClock()
+    monkeypatch.setattr(downstream_read_lag, "time", manual)
+    return manual
+
+
+def test_bytes_read_as_they_come_were_written_just_now(clock: ManualClock) -> None:
+    lag = ReadLag()
+    lag.on_read(is_drained=True)
+    clock.now_s += 60.0
+    assert lag.written_after_s() == clock.now_s
+
+
+def test_bytes_that_wait_were_written_since_reading_paused(clock: ManualClock) -> None:
+    lag = ReadLag()
+    paused_s = clock.now_s
+    lag.on_paused()
+    clock.now_s += 3.0
+    assert lag.written_after_s() == paused_s
+    lag.on_resumed(unread_bytes=OPEN_WINDOW_BYTES)
+    lag.on_read(is_drained=False)
+    assert lag.written_after_s() == paused_s
+    lag.on_read(is_drained=True)  # the window has stayed open: this was all
+    assert lag.written_after_s() == clock.now_s
+
+
+@pytest.mark.parametrize("pauses", [1, 5])
+def test_bytes_that_a_closed_window_held_back_come_after_the_drained_ones(
+    pauses: int, clock: ManualClock
+) -> None:
+    """Guards against a lag that is forgotten between two stalls, with the rest on the client's machine."""
+    lag = ReadLag()
+    paused_s = clock.now_s
+    for _ in range(pauses):
+        lag.on_paused()
+        clock.now_s += 1.0
+        lag.on_resumed(unread_bytes=OPEN_WINDOW_BYTES + 1)
+        lag.on_read(is_drained=True)
+        clock.now_s += 0.9 * WINDOW_UPDATE_S
+        assert lag.written_after_s() == paused_s
+    clock.now_s += WINDOW_UPDATE_S
+    assert lag.written_after_s() == clock.now_s
+
+
+def test_a_byte_that_no_kernel_can_hold_yet_is_not_written(clock: ManualClock) -> None:
+    lag = ReadLag()
+    lag.on_paused()
+    clock.now_s += 5.0
+    lag.on_resumed(unread_bytes=1_000_000)
+    lag.on_bytes_missing(MAX_SEND_BUFFER_BYTES + 1)
+    moved_s = clock.now_s
+    assert lag.written_after_s() == moved_s
+    clock.now_s += 5.0
+    lag.on_bytes_missing(MAX_SEND_BUFFER_BYTES)
+    assert lag.written_after_s() == moved_s
--- /dev/null
+++ b/tests/test_request_deadline.py
@@ -0,0 +1,188 @@
+"""The deadline of requests whose bodies are held up: it counts from the writing of their last byte."""
+
+from __future__ import annotations
+
+import asyncio
+import time
+
+import pytest
+
+from loadbalancer import interface
+from loadbalancer.interface import Outcome
+from tests.held_transport import HeldTransports
+from tests.http_messages import LONG_BODY, chunked, record_outcomes
+from tests.loopback import (
+    HttpClient,
+    ProxyHarness,
+    Upstream,
+    never_answer,
+    run_scenario,
+    status_of,
+    unreleased_resources,
+    wait_at_least,
+)
+
+DEADLINE_S = 1.0
+LATEST_ANSWER_S = DEADLINE_S + 0.5 + 0.05  # half a second after its time, and 50 ms on sockets
+BODY = LONG_BODY[:200_000]  # streamed; what is not read fits into the kernel's buffers
+HEAD_BYTES = 1_000  # at most, of a request to an upstream
+
+
+def send_long_request(client: HttpClient, framing: str = "length", body: bytes = BODY) -> float:
+    """Write a whole request at once; return when its last byte was written."""
+    lines = "POST /pay/x HTTP/1.1\r\nHost: h\r\nX-Request-Id: 9b\r\nX-Class: pay\r\n"
+    lines += f"X-Deadline: {DEADLINE_S * 1000:.0f}m\r\n"
+    if framing == "length":
+        message = f"{lines}Content-Length: {len(body)}\r\n\r\n".encode() + body
+    else:
+        message = f"{lines}Transfer-Encoding: chunked\r\n\r\n".encode() + chunked(body, 30_000)
+    client.writer.write(message)
+    return time.monotonic()
+
+
+async def answer_of(client: HttpClient, written_s: float) -> tuple[int, float]:
+    """Return the status of the answer, and how long after the writing it came."""
+    status = status_of(await client.read_response())
+    return status, time.monotonic() - written_s
+
+
+@pytest.mark.parametrize("framing", ["length", "chunks"])
+@pytest.mark.parametrize("state", ["serving", "shutting down"])
+def test_a_long_request_at_an_upstream_that_reads_nothing_is_answered_by_its_deadline(
+    framing: str, state: str, monkeypatch: pytest.MonkeyPatch
+) -> None:
+    """Guards against answers after 20 s: the deadline counted from the reading of the last byte only."""
+    HeldTransports(monkeypatch, allowed=HEAD_BYTES)
+
+    async def scenario() -> None:
+        async with ProxyHarness(Upstream(), Upstream()) as harness:
+            outcomes = record_outcomes(harness)
+            client = await harness.connect()
+            written_s = send_long_request(client, framing)
+            if state == "shutting down":
+                shutdown = asyncio.ensure_future(harness.proxy.downstream.shut_down())
+            status, answered_s = await answer_of(client, written_s)
+            assert answered_s < LATEST_ANSWER_S
+            assert (status, outcomes) == (503, [Outcome.CONNECT_FAILED])
+            assert await client.reader.read() == b""  # the unread rest is dropped, not parsed as a request
+            client.writer.close()
+            if state == "shutting down":
+                await shutdown
+            assert unreleased_resources(harness.proxy) == []
+
+    run_scenario(scenario())
+
+
+@pytest.mark.parametrize(("taken_bytes", "expected_status"), [(0, 503), (2 * len(BODY), 502)])
+def test_several_stalls_of_an_upstream_count_together(
+    taken_bytes: int, expected_status: int, monkeypatch: pytest.MonkeyPatch
+) -> None:
+    """Guards against a deadline that starts anew with each byte that an upstream takes."""
+    transports = HeldTransports(monkeypatch, allowed=HEAD_BYTES)
+
+    async def scenario() -> None:
+        async with ProxyHarness(Upstream(never_answer)) as harness:
+            client = await harness.connect()
+            written_s = send_long_request(client)
+            answer = asyncio.ensure_future(answer_of(client, written_s))
+            await wait_at_least(0.8 * DEADLINE_S)
+            transports.allow(taken_bytes)
+            while not answer.done():
+                transports.allow(1_000)
+                await asyncio.sleep(0.01)
+            status, answered_s = await answer
+            assert answered_s < LATEST_ANSWER_S
+            assert status == expected_status  # 503 only while it is not written whole: it can't have run
+
+    run_scenario(scenario())
+
+
+def test_a_deadline_is_passed_on_less_the_time_that_a_stall_took(monkeypatch: pytest.MonkeyPatch) -> None:
+    """Guards against a decision module that takes a request read late for one with all its time left."""
+    transports = HeldTransports(monkeypatch, allowed=HEAD_BYTES)
+
+    async def scenario() -> None:
+        async with ProxyHarness(Upstream()) as harness:
+            completed: list[interface.RequestCompleted] = []
+            handle = harness.proxy.balancer.handle
+
+            def record(event: interface.Event, now: float) -> list[interface.Action]:
+                if isinstance(event, interface.RequestCompleted):
+                    completed.append(event)
+                return handle(event, now)
+
+            monkeypatch.setattr(harness.proxy.balancer, "handle", record)
+            client = await harness.connect()
+            send_long_request(client)
+            await wait_at_least(0.3 * DEADLINE_S)
+            transports.allow(10 * len(BODY))
+            assert status_of(await client.read_response()) == 200
+            (event,) = completed
+            assert 250.0 <= event.elapsed_ms < DEADLINE_S * 1000
+
+    run_scenario(scenario())
+
+
+def test_the_request_after_one_that_was_held_up_has_all_its_time(monkeypatch: pytest.MonkeyPatch) -> None:
+    transports = HeldTransports(monkeypatch, allowed=HEAD_BYTES)
+
+    async def scenario() -> None:
+        async with ProxyHarness(Upstream()) as harness:
+            client = await harness.connect()
+            send_long_request(client)
+            await wait_at_least(0.6 * DEADLINE_S)
+            transports.allow(10 * len(BODY))
+            assert status_of(await client.read_response()) == 200
+            await wait_at_least(DEADLINE_S)
+            client.send_request(deadline="100m")
+            assert status_of(await client.read_response()) == 200
+
+    run_scenario(scenario())
+
+
+@pytest.mark.parametrize("framing", ["length", "chunks"])
+def test_a_client_may_send_for_longer_than_its_deadline(framing: str) -> None:
+    """Guards against deadlines that count from a moment at which the client was still sending."""
+
+    async def scenario() -> None:
+        upstream = Upstream()
+        async with ProxyHarness(upstream) as harness:
+            client = await harness.connect()
+            lines = (
+                "POST /pay/x HTTP/1.1\r\nHost: h\r\nX-Request-Id: 9b\r\nX-Class: pay\r\nX-Deadline: 200m\r\n"
+            )
+            form = f"Content-Length: {len(BODY)}" if framing == "length" else "Transfer-Encoding: chunked"
+            client.writer.write(f"{lines}{form}\r\n\r\n".encode())
+            message = BODY if framing == "length" else chunked(BODY, 30_000)
+            for start in range(0, len(message), 20_000):
+                client.writer.write(message[start : start + 20_000])
+                await asyncio.sleep(0.05)
+            assert status_of(await client.read_response()) == 200
+            assert upstream.requests[0].body == BODY
+
+    run_scenario(scenario())
+
+
+def test_a_slow_upstream_may_take_longer_than_the_deadline_while_the_client_still_sends(
+    monkeypatch: pytest.MonkeyPatch,
+) -> None:
+    """Guards against refusing uploads of which more is missing than a client's kernel can hold."""
+    monkeypatch.setattr("loadbalancer.net.downstream_read_lag.MAX_SEND_BUFFER_BYTES", 0)
+    transports = HeldTransports(monkeypatch, allowed=HEAD_BYTES)
+
+    async def scenario() -> None:
+        upstream = Upstream()
+        async with ProxyHarness(upstream) as harness:
+            client = await harness.connect()
+            lines = (
+                "POST /pay/x HTTP/1.1\r\nHost: h\r\nX-Request-Id: 9b\r\nX-Class: pay\r\nX-Deadline: 200m\r\n"
+            )
+            client.writer.write(f"{lines}Content-Length: {len(BODY)}\r\n\r\n".encode())
+            for start in range(0, len(BODY), 20_000):  # more than 0.5 s
+                client.writer.write(BODY[start : start + 20_000])
+                await asyncio.sleep(0.05)
+                transports.allow(20_000)
+            transports.allow(len(BODY))
+            assert status_of(await client.read_response()) == 200
+
+    run_scenario(scenario())
