--- a/tests/test_request_deadline.py
+++ b/tests/test_request_deadline.py
@@ -9,6 +9,7 @@
 
 from loadbalancer import interface
 from loadbalancer.interface import Outcome
+from loadbalancer.net.downstream_pipeline import MAX_PIPELINED_REQUESTS
 from tests.held_transport import HeldTransports
 from tests.http_messages import LONG_BODY, chunked, record_outcomes
 from tests.loopback import (
@@ -20,6 +21,7 @@
     status_of,
     unreleased_resources,
     wait_at_least,
+    wait_until,
 )
 
 DEADLINE_S = 1.0
@@ -186,3 +188,24 @@
             assert status_of(await client.read_response()) == 200
 
     run_scenario(scenario())
+
+
+def test_requests_read_late_because_many_were_queued_count_from_their_writing() -> None:
+    """Guards against a whole deadline for each request that waited unread behind sixteen others."""
+
+    async def scenario() -> None:
+        async with ProxyHarness(Upstream(never_answer)) as harness:
+            client = await harness.connect()
+            for _ in range(MAX_PIPELINED_REQUESTS + 2):
+                client.send_request(deadline=f"{DEADLINE_S * 1000:.0f}m")
+            connections = harness.proxy.downstream._connections
+            await wait_until(lambda: any(c.reader.control.is_paused for c in connections))
+            for _ in range(3):
+                client.send_request(deadline=f"{DEADLINE_S * 1000:.0f}m")
+            written_s = time.monotonic()
+            for _ in range(MAX_PIPELINED_REQUESTS + 5):
+                status, answered_s = await answer_of(client, written_s)
+                assert status in (502, 503)
+            assert answered_s < LATEST_ANSWER_S
+
+    run_scenario(scenario())
