Read a short body on when the buffers fill up behind another request

What callers saw: a client that sends a request, then a part of a short one with a body, gets the first answer and never the second, if the memory for bodies is used up at that moment. Found while looking for kin of the late answers: reading is paused, and nothing ends the pause.

Cause: a body that may no longer be buffered is streamed, for which its request has to be queued. `RequestReader.feed` does so when bytes are read. `update`, called after the first answer, found the buffers full and paused without queueing it; only a turn in the queue resumes reading.

Change: `update` queues such a request before it pauses.

Evidence and why it works: the new test fills the budget between the first bytes of the second request and the first answer.

--- a/loadbalancer/net/downstream_reader.py
+++ b/loadbalancer/net/downstream_reader.py
@@ -66,9 +66,7 @@
                 self._reject(error.status, error.reason)
                 return
         self._update_lag(is_drained=is_drained)
-        request = self._parser.request
-        if request is not None and not self._is_queued(request) and request.body.is_too_large_to_buffer():
-            self._pipeline.append(request)
+        self._queue_large_request()
         self._pipeline.advance()
         self._update_timer()
 
@@ -79,6 +77,14 @@
         if missing_bytes > MAX_SEND_BUFFER_BYTES and self._transport is not None:
             self.lag.on_bytes_missing(missing_bytes - unread_bytes(self._transport))
 
+    def _queue_large_request(self) -> bool:
+        """Queue the request being received if its body is to be streamed; return whether it was queued."""
+        request = self._parser.request
+        if request is None or self._is_queued(request) or not request.body.is_too_large_to_buffer():
+            return False
+        self._pipeline.append(request)
+        return True
+
     def _is_queued(self, request: DownstreamRequest) -> bool:
         return self._pipeline.has(request) or self._connection.closes_after_body
 
@@ -146,6 +152,9 @@
         """Resume reading if the queue and the body have room, else pause."""
         if self._transport is None or self._connection.is_lost or self._transport.is_closing():
             return
+        if self._queue_large_request():  # the buffers have filled up since its last bytes were read
+            self._pipeline.advance()  # it calls this again
+            return
         request = self._parser.request
         is_full = self._pipeline.is_full() or (request is not None and not request.body.can_receive())
         is_full = is_full and not self.is_stopped
--- a/tests/test_request_deadline.py
+++ b/tests/test_request_deadline.py
@@ -10,12 +10,15 @@
 from loadbalancer import interface
 from loadbalancer.interface import Outcome
 from loadbalancer.net.downstream_pipeline import MAX_PIPELINED_REQUESTS
+from loadbalancer.net.message_body import BufferReservation
 from tests.held_transport import HeldTransports
-from tests.http_messages import LONG_BODY, chunked, record_outcomes
+from tests.http_messages import LONG_BODY, chunked, head, record_outcomes
 from tests.loopback import (
     HttpClient,
+    HttpMessage,
     ProxyHarness,
     Upstream,
+    http_response,
     never_answer,
     run_scenario,
     status_of,
@@ -209,3 +212,29 @@
             assert answered_s < LATEST_ANSWER_S
 
     run_scenario(scenario())
+
+
+def test_a_short_body_behind_another_request_is_read_although_much_is_buffered() -> None:
+    """Guards against a pause that nothing ends: the body waits for memory, and no response is due before."""
+
+    async def scenario() -> None:
+        gate = asyncio.Event()
+
+        async def answer_later(_: HttpMessage, writer: asyncio.StreamWriter) -> None:
+            await gate.wait()
+            writer.write(http_response())
+
+        async with ProxyHarness(Upstream(answer_later)) as harness:
+            client = await harness.connect()
+            client.send_request()
+            client.writer.write(head(more="Content-Length: 30000\r\n") + BODY[:1_000])
+            (connection,) = harness.proxy.downstream._connections
+            await wait_until(connection.reader.has_open_request)
+            others = BufferReservation(harness.proxy.buffers)
+            others.resize(harness.proxy.buffers.max_bytes)
+            gate.set()
+            assert status_of(await client.read_response()) == 200
+            client.writer.write(BODY[1_000:30_000])
+            assert status_of(await client.read_response()) == 200
+
+    run_scenario(scenario())
