Compare unread bytes with the connection's own receive buffer

Need: a pause counts as one that may have closed the client's window if over 32,768 bytes were unread at its end, whatever the connection's receive buffer holds. Linux enlarges that buffer up to megabytes, so that a client that sends steadily while its upstream often pauses for a moment could be taken for one that is held back, and be refused while it still sends.

Change: the limit is a quarter of SO_RCVBUF, of which the rest may be the kernel's own cost for each segment.

Measured: the new test (a client that sends for 0.6 s with a deadline of 0.2 s, while its upstream takes what is held back every 60 ms) fails with the fraction set to 0.001 (a planted defect: answered 503), and passes.

--- a/loadbalancer/net/downstream_flow.py
+++ b/loadbalancer/net/downstream_flow.py
@@ -7,7 +7,7 @@
 from collections.abc import Callable
 
 from loadbalancer.net.downstream_read_lag import ReadLag
-from loadbalancer.net.sockets import unread_bytes
+from loadbalancer.net.sockets import receive_buffer_bytes, unread_bytes
 
 # Between disconnect checks while reading is paused: no attempt may begin 0.1 s after a disconnect.
 DISCONNECT_POLL_INTERVAL_S = 0.03
@@ -42,7 +42,7 @@
         """Resume reading; return for how many seconds it was paused."""
         self.is_paused = False
         paused_s = time.monotonic() - self._paused_at_s
-        self._lag.on_resumed(unread_bytes(transport))
+        self._lag.on_resumed(unread_bytes(transport), receive_buffer_bytes(transport))
         transport.resume_reading()
         self.stop_polling()
         return paused_s
--- a/loadbalancer/net/downstream_read_lag.py
+++ b/loadbalancer/net/downstream_read_lag.py
@@ -11,8 +11,8 @@
 import math
 import time
 
-# With no more than this unread, the receive window has stayed open, so that the client could send.
-OPEN_WINDOW_BYTES = 32_768
+# With no more of the receive buffer in use, its window has stayed open, so that the client could send.
+OPEN_WINDOW_FRACTION = 0.25  # the rest may be taken up by what the kernel adds to each segment
 # After a closed window has opened, a client with more to send has sent some of it within this time.
 WINDOW_UPDATE_S = 0.1
 # The most that a sender's kernel holds by default (the last value of Linux' net.ipv4.tcp_wmem).
@@ -40,10 +40,10 @@
         self._is_drained = False
         self._fall_behind()
 
-    def on_resumed(self, unread_bytes: int) -> None:
-        """Handle that reading resumes, with so many bytes in the kernel."""
+    def on_resumed(self, unread_bytes: int, receive_buffer_bytes: int) -> None:
+        """Handle that reading resumes, with so many bytes in the kernel's receive buffer."""
         self._is_drained = unread_bytes == 0
-        if unread_bytes > OPEN_WINDOW_BYTES:
+        if unread_bytes > OPEN_WINDOW_FRACTION * receive_buffer_bytes:
             self._window_opened_s = time.monotonic()
 
     def on_read(self, *, is_drained: bool) -> None:
--- a/loadbalancer/net/sockets.py
+++ b/loadbalancer/net/sockets.py
@@ -46,6 +46,14 @@
     return int(size)
 
 
+def receive_buffer_bytes(transport: asyncio.BaseTransport) -> int:
+    """Return the size of the kernel's receive buffer (SO_RCVBUF), with its overhead; 0 if unknown."""
+    try:
+        return int(transport.get_extra_info("socket").getsockopt(socket.SOL_SOCKET, socket.SO_RCVBUF))
+    except OSError:
+        return 0
+
+
 def peek_socket(transport: asyncio.BaseTransport) -> bytes | None:
     """Return the first byte that the kernel has received and the loop has not read.
 
--- a/tests/held_transport.py
+++ b/tests/held_transport.py
@@ -38,6 +38,10 @@
         if passed and not self._transport.is_closing():
             self._transport.write(passed)
 
+    def release(self) -> None:
+        """Take what is held back now, and nothing after it."""
+        self.allow(len(self._held))
+
     def allow(self, count: int) -> None:
         """Take so many more bytes."""
         self.allowed += count
@@ -62,6 +66,11 @@
 
         monkeypatch.setattr(UpstreamConnection, "connection_made", made)
 
+    def release(self) -> None:
+        """Let each connection take what it holds back now, and nothing after it."""
+        for transport in self.opened:
+            transport.release()
+
     def allow(self, count: int) -> None:
         """Let each connection take so many more bytes."""
         for transport in self.opened:
--- a/tests/test_request_deadline.py
+++ b/tests/test_request_deadline.py
@@ -168,6 +168,32 @@
     run_scenario(scenario())
 
 
+def test_a_client_may_send_for_longer_than_its_deadline_to_an_upstream_that_often_pauses(
+    monkeypatch: pytest.MonkeyPatch,
+) -> None:
+    """Guards against counting from a pause after which everything written has been read."""
+    transports = HeldTransports(monkeypatch, allowed=HEAD_BYTES)
+
+    async def scenario() -> None:
+        upstream = Upstream()
+        async with ProxyHarness(upstream) as harness:
+            client = await harness.connect()
+            lines = (
+                "POST /pay/x HTTP/1.1\r\nHost: h\r\nX-Request-Id: 9b\r\nX-Class: pay\r\nX-Deadline: 200m\r\n"
+            )
+            client.writer.write(f"{lines}Content-Length: {len(BODY)}\r\n\r\n".encode())
+            for start in range(0, len(BODY), 10_000):  # every other part waits until the upstream takes more
+                client.writer.write(BODY[start : start + 10_000])
+                await asyncio.sleep(0.03)
+                if start % 20_000:
+                    transports.release()
+            transports.allow(len(BODY))
+            assert status_of(await client.read_response()) == 200
+            assert upstream.requests[0].body == BODY
+
+    run_scenario(scenario())
+
+
 def test_a_slow_upstream_may_take_longer_than_the_deadline_while_the_client_still_sends(
     monkeypatch: pytest.MonkeyPatch,
 ) -> None:
