Look at the kernel's buffers only where a lag can matter

Reading pauses after every read of a long body, most often for less than a millisecond.

Change: a pause of less than 1 ms leaves the lag as it was, and bytes that are missing are looked at only once a lag of 50 ms is there.

--- a/loadbalancer/net/downstream_flow.py
+++ b/loadbalancer/net/downstream_flow.py
@@ -11,6 +11,8 @@
 
 # Between disconnect checks while reading is paused: no attempt may begin 0.1 s after a disconnect.
 DISCONNECT_POLL_INTERVAL_S = 0.03
+# A pause that holds no client up: most end as soon as the kernel has taken a part of a body.
+SHORT_PAUSE_S = 0.001
 
 
 class ReadingControl:
@@ -42,7 +44,10 @@
         """Resume reading; return for how many seconds it was paused."""
         self.is_paused = False
         paused_s = time.monotonic() - self._paused_at_s
-        self._lag.on_resumed(unread_bytes(transport), receive_buffer_bytes(transport))
+        if paused_s < SHORT_PAUSE_S:
+            self._lag.on_resumed_at_once()
+        else:
+            self._lag.on_resumed(unread_bytes(transport), receive_buffer_bytes(transport))
         transport.resume_reading()
         self.stop_polling()
         return paused_s
--- a/loadbalancer/net/downstream_read_lag.py
+++ b/loadbalancer/net/downstream_read_lag.py
@@ -15,6 +15,8 @@
 OPEN_WINDOW_FRACTION = 0.25  # the rest may be taken up by what the kernel adds to each segment
 # After a closed window has opened, a client with more to send has sent some of it within this time.
 WINDOW_UPDATE_S = 0.1
+# A request may be answered later than its deadline by far more than this.
+NOTICEABLE_LAG_S = 0.05
 # The most that a sender's kernel holds by default (the last value of Linux' net.ipv4.tcp_wmem).
 MAX_SEND_BUFFER_BYTES = 4_194_304
 
@@ -22,26 +24,39 @@
 class ReadLag:
     """Since when bytes that a client has written may have been waiting to be read, on one connection."""
 
-    __slots__ = ("_behind_since_s", "_is_drained", "_window_opened_s")
+    __slots__ = ("_behind_since_s", "_is_drained", "_paused_s", "_window_opened_s")
 
     def __init__(self) -> None:
         self._behind_since_s: float | None = None
         self._is_drained = True  # whether the kernel had nothing to read at the last look
+        self._paused_s: float | None = None  # since when reading is paused
         self._window_opened_s = -math.inf  # it may have been closed until then
 
     def written_after_s(self) -> float:
         """Return when the next byte to be read can have been written at the earliest (monotonic clock)."""
         self._catch_up()
-        return time.monotonic() if self._behind_since_s is None else self._behind_since_s
+        if self._behind_since_s is not None:
+            return self._behind_since_s
+        return time.monotonic() if self._paused_s is None else self._paused_s
+
+    def is_noticeable(self) -> bool:
+        """Return whether bytes may have been waiting for long enough to matter."""
+        return time.monotonic() >= self.written_after_s() + NOTICEABLE_LAG_S
 
     def on_paused(self) -> None:
         """Handle that nothing is read from now on."""
         self._catch_up()
-        self._is_drained = False
-        self._fall_behind()
+        self._paused_s = time.monotonic()
+
+    def on_resumed_at_once(self) -> None:
+        """Handle that reading resumes after too short a pause to matter."""
+        self._paused_s = None
 
     def on_resumed(self, unread_bytes: int, receive_buffer_bytes: int) -> None:
         """Handle that reading resumes, with so many bytes in the kernel's receive buffer."""
+        if self._behind_since_s is None:
+            self._behind_since_s = self._paused_s
+        self._paused_s = None
         self._is_drained = unread_bytes == 0
         if unread_bytes > OPEN_WINDOW_FRACTION * receive_buffer_bytes:
             self._window_opened_s = time.monotonic()
@@ -52,8 +67,8 @@
             return
         self._catch_up()
         self._is_drained = is_drained
-        if not is_drained:
-            self._fall_behind()
+        if not is_drained and self._behind_since_s is None:
+            self._behind_since_s = time.monotonic()
 
     def on_bytes_missing(self, missing_bytes: int) -> None:
         """Handle that a request lacks so many bytes that have not even reached this machine.
@@ -63,11 +78,9 @@
         if missing_bytes > MAX_SEND_BUFFER_BYTES and self._behind_since_s is not None:
             self._behind_since_s = time.monotonic()
 
-    def _fall_behind(self) -> None:
-        if self._behind_since_s is None:
-            self._behind_since_s = time.monotonic()
-
     def _catch_up(self) -> None:
         """Forget the lag once everything is read, and the client had the time to send what it held back."""
-        if self._is_drained and time.monotonic() >= self._window_opened_s + WINDOW_UPDATE_S:
+        if self._paused_s is not None or not self._is_drained:
+            return
+        if time.monotonic() >= self._window_opened_s + WINDOW_UPDATE_S:
             self._behind_since_s = None
--- a/loadbalancer/net/downstream_reader.py
+++ b/loadbalancer/net/downstream_reader.py
@@ -74,7 +74,9 @@
         self.lag.on_read(is_drained=is_drained)
         request = self._parser.request
         missing_bytes = 0 if request is None else request.body.missing_bytes()
-        if missing_bytes > MAX_SEND_BUFFER_BYTES and self._transport is not None:
+        if missing_bytes <= MAX_SEND_BUFFER_BYTES or not self.lag.is_noticeable():
+            return
+        if self._transport is not None:
             self.lag.on_bytes_missing(missing_bytes - unread_bytes(self._transport))
 
     def _queue_large_request(self) -> bool:
--- a/loadbalancer/net/sockets.py
+++ b/loadbalancer/net/sockets.py
@@ -10,6 +10,8 @@
 import struct
 import termios
 
+_INT = struct.Struct("i")
+
 
 def set_no_delay(transport: asyncio.BaseTransport) -> None:
     """Send small messages at once (TCP_NODELAY)."""
@@ -37,10 +39,9 @@
 
 def unread_bytes(transport: asyncio.BaseTransport) -> int:
     """Return how many bytes the kernel has received and the loop has not read (FIONREAD); 0 if unknown."""
-    count = struct.Struct("i")
     try:
         descriptor = transport.get_extra_info("socket").fileno()
-        (size,) = count.unpack(fcntl.ioctl(descriptor, termios.FIONREAD, bytes(count.size)))
+        (size,) = _INT.unpack(fcntl.ioctl(descriptor, termios.FIONREAD, bytes(_INT.size)))
     except OSError:
         return 0
     return int(size)
--- a/tests/test_read_lag.py
+++ b/tests/test_read_lag.py
@@ -81,3 +81,24 @@
     clock.now_s += 5.0
     lag.on_bytes_missing(MAX_SEND_BUFFER_BYTES)
     assert lag.written_after_s() == moved_s
+
+
+def test_a_pause_too_short_to_hold_a_client_up_leaves_no_lag(clock: ManualClock) -> None:
+    """Guards against a next request on the connection that has lost the time since the last pause."""
+    lag = ReadLag()
+    lag.on_paused()
+    clock.now_s += 0.0005
+    lag.on_resumed_at_once()
+    clock.now_s += 60.0
+    assert lag.written_after_s() == clock.now_s
+
+
+def test_a_short_pause_does_not_end_the_lag_of_a_long_one(clock: ManualClock) -> None:
+    lag = ReadLag()
+    paused_s = clock.now_s
+    lag.on_paused()
+    clock.now_s += 1.0
+    lag.on_resumed(OPEN_UNREAD_BYTES, RECEIVE_BUFFER_BYTES)
+    lag.on_paused()
+    lag.on_resumed_at_once()
+    assert lag.written_after_s() == paused_s
