Replace a deadline test that could not fail, and compare the bound once

Need: test_a_slow_upstream_may_take_longer_than_the_deadline_while_the_ client_still_sends could not fail. `RequestReader` and `ReadLag` each compared with MAX_SEND_BUFFER_BYTES, the test changed it for one of them, and its client was never behind, since all that it wrote was read at once.

Change: `is_unwritten` is the one comparison. In the test's place, test_a_client_that_is_held_back_has_its_time_while_much_of_its_request_is_ missing keeps the client one part ahead of the reading for 1.5 s, with a deadline of 1 s; it asks for the same answer and for the body besides. The heads that three tests spelled out are one function.

--- a/loadbalancer/net/downstream_read_lag.py
+++ b/loadbalancer/net/downstream_read_lag.py
@@ -21,6 +21,11 @@
 MAX_SEND_BUFFER_BYTES = 4_194_304
 
 
+def is_unwritten(missing_bytes: int) -> bool:
+    """Return whether a request's last byte can't have been written, with so many missing on this machine."""
+    return missing_bytes > MAX_SEND_BUFFER_BYTES
+
+
 class ReadLag:
     """Since when bytes that a client has written may have been waiting to be read, on one connection."""
 
@@ -70,12 +75,9 @@
         if not is_drained and self._behind_since_s is None:
             self._behind_since_s = time.monotonic()
 
-    def on_bytes_missing(self, missing_bytes: int) -> None:
-        """Handle that a request lacks so many bytes that have not even reached this machine.
-
-        More than a sender's kernel holds can't have been written yet.
-        """
-        if missing_bytes > MAX_SEND_BUFFER_BYTES and self._behind_since_s is not None:
+    def restart(self) -> None:
+        """Count from now on, as the last byte of the request being read is not written yet."""
+        if self._behind_since_s is not None:
             self._behind_since_s = time.monotonic()
 
     def _catch_up(self) -> None:
--- a/loadbalancer/net/downstream_reader.py
+++ b/loadbalancer/net/downstream_reader.py
@@ -8,7 +8,7 @@
 from loadbalancer.net.downstream_flow import ReadingControl
 from loadbalancer.net.downstream_parser import InvalidRequestError, RequestParser
 from loadbalancer.net.downstream_pipeline import RequestPipeline
-from loadbalancer.net.downstream_read_lag import MAX_SEND_BUFFER_BYTES, ReadLag
+from loadbalancer.net.downstream_read_lag import ReadLag, is_unwritten
 from loadbalancer.net.downstream_request import DownstreamRequest, RequestConnection
 from loadbalancer.net.downstream_timeout import RequestTimer
 from loadbalancer.net.sockets import peek_socket, unread_bytes
@@ -73,11 +73,13 @@
     def _update_lag(self, *, is_drained: bool) -> None:
         self.lag.on_read(is_drained=is_drained)
         request = self._parser.request
-        missing_bytes = 0 if request is None else request.body.missing_bytes()
-        if missing_bytes <= MAX_SEND_BUFFER_BYTES or not self.lag.is_noticeable():
+        if request is None or self._transport is None:
             return
-        if self._transport is not None:
-            self.lag.on_bytes_missing(missing_bytes - unread_bytes(self._transport))
+        missing_bytes = request.body.missing_bytes()
+        if not is_unwritten(missing_bytes) or not self.lag.is_noticeable():
+            return
+        if is_unwritten(missing_bytes - unread_bytes(self._transport)):
+            self.lag.restart()
 
     def _queue_large_request(self) -> bool:
         """Queue the request being received if its body is to be streamed; return whether it was queued."""
--- a/loadbalancer/net/proxy.py
+++ b/loadbalancer/net/proxy.py
@@ -74,11 +74,7 @@
         self._snapshot = self._snapshots.load() if self._snapshots and predecessor is None else None
         self.endpoint_list = self._create_endpoint_list()
         self.attempts = RequestAttempts(
-            self.requests,
-            self.upstreams,
-            self._counters,
-            self.endpoint_list.record_outcome,
-            self.log,
+            self.requests, self.upstreams, self._counters, self.endpoint_list.record_outcome, self.log
         )
         self.cordons = self._create_cordon_controller(folder if config.console else None)
         self._transfer = StateTransfer(
--- a/tests/held_transport.py
+++ b/tests/held_transport.py
@@ -66,6 +66,10 @@
 
         monkeypatch.setattr(UpstreamConnection, "connection_made", made)
 
+    def hold_bytes(self) -> bool:
+        """Return whether any connection holds bytes back."""
+        return any(transport.get_write_buffer_size() for transport in self.opened)
+
     def release(self) -> None:
         """Let each connection take what it holds back now, and nothing after it."""
         for transport in self.opened:
--- a/tests/test_read_lag.py
+++ b/tests/test_read_lag.py
@@ -10,6 +10,7 @@
     OPEN_WINDOW_FRACTION,
     WINDOW_UPDATE_S,
     ReadLag,
+    is_unwritten,
 )
 
 RECEIVE_BUFFER_BYTES = 131_072
@@ -75,12 +76,10 @@
     lag.on_paused()
     clock.now_s += 5.0
     lag.on_resumed(1_000_000, RECEIVE_BUFFER_BYTES)
-    lag.on_bytes_missing(MAX_SEND_BUFFER_BYTES + 1)
-    moved_s = clock.now_s
-    assert lag.written_after_s() == moved_s
-    clock.now_s += 5.0
-    lag.on_bytes_missing(MAX_SEND_BUFFER_BYTES)
-    assert lag.written_after_s() == moved_s
+    lag.restart()
+    assert lag.written_after_s() == clock.now_s
+    assert is_unwritten(MAX_SEND_BUFFER_BYTES + 1)
+    assert not is_unwritten(MAX_SEND_BUFFER_BYTES)
 
 
 def test_a_pause_too_short_to_hold_a_client_up_leaves_no_lag(clock: ManualClock) -> None:
--- a/tests/test_request_deadline.py
+++ b/tests/test_request_deadline.py
@@ -4,11 +4,13 @@
 
 import asyncio
 import time
+from collections.abc import AsyncIterator
 
 import pytest
 
 from loadbalancer import interface
 from loadbalancer.interface import Outcome
+from loadbalancer.net import downstream_read_lag
 from loadbalancer.net.downstream_pipeline import MAX_PIPELINED_REQUESTS
 from loadbalancer.net.message_body import BufferReservation
 from tests.held_transport import HeldTransports
@@ -33,15 +35,21 @@
 HEAD_BYTES = 1_000  # at most, of a request to an upstream
 
 
-def send_long_request(client: HttpClient, framing: str = "length", body: bytes = BODY) -> float:
-    """Write a whole request at once; return when its last byte was written."""
+def long_request_head(framing: str = "length", deadline_s: float = DEADLINE_S) -> bytes:
+    """Return the head of a request whose body is `BODY`, in one of two framings."""
     lines = "POST /pay/x HTTP/1.1\r\nHost: h\r\nX-Request-Id: 9b\r\nX-Class: pay\r\n"
-    lines += f"X-Deadline: {DEADLINE_S * 1000:.0f}m\r\n"
-    if framing == "length":
-        message = f"{lines}Content-Length: {len(body)}\r\n\r\n".encode() + body
-    else:
-        message = f"{lines}Transfer-Encoding: chunked\r\n\r\n".encode() + chunked(body, 30_000)
-    client.writer.write(message)
+    form = f"Content-Length: {len(BODY)}" if framing == "length" else "Transfer-Encoding: chunked"
+    return f"{lines}X-Deadline: {deadline_s * 1000:.0f}m\r\n{form}\r\n\r\n".encode()
+
+
+def long_request_body(framing: str) -> bytes:
+    """Return `BODY` as it is sent in one of two framings."""
+    return BODY if framing == "length" else chunked(BODY, 30_000)
+
+
+def send_long_request(client: HttpClient, framing: str = "length") -> float:
+    """Write a whole request at once; return when its last byte was written."""
+    client.writer.write(long_request_head(framing) + long_request_body(framing))
     return time.monotonic()
 
 
@@ -145,6 +153,16 @@
     run_scenario(scenario())
 
 
+async def send_in_parts(
+    client: HttpClient, message: bytes, size: int, interval_s: float
+) -> AsyncIterator[int]:
+    """Write a message in parts; yield the number of each an interval after it was written."""
+    for number, start in enumerate(range(0, len(message), size)):
+        client.writer.write(message[start : start + size])
+        await asyncio.sleep(interval_s)
+        yield number
+
+
 @pytest.mark.parametrize("framing", ["length", "chunks"])
 def test_a_client_may_send_for_longer_than_its_deadline(framing: str) -> None:
     """Guards against deadlines that count from a moment at which the client was still sending."""
@@ -153,15 +171,9 @@
         upstream = Upstream()
         async with ProxyHarness(upstream) as harness:
             client = await harness.connect()
-            lines = (
-                "POST /pay/x HTTP/1.1\r\nHost: h\r\nX-Request-Id: 9b\r\nX-Class: pay\r\nX-Deadline: 200m\r\n"
-            )
-            form = f"Content-Length: {len(BODY)}" if framing == "length" else "Transfer-Encoding: chunked"
-            client.writer.write(f"{lines}{form}\r\n\r\n".encode())
-            message = BODY if framing == "length" else chunked(BODY, 30_000)
-            for start in range(0, len(message), 20_000):
-                client.writer.write(message[start : start + 20_000])
-                await asyncio.sleep(0.05)
+            client.writer.write(long_request_head(framing, deadline_s=0.2))
+            async for _ in send_in_parts(client, long_request_body(framing), 20_000, 0.05):
+                pass
             assert status_of(await client.read_response()) == 200
             assert upstream.requests[0].body == BODY
 
@@ -178,14 +190,9 @@
         upstream = Upstream()
         async with ProxyHarness(upstream) as harness:
             client = await harness.connect()
-            lines = (
-                "POST /pay/x HTTP/1.1\r\nHost: h\r\nX-Request-Id: 9b\r\nX-Class: pay\r\nX-Deadline: 200m\r\n"
-            )
-            client.writer.write(f"{lines}Content-Length: {len(BODY)}\r\n\r\n".encode())
-            for start in range(0, len(BODY), 10_000):  # every other part waits until the upstream takes more
-                client.writer.write(BODY[start : start + 10_000])
-                await asyncio.sleep(0.03)
-                if start % 20_000:
+            client.writer.write(long_request_head(deadline_s=0.2))
+            async for number in send_in_parts(client, BODY, 10_000, 0.03):
+                if number % 2:  # the part before it has waited until now
                     transports.release()
             transports.allow(len(BODY))
             assert status_of(await client.read_response()) == 200
@@ -194,27 +201,26 @@
     run_scenario(scenario())
 
 
-def test_a_slow_upstream_may_take_longer_than_the_deadline_while_the_client_still_sends(
+def test_a_client_that_is_held_back_has_its_time_while_much_of_its_request_is_missing(
     monkeypatch: pytest.MonkeyPatch,
 ) -> None:
     """Guards against refusing uploads of which more is missing than a client's kernel can hold."""
-    monkeypatch.setattr("loadbalancer.net.downstream_read_lag.MAX_SEND_BUFFER_BYTES", 0)
+    monkeypatch.setattr(downstream_read_lag, "MAX_SEND_BUFFER_BYTES", 20_000)
+    monkeypatch.setattr(downstream_read_lag, "OPEN_WINDOW_FRACTION", 0.0)  # any unread byte closes the window
     transports = HeldTransports(monkeypatch, allowed=HEAD_BYTES)
 
     async def scenario() -> None:
         upstream = Upstream()
         async with ProxyHarness(upstream) as harness:
             client = await harness.connect()
-            lines = (
-                "POST /pay/x HTTP/1.1\r\nHost: h\r\nX-Request-Id: 9b\r\nX-Class: pay\r\nX-Deadline: 200m\r\n"
-            )
-            client.writer.write(f"{lines}Content-Length: {len(BODY)}\r\n\r\n".encode())
-            for start in range(0, len(BODY), 20_000):  # more than 0.5 s
-                client.writer.write(BODY[start : start + 20_000])
-                await asyncio.sleep(0.05)
-                transports.allow(20_000)
+            client.writer.write(long_request_head() + BODY[:10_000])
+            await wait_until(transports.hold_bytes)
+            async for _ in send_in_parts(client, BODY[10_000:], 10_000, 0.08):  # for 1.5 s, a part ahead
+                transports.release()
+                await wait_until(transports.hold_bytes)
             transports.allow(len(BODY))
             assert status_of(await client.read_response()) == 200
+            assert upstream.requests[0].body == BODY
 
     run_scenario(scenario())
 
