Stream a response that has begun instead of cutting it off at its timeout

Cause: an attempt's timer ran until the first byte of the body was buffered; with a length in the head, the head ended it. Whether an answer of unknown length is long can't be told from its head, so it is kept apart: the request may still be hedged, and just before the timeout, at the deadline or at shutdown the response that has begun is streamed. If no byte of its body has come by the deadline, the connection is aborted, so that the client can tell.

--- a/loadbalancer/net/request_attempts.py
+++ b/loadbalancer/net/request_attempts.py
@@ -146,7 +146,8 @@
         request.streaming_attempt = attempt
         request.cancel_safety_timer()
         request.downstream.start_response(attempt, end_to_end_headers(answer.headers), answer.length)
-        request.downstream.send_body_part(answer.body)
+        if answer.body:  # an empty chunk would end the response
+            request.downstream.send_body_part(answer.body)
         self._requests.dispatch(request, interface.ResponseStarted(request.id, index))
         return request.downstream
 
--- a/loadbalancer/net/request_table.py
+++ b/loadbalancer/net/request_table.py
@@ -53,6 +53,10 @@
             if attempt is not None:
                 attempt.cancel_if_unwritten()
 
+    def stream_if_begun(self) -> bool:
+        """Stream a response that has begun and whose length is not known; return whether there is one."""
+        return any(attempt.stream_if_begun() for attempt in self.attempts if attempt is not None)
+
     def cancel_safety_timer(self) -> None:
         """Cancel the safety timer, if it is set."""
         if self.safety_timer is not None:
@@ -122,9 +126,12 @@
             self.respond_with_error(request.id)
 
     def respond_with_error(self, request_id: int | None) -> None:
-        """Answer an open request with an error: 503 only if no attempt can have run, else 502."""
+        """Answer an open request with an error: 503 only if no attempt can have run, else 502.
+
+        A long response that has begun is streamed instead: it must not be cut off.
+        """
         request = self.get_open(request_id)
-        if request is None:
+        if request is None or request.stream_if_begun():
             return
         self.respond(request, 502 if request.may_have_run() else 503)
         # On this event the decision module cancels the attempts in flight.
--- a/loadbalancer/net/upstream_attempt.py
+++ b/loadbalancer/net/upstream_attempt.py
@@ -20,6 +20,8 @@
 
 # A server runs no request before its last byte: an unwritten attempt ends as CONNECT_FAILED instead.
 IMPOSSIBLE_IF_UNWRITTEN = (Outcome.RESET, Outcome.TIMED_OUT, Outcome.ERROR)
+# A response that has begun is streamed so long before the attempt's timeout: its head must arrive in time.
+STREAMING_MARGIN_S = 0.02
 STALL_TIMEOUT_S = 20.0  # without a byte in either direction for this long, the other end is taken for dead
 
 
@@ -88,11 +90,12 @@
 class AttemptTimers:
     """The timers of an attempt: for its end, and for the last byte of its request."""
 
-    __slots__ = ("_last_progress_s", "_loop", "_timer", "_write_timer")
+    __slots__ = ("_due_s", "_last_progress_s", "_loop", "_timer", "_write_timer")
 
     def __init__(self, loop: asyncio.AbstractEventLoop) -> None:
         self._loop = loop
         self._last_progress_s = 0.0
+        self._due_s = math.inf  # when the timer fires
         self._timer: asyncio.TimerHandle | None = None
         self._write_timer: asyncio.TimerHandle | None = None
 
@@ -107,6 +110,7 @@
     def _set_timer(self, after_s: float, callback: Callable[[], None]) -> None:
         if self._timer is not None:
             self._timer.cancel()
+        self._due_s = time.monotonic() + after_s
         self._timer = self._loop.call_later(after_s, callback)
 
     def _remaining_s(self) -> float:
@@ -139,6 +143,7 @@
     """One attempt at a server; its handler is notified of its end exactly once, whatever events race."""
 
     __slots__ = (
+        "_awaits_body",
         "_connect_task",
         "_connection",
         "_handler",
@@ -165,6 +170,7 @@
         self._write_by_s = math.inf
         self.connect_duration_s: float | None = None  # if it opened a connection
         self._sink: ResponseSink | None = None
+        self._awaits_body = False  # whether a streamed response has no byte of its body yet
 
     def start(self, timeout_s: float, write_within_s: float, connect_within_s: float) -> None:
         """Begin on an idle connection, or open one; the handler is not notified before this returns.
@@ -221,11 +227,22 @@
         """Return whether the response is being streamed to the client: it can't be replaced any more."""
         return self._sink is not None
 
+    def on_response_begun(self) -> None:
+        """Leave time to stream a response of unknown length: it is long, perhaps, and must not be cut off."""
+        if self._is_written():
+            remaining_s = self._due_s - STREAMING_MARGIN_S - time.monotonic()
+            self._set_timer(max(remaining_s, 0.0), self._on_timeout)
+
+    def stream_if_begun(self) -> bool:
+        """Stream the response if it has begun and its length is not known; return whether it is streamed."""
+        return not self._is_over and self._connection is not None and self._connection.start_streaming()
+
     def start_streaming(self, reader: ResponseReader) -> None:
         """Stream a long response to the client."""
         if not self._is_written():
             self.on_connection_failed()
             return
+        self._awaits_body = not reader.buffered_bytes
         self._sink = self._handler.on_response_started(self, reader.response())
         if self._sink is None:
             self.cancel()
@@ -235,6 +252,7 @@
     def stream(self, data: bytes) -> None:
         """Forward a part of the response."""
         if self._sink is not None and data:
+            self._awaits_body = False
             self._sink.send_body_part(data)
 
     def on_response_completed(self, reader: ResponseReader) -> None:
@@ -293,12 +311,16 @@
         connection.send_request(self, self._handler.build_request(), self._handler.body)
 
     def _remaining_s(self) -> float:
-        return math.inf if self._is_written() else self._handler.remaining_s()
+        """Return the time until the request has to be written, or the first byte of the body be there."""
+        is_limited = self._awaits_body or not self._is_written()
+        return self._handler.remaining_s() if is_limited else math.inf
 
     def _on_stall(self) -> None:
         self._end(Outcome.TIMED_OUT)
 
     def _on_timeout(self) -> None:
+        if self.stream_if_begun():
+            return
         # A request that was not written never ran, for whatever reason.
         self._end(Outcome.TIMED_OUT if self._connection else Outcome.CONNECT_FAILED)
 
--- a/loadbalancer/net/upstream_connection.py
+++ b/loadbalancer/net/upstream_connection.py
@@ -10,6 +10,7 @@
 from loadbalancer.net.sockets import peek_socket, set_no_delay
 from loadbalancer.net.upstream_response import RESPONSE_ERRORS, ResponseReader
 
+SUCCESS_STATUS = 200
 # A response of unknown length is buffered for at most this long before it is streamed.
 MAX_RESPONSE_BUFFERING_S = 0.05
 
@@ -26,6 +27,9 @@
     def is_streaming(self) -> bool:
         """Return whether the response is being streamed."""
 
+    def on_response_begun(self) -> None:
+        """Handle the head of a response whose length it does not give."""
+
     def start_streaming(self, reader: ResponseReader) -> None:
         """Stream a long response to the client."""
 
@@ -179,7 +183,7 @@
             attempt.stream(reader.take_body())
         elif not reader.is_complete and reader.has_head:
             size_bytes = max(reader.buffered_bytes, reader.length or 0)
-            if reader.status != 200:
+            if reader.status != SUCCESS_STATUS:
                 if size_bytes > MAX_BUFFERED_BODY_BYTES:
                     attempt.on_response_completed(reader)  # the rest of it is not needed
                     return
@@ -189,6 +193,7 @@
                 self._streaming_timer = self._pool.loop.call_later(
                     MAX_RESPONSE_BUFFERING_S, self._on_buffering_timeout
                 )
+                attempt.on_response_begun()
         self._unread.resize(reader.buffered_bytes)
         if reader.is_complete and self._attempt is attempt:
             attempt.on_response_completed(reader)
@@ -200,6 +205,18 @@
             attempt.start_streaming(reader)
             self._unread.resize(reader.buffered_bytes)
 
+    def start_streaming(self) -> bool:
+        """Stream a response that has begun and whose length is not known; return whether there is one."""
+        attempt, reader = self._attempt, self._reader
+        if attempt is None or reader is None or not reader.has_head or reader.is_complete:
+            return False
+        if reader.status != SUCCESS_STATUS or reader.length not in (None, LENGTH_NOT_GIVEN):
+            return False
+        if not attempt.is_streaming():
+            attempt.start_streaming(reader)
+            self._unread.resize(reader.buffered_bytes)
+        return True
+
     def pause(self) -> None:
         """Read no more for now."""
         if not self._is_reading_paused and self._transport is not None and not self._transport.is_closing():
--- a/tests/test_late_response_bodies.py
+++ b/tests/test_late_response_bodies.py
@@ -3,14 +3,17 @@
 from __future__ import annotations
 
 import asyncio
+import contextlib
+import time
 from collections.abc import Awaitable, Callable
 
 import pytest
 
-from tests.loopback import HttpMessage, ProxyHarness, Upstream, run_scenario
+from tests.loopback import HttpMessage, ProxyHarness, Upstream, http_response, run_scenario
 
 OBJECTIVE_S = 0.3
 DEADLINE_S = 1.5
+ANSWER_GRACE_S = 0.5  # after a deadline, in which a response only earns nothing
 CLASSES = [
     {"name": "read", "target": OBJECTIVE_S * 1_000, "deadline": DEADLINE_S * 1_000, "effect": "retryable"},
     {"name": "pay", "target": OBJECTIVE_S * 1_000, "deadline": DEADLINE_S * 1_000, "effect": "fragile"},
@@ -80,3 +83,44 @@
             assert await body_of_response(harness, path) == BODY
 
     run_scenario(scenario())
+
+
+@pytest.mark.parametrize("framing", ["chunked", "close"])
+def test_a_response_whose_body_never_comes_is_seen_to_be_incomplete_at_its_deadline(framing: str) -> None:
+    """Guards against a client that waits for the body of a spoilt response for longer than it may."""
+
+    async def scenario() -> None:
+        script = late_body(framing, 10.0)
+        async with ProxyHarness(Upstream(script), Upstream(script), classes=CLASSES) as harness:
+            client = await harness.connect()
+            started_s = time.monotonic()
+            client.send_request(deadline=f"{DEADLINE_S * 1_000:.0f}m")
+            head = await client.reader.readuntil(b"\r\n\r\n")
+            assert head.startswith(b"HTTP/1.1 200")
+            with contextlib.suppress(ConnectionResetError):
+                assert await client.reader.read() == b""
+            assert time.monotonic() - started_s < DEADLINE_S + ANSWER_GRACE_S
+
+    run_scenario(scenario())
+
+
+@pytest.mark.parametrize("framing", ["chunked", "close"])
+def test_a_hedged_request_is_served_although_the_first_response_has_no_body_yet(framing: str) -> None:
+    """Guards against binding a request to a response without a body while another server could answer."""
+
+    async def scenario() -> None:
+        stuck = late_body(framing, 10.0)
+        is_stuck = [False] * 40 + [True]  # by request: after usual ones, the first attempt of one
+
+        async def script(request: HttpMessage, writer: asyncio.StreamWriter) -> None:
+            if is_stuck and is_stuck.pop(0):
+                await stuck(request, writer)
+            else:
+                writer.write(http_response(200, b"sound"))
+
+        async with ProxyHarness(Upstream(script), Upstream(script), classes=CLASSES) as harness:
+            while is_stuck:
+                response = await harness.request(deadline=f"{DEADLINE_S * 1_000:.0f}m")
+                assert response.body == b"sound"
+
+    run_scenario(scenario())
