Withdraw what the kernel has not sent when a request is given up

A client closed, and its request reached the server 0.2 s later all the same (600 kB to a server that did not read): the balancer had written it, its kernel had not sent it, and an orderly close lets the kernel go on. Now a connection that is given up while the kernel holds unsent bytes (SIOCOUTQNSD) is reset, which drops them. Where cancelling is not allowed, such an attempt is withdrawn as well; it counts as one that may have run.

--- a/loadbalancer/net/sockets.py
+++ b/loadbalancer/net/sockets.py
@@ -11,6 +11,7 @@
 import termios
 
 _INT = struct.Struct("i")
+_SIOCOUTQNSD = 0x894B  # bytes in the send queue that were never sent (linux/sockios.h); the same everywhere
 
 
 def set_no_delay(transport: asyncio.BaseTransport) -> None:
@@ -39,9 +40,18 @@
 
 def unread_bytes(transport: asyncio.BaseTransport) -> int:
     """Return how many bytes the kernel has received and the loop has not read (FIONREAD); 0 if unknown."""
+    return _queued_bytes(transport, termios.FIONREAD)
+
+
+def unsent_bytes(transport: asyncio.BaseTransport) -> int:
+    """Return how many written bytes the kernel has not sent to the peer yet; 0 if unknown."""
+    return _queued_bytes(transport, _SIOCOUTQNSD)
+
+
+def _queued_bytes(transport: asyncio.BaseTransport, request: int) -> int:
     try:
         descriptor = transport.get_extra_info("socket").fileno()
-        (size,) = _INT.unpack(fcntl.ioctl(descriptor, termios.FIONREAD, bytes(_INT.size)))
+        (size,) = _INT.unpack(fcntl.ioctl(descriptor, request, bytes(_INT.size)))
     except OSError:
         return 0
     return int(size)
--- a/loadbalancer/net/upstream_attempt.py
+++ b/loadbalancer/net/upstream_attempt.py
@@ -205,9 +205,14 @@
         self._end(Outcome.CANCELLED)
 
     def cancel_if_unwritten(self, outcome: Outcome = Outcome.NOT_SENT) -> None:
-        """End the attempt unless its last byte was sent: the server then has not begun it and never will."""
+        """End the attempt unless its last byte was sent: the server then has not begun it and never will.
+
+        What was written and waits in the kernel is withdrawn, too; it counts as one that may have run.
+        """
         if not self._is_written():
             self._end(outcome)
+        elif self._connection is not None and self._connection.has_unsent_bytes():
+            self._end(Outcome.CANCELLED)
 
     def is_unwritten(self) -> bool:
         """Return whether the attempt is in progress and its last byte is not sent yet."""
--- a/loadbalancer/net/upstream_connection.py
+++ b/loadbalancer/net/upstream_connection.py
@@ -7,7 +7,7 @@
 
 from loadbalancer.net.http_framing import LAST_CHUNK, LENGTH_NOT_GIVEN, encode_chunk
 from loadbalancer.net.message_body import MAX_BUFFERED_BODY_BYTES, Body, BufferBudget, BufferReservation
-from loadbalancer.net.sockets import peek_socket, set_no_delay
+from loadbalancer.net.sockets import peek_socket, reset_on_close, set_no_delay, unsent_bytes
 from loadbalancer.net.upstream_response import RESPONSE_ERRORS, ResponseReader
 
 SUCCESS_STATUS = 200
@@ -151,6 +151,12 @@
         """Return whether the last byte of the request was sent."""
         return self._is_written
 
+    def has_unsent_bytes(self) -> bool:
+        """Return whether the kernel has yet to send a part of what was written."""
+        if self._transport is None or self._transport.is_closing():
+            return False
+        return unsent_bytes(self._transport) > 0
+
     def is_alive(self) -> bool:
         """Return whether the socket is open and has nothing to read; the loop may not know of its end yet."""
         if self._is_closed or self._transport is None or self._transport.is_closing():
@@ -258,7 +264,13 @@
             self.resume()
             self._pool.return_idle(self)
         else:
-            self.close()
+            self._close_after_exchange()
+
+    def _close_after_exchange(self) -> None:
+        """Close; with a reset if the kernel would otherwise go on to send a request that is given up."""
+        if self._transport is not None and self.has_unsent_bytes():
+            reset_on_close(self._transport)
+        self.close()
 
     def close(self) -> None:
         """Close at once, so that the upstream notices."""
