Start the balancer without OpenSSL, which takes 4.6 MB of its process

The program moved from __main__ to program, so that this comes before its imports; tests import that.

--- a/loadbalancer/cli/serve.py
+++ b/loadbalancer/cli/serve.py
@@ -10,8 +10,7 @@
 import structlog
 import typer
 
-from loadbalancer import __main__ as program
-from loadbalancer import configuration
+from loadbalancer import configuration, program
 from loadbalancer.cli.usage_error import UsageError
 from loadbalancer.net.log import Fields, Sink
 
--- a/loadbalancer/drill/defects/launch.py
+++ b/loadbalancer/drill/defects/launch.py
@@ -34,7 +34,7 @@
     defect, role = sys.argv[1:3]
     seed_defect(defect)
     if role == "balancer":
-        from loadbalancer.__main__ import main as run_balancer
+        from loadbalancer.program import main as run_balancer
 
         return run_balancer()
     serve_registry(Path(sys.argv[-1]))
--- a/tests/test_architecture.py
+++ b/tests/test_architecture.py
@@ -36,7 +36,7 @@
         "membership",
         "snapshots",
         "registry",
-        "__main__",
+        "program",
     },
     "scale": {"interface", "drill", "net", "policy", "endpoint_watch", "registry"},
 }
@@ -74,10 +74,23 @@
             assert used <= ALLOWED_IMPORTS[part] | {part}, f"{name} imports {used}"
 
 
-def test_run_loads_no_tool() -> None:
-    code = "import sys, loadbalancer.__main__; print(*sys.modules)"
+def modules_of_the_program() -> list[str]:
+    """Return the modules that the balancer's process has loaded before it serves."""
+    code = (
+        "import sys; from loadbalancer.lean_imports import import_event_loop_without_tls as lean; lean();"
+        "import loadbalancer.program; print(*sys.modules)"
+    )
     asked = [sys.executable, "-c", code]
-    loaded = subprocess.run(asked, cwd=ROOT, capture_output=True, text=True, check=True).stdout.split()
+    return subprocess.run(asked, cwd=ROOT, capture_output=True, text=True, check=True).stdout.split()
+
+
+def test_run_loads_no_openssl() -> None:
+    """Guards against 4.6 MB of memory for TLS, which the balancer does not speak."""
+    assert not {"ssl", "_ssl", "hashlib", "_hashlib"} & set(modules_of_the_program())
+
+
+def test_run_loads_no_tool() -> None:
+    loaded = modules_of_the_program()
     tools = {"typer", "msgspec", "rich", "numpy", "aiohttp", "structlog", "prometheus_client", "jinja2"}
     assert not tools & {name.split(".")[0] for name in loaded}
     assert not [n for n in loaded if n.startswith(("loadbalancer.simulation", "loadbalancer.drill"))]
