Parse and serve what a connection sends in pieces, over turns of the event loop

Requests that wait count in the bound on buffers, and once half of it is taken only one is read ahead.

--- a/loadbalancer/net/downstream_connection.py
+++ b/loadbalancer/net/downstream_connection.py
@@ -11,6 +11,7 @@
 from loadbalancer.net.downstream_reader import RequestReader
 from loadbalancer.net.message_body import BufferBudget
 from loadbalancer.net.sockets import has_peer_closed, peek_socket, set_no_delay, unread_bytes
+from loadbalancer.net.turn_queue import TurnQueue
 from loadbalancer.net.upstream_attempt import STALL_TIMEOUT_S
 
 # How long to read on after a half-close, so that no reset overtakes the response.
@@ -22,6 +23,7 @@
 
     loop: asyncio.AbstractEventLoop
     buffers: BufferBudget
+    turns: TurnQueue
 
     def on_connection_closed(self, connection: DownstreamConnection) -> None:
         """Remove a closed connection."""
@@ -94,6 +96,19 @@
         """Resume reading, if it waited for a response."""
         self.reader.on_pipeline_advanced()
 
+    def continue_later(self) -> None:
+        """Go on in a later turn of the loop with what has been received."""
+        self._listener.turns.add(self._continue)
+
+    def _continue(self) -> None:
+        if not self.is_lost:
+            self.reader.continue_parsing()
+            self.pipeline.advance()
+
+    def has_unparsed(self) -> bool:
+        """Return whether received bytes wait for a later turn."""
+        return self.reader.has_unparsed()
+
     def unread_bytes(self) -> int:
         """Return how many bytes from the client the kernel has and the loop has not read."""
         if self._transport is None or self._transport.is_closing():
@@ -134,7 +149,8 @@
 
     def is_idle(self) -> bool:
         """Return whether no request is being served, queued or received."""
-        return self.pipeline.is_empty() and not self.reader.is_receiving()
+        is_received = self.reader.is_receiving() or self.reader.has_unparsed()
+        return self.pipeline.is_empty() and not is_received
 
     def can_close(self) -> bool:
         """Return whether it can close with nothing lost: idle, and no unread request in the kernel."""
@@ -183,10 +199,11 @@
         """Accept no more requests, as the process exits; return whether a response is still being sent."""
         if self._transport is None or self.is_lost:
             return False
-        if self.pipeline.is_streaming:
+        if self.pipeline.is_streaming or self.pipeline.has_waiting():
             return True
         is_answered = self.reader.is_stopped or self.closes_after_body
-        if not is_answered and not self.pipeline.is_serving() and peek_socket(self._transport):
+        is_unread = self.reader.has_unparsed() or bool(peek_socket(self._transport))
+        if not is_answered and not self.pipeline.is_serving() and is_unread:
             return False  # the unread request is read next, and gets its response
         self.half_close()
         return self._transport.get_write_buffer_size() > 0
--- a/loadbalancer/net/downstream_listener.py
+++ b/loadbalancer/net/downstream_listener.py
@@ -13,6 +13,7 @@
 from loadbalancer.net.downstream_connection import DownstreamConnection
 from loadbalancer.net.downstream_request import RequestHandler
 from loadbalancer.net.message_body import BufferBudget
+from loadbalancer.net.turn_queue import TurnQueue
 
 LISTEN_BACKLOG = 2_048  # clients queue in the kernel while the process is busy, instead of being refused
 ACCEPT_RETRY_INTERVAL_S = 0.05  # after running out of sockets or of connection capacity
@@ -56,6 +57,7 @@
         self.handler = handler
         self.report_error = report_error
         self.buffers = buffers
+        self.turns = TurnQueue(loop)
         self.class_names = frozenset([c.name for c in config.settings.classes])
         self.is_serving = False
         self.is_shutting_down = False
--- a/loadbalancer/net/downstream_parser.py
+++ b/loadbalancer/net/downstream_parser.py
@@ -18,6 +18,10 @@
 from loadbalancer.net.message_body import BufferReservation
 from loadbalancer.net.request_head import RequestHead
 
+MAX_PIECE_BYTES = 4_096  # that are parsed at once where a request may end anywhere
+MAX_SHORT_HEAD_BYTES = 2_048
+_END_OF_HEAD = b"\n\r\n"
+
 
 class InvalidRequestError(FramingError):
     """Input that is not an acceptable request; nothing after it can be parsed as one."""
@@ -55,18 +59,33 @@
         self.is_receiving = False  # whether a request has begun and not ended
         self.request: DownstreamRequest | None = None  # whose body is incomplete
 
-    def feed(self, data: memoryview) -> memoryview | None:
-        """Parse bytes; return those that are left after a request to upgrade the protocol, to be fed next.
+    def is_quickly_parsed(self, data: memoryview) -> bool:
+        """Return whether these bytes are a body of known length, or begin with the end of a short head."""
+        if self.request is not None:
+            return self.request.body.length is not None
+        return self._raw_head_bytes == 0 and _END_OF_HEAD in bytes(data[:MAX_SHORT_HEAD_BYTES])
+
+    def piece_bytes(self, data: memoryview) -> int:
+        """Return how many of these bytes to feed at once, so that they end no more than one request or so."""
+        if self.request is not None and self.request.body.length is not None:
+            return max(self.request.body.missing_bytes(), 1)
+        start = bytes(data[:MAX_PIECE_BYTES])
+        end = start.find(_END_OF_HEAD)
+        return end + len(_END_OF_HEAD) if end >= 0 else len(start)
+
+    def feed(self, data: memoryview) -> int:
+        """Parse bytes; return how many were parsed: not all, after a request to upgrade the protocol.
 
         Such a request is answered in HTTP/1.1. Raises InvalidRequestError.
         """
         if self._is_in_head and self._raw_head_bytes > MAX_HEAD_BYTES:
             raise InvalidRequestError(431, "headers too large")
+        parsed_bytes = len(data)
         try:
             self._parser.feed_data(data)
         except httptools.HttpParserUpgrade as upgrade:
             self._parser = httptools.HttpRequestParser(self)
-            return data[upgrade.args[0] :]
+            parsed_bytes = upgrade.args[0]
         except httptools.HttpParserError as error:
             rejection = self._rejection or RequestRejection(400, "malformed request")
             raise InvalidRequestError(rejection.status, rejection.reason) from error
@@ -76,7 +95,7 @@
             self.request.body.flush()
         is_held = self._is_in_head and not self._is_released
         self._reservation.resize(self._head.memory_bytes() if is_held else 0)
-        return None
+        return parsed_bytes
 
     def head_bytes(self) -> int:
         """Return how much memory a head takes that is not complete."""
@@ -130,6 +149,7 @@
     def on_headers_complete(self) -> None:
         """Create the request from its head; its body comes next."""
         self._is_in_head = False
+        self._raw_head_bytes = 0
         request = DownstreamRequest(self._connection, self._parser.get_method(), self._head)
         self._head = RequestHead()
         self.request = request
--- a/loadbalancer/net/downstream_pipeline.py
+++ b/loadbalancer/net/downstream_pipeline.py
@@ -20,6 +20,7 @@
 from loadbalancer.net.sockets import reset_on_close
 
 MAX_PIPELINED_REQUESTS = 16  # requests read ahead on one connection; past that, reading waits
+QUEUED_REQUEST_BYTES = 1_536  # of the objects of a request, beside its head and body
 
 
 class PipelineConnection(Protocol):
@@ -35,6 +36,12 @@
     def close_if_disconnected(self) -> bool:
         """Close and return True if the client has disconnected."""
 
+    def continue_later(self) -> None:
+        """Go on in a later turn of the loop with what has been received."""
+
+    def has_unparsed(self) -> bool:
+        """Return whether received bytes wait for a later turn."""
+
     def close_after_body(self) -> None:
         """Close now, or after the body being received."""
 
@@ -63,6 +70,7 @@
         self.is_streaming = False  # whether a response is being streamed
         self._ends_with_close = False  # whether only the close marks the end of the streamed response
         self.unsent = BufferReservation(connection.buffers)
+        self._queued = BufferReservation(connection.buffers)
 
     def connect(self, transport: asyncio.Transport) -> None:
         """Write to `transport` from now on."""
@@ -76,7 +84,8 @@
 
     def is_full(self) -> bool:
         """Return whether reading should wait until some requests have been answered."""
-        return len(self._waiting) > MAX_PIPELINED_REQUESTS
+        max_waiting = 0 if self._connection.buffers.is_scarce() else MAX_PIPELINED_REQUESTS
+        return len(self._waiting) > max_waiting
 
     def is_current(self, request: DownstreamRequest) -> bool:
         """Return whether this request is being served."""
@@ -86,6 +95,10 @@
         """Return whether a request is being served."""
         return self._current is not None
 
+    def has_waiting(self) -> bool:
+        """Return whether a request waits for its turn."""
+        return bool(self._waiting)
+
     def has(self, request: DownstreamRequest) -> bool:
         """Return whether this request is being served or queued."""
         return request is self._current or request in self._waiting
@@ -93,13 +106,17 @@
     def append(self, request: DownstreamRequest) -> None:
         """Queue a request."""
         self._waiting.append(request)
+        self._count_queued()
+
+    def _count_queued(self) -> None:
+        self._queued.resize(QUEUED_REQUEST_BYTES * len(self._waiting))
 
     def on_request_received(self, request: DownstreamRequest) -> None:
         """Handle the end of a request, which may already be served or queued if its body is long."""
         if request is self._current:
             self._listener.handler.on_request_completed(request)
         elif request not in self._waiting:
-            self._waiting.append(request)
+            self.append(request)
 
     def reject(self, request: DownstreamRequest | None, status: int, reason: str) -> None:
         """End with this response, for invalid input or a request whose rest will not arrive."""
@@ -110,6 +127,7 @@
             request.release()
             if request in self._waiting:
                 self._waiting.remove(request)
+                self._count_queued()
         self._rejection = self._rejection or RequestRejection(status, reason)
         self.advance()
 
@@ -119,6 +137,7 @@
             if request is not None and request is not self._current:
                 request.release()
         self._waiting.clear()
+        self._count_queued()
         self._rejection = None
         self.is_streaming = False
         if (request := self._current) is not None:
@@ -127,23 +146,31 @@
             self._listener.handler.on_client_disconnected(request)
 
     def advance(self) -> None:
-        """Serve queued requests, each once the response before it has been sent, then send any rejection."""
+        """Serve the next request once the response before it has been sent, or then send any rejection."""
         if self._is_advancing or self._transport is None or self._transport.is_closing():
             return
         self._is_advancing = True
         try:
-            # At most one response is buffered for a client that sends requests and never reads.
-            while self._waiting and self._current is None and self._transport.get_write_buffer_size() == 0:
+            if self._can_serve():
                 self._current = self._waiting.popleft()
+                self._count_queued()
                 self._serve(self._current)
         finally:
             self._is_advancing = False
+        if self._can_serve():  # it was answered at once
+            self._connection.continue_later()
         if self._rejection is not None and self.is_empty():
             rejection = self._rejection
             self._rejection = None
             self._write(rejection.status, [], rejection.reason.encode() + b"\n", close=True)
         self._connection.on_pipeline_advanced()
 
+    def _can_serve(self) -> bool:
+        """Return whether a request waits for nothing; at most one response is buffered for its client."""
+        if not self._waiting or self._current is not None or self._transport is None:
+            return False
+        return not self._transport.is_closing() and self._transport.get_write_buffer_size() == 0
+
     def _serve(self, request: DownstreamRequest) -> None:
         # Requests for no class of service close the connection: such clients are many, and would stay.
         if request.target == b"/healthz" and request.method == b"GET":
@@ -181,7 +208,7 @@
         """Return whether the connection closes after the response to this request."""
         if not request.body.is_complete:
             return True  # the rest of the body must not be parsed as a request
-        is_last = not self._waiting and self._rejection is None
+        is_last = not self._waiting and self._rejection is None and not self._connection.has_unparsed()
         return is_last and (self._listener.is_closing_connections or not request.keep_alive)
 
     def _write(self, status: int, headers: Headers, body: bytes, *, close: bool) -> None:
--- a/loadbalancer/net/downstream_reader.py
+++ b/loadbalancer/net/downstream_reader.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import asyncio
+import time
 from typing import Protocol
 
 from loadbalancer.net.downstream_flow import ReadingControl
@@ -11,8 +12,12 @@
 from loadbalancer.net.downstream_read_lag import ReadLag, is_unwritten
 from loadbalancer.net.downstream_request import DownstreamRequest, RequestConnection
 from loadbalancer.net.downstream_timeout import RequestTimer
+from loadbalancer.net.message_body import BufferReservation
 from loadbalancer.net.sockets import peek_socket, unread_bytes
 
+MAX_REQUESTS_PER_TURN = 2  # that are parsed of one connection; the rest waits for later turns of the loop
+MAX_PARSE_S = 0.0003  # in one turn, after which only a piece that has begun is finished
+
 
 class ReaderConnection(RequestConnection, Protocol):
     """The connection that a reader belongs to."""
@@ -20,6 +25,9 @@
     is_lost: bool
     closes_after_body: bool
 
+    def continue_later(self) -> None:
+        """Go on in a later turn of the loop with what has been received."""
+
     def close_if_disconnected(self) -> bool:
         """Close and return True if the client has disconnected."""
 
@@ -40,6 +48,10 @@
         self._timer = RequestTimer(loop, self._on_timeout)
         self.lag = ReadLag()
         self.control = ReadingControl(loop, self.lag, connection.close_if_disconnected)
+        self._unparsed = b""  # received, for a later turn
+        self._unparsed_reservation = BufferReservation(connection.buffers)
+        self._written_after_s = 0.0  # when what is being parsed can have been written at the earliest
+        self._requests_in_turn = 0
         self.is_stopped = False  # no more requests are accepted; further input is read and dropped
         self.has_received_request = False  # a complete one
 
@@ -56,16 +68,52 @@
         """Return whether the body of a request is still incomplete."""
         return self._parser.request is not None
 
+    def has_unparsed(self) -> bool:
+        """Return whether received bytes wait for a later turn."""
+        return bool(self._unparsed)
+
     def feed(self, data: memoryview, *, is_drained: bool) -> None:
         """Parse received bytes, and serve what can be served; `is_drained` if the kernel has no more."""
-        rest: memoryview | None = data
-        while rest is not None and not self.is_stopped:
+        self._written_after_s = self.lag.written_after_s()
+        if self._unparsed or not self._parser.is_quickly_parsed(data):
+            self._keep_unparsed(memoryview(self._unparsed + data))
+        else:
+            self._keep_unparsed(self._parse(data))
+        if self.is_stopped:
+            return
+        self._update_lag(is_drained=is_drained)
+        self._serve_received()
+
+    def continue_parsing(self) -> None:
+        """Parse what an earlier turn has left over, as far as there is room for it."""
+        if not self._unparsed or not self._can_parse():
+            return
+        self._keep_unparsed(self._parse(memoryview(self._unparsed)))
+        if not self.is_stopped:
+            self._serve_received()
+
+    def _can_parse(self) -> bool:
+        request = self._parser.request
+        return not self._pipeline.is_full() and (request is None or request.body.can_receive())
+
+    def _parse(self, data: memoryview) -> memoryview:
+        """Parse what one turn has time for, and return the rest."""
+        ends_s = time.monotonic() + MAX_PARSE_S
+        self._requests_in_turn = 0
+        while data and not self.is_stopped:
             try:
-                rest = self._parser.feed(rest)
+                data = data[self._parser.feed(data[: self._parser.piece_bytes(data)]) :]
             except InvalidRequestError as error:
                 self._reject(error.status, error.reason)
-                return
-        self._update_lag(is_drained=is_drained)
+            if self._requests_in_turn >= MAX_REQUESTS_PER_TURN or time.monotonic() >= ends_s:
+                break
+        return data
+
+    def _keep_unparsed(self, rest: memoryview) -> None:
+        self._unparsed = b"" if self.is_stopped else bytes(rest)
+        self._unparsed_reservation.resize(len(self._unparsed))
+
+    def _serve_received(self) -> None:
         self._queue_large_request()
         self._pipeline.advance()
         self._update_timer()
@@ -92,9 +140,13 @@
     def _is_queued(self, request: DownstreamRequest) -> bool:
         return self._pipeline.has(request) or self._connection.closes_after_body
 
+    def _stop_parsing(self) -> None:
+        self.is_stopped = True
+        self._keep_unparsed(memoryview(b""))
+
     def stop(self) -> DownstreamRequest | None:
         """Accept no more requests; return the one being received."""
-        self.is_stopped = True
+        self._stop_parsing()
         self._update_timer()
         self.control.stop_polling()
         self._parser.release()
@@ -102,7 +154,7 @@
 
     def _reject(self, status: int, reason: str) -> None:
         """Accept no more requests: the one being received ends with this response."""
-        self.is_stopped = True
+        self._stop_parsing()
         self._update_timer()
         self._parser.release()
         self._pipeline.reject(self._parser.take_request(), status, reason)
@@ -123,7 +175,8 @@
     def on_request_received(self, request: DownstreamRequest) -> None:
         """Handle the end of a request."""
         self.has_received_request = True
-        request.written_after_s = self.lag.written_after_s()
+        self._requests_in_turn += 1
+        request.written_after_s = self._written_after_s
         request.body.complete()
         if self._connection.closes_after_body:
             self._connection.half_close()
@@ -159,9 +212,10 @@
         if self._queue_large_request():  # the buffers have filled up since its last bytes were read
             self._pipeline.advance()  # it calls this again
             return
-        request = self._parser.request
-        is_full = self._pipeline.is_full() or (request is not None and not request.body.can_receive())
-        is_full = is_full and not self.is_stopped
+        can_parse = self._can_parse()
+        if self._unparsed and can_parse:
+            self._connection.continue_later()
+        is_full = (bool(self._unparsed) or not can_parse) and not self.is_stopped
         if is_full and not self.control.is_paused:
             self.control.pause(self._transport)
             self._update_timer()
--- a/loadbalancer/net/message_body.py
+++ b/loadbalancer/net/message_body.py
@@ -24,9 +24,13 @@
         """Return whether no more should be buffered than is unavoidable."""
         return self.used_bytes >= self.max_bytes
 
+    def is_scarce(self) -> bool:
+        """Return whether so much is buffered that no connection should hold more than it must."""
+        return self.used_bytes >= self.max_bytes / 2
+
     def receive_buffer(self) -> memoryview:
         """Return where the next read goes to: a small part once much is buffered."""
-        if self.used_bytes < self.max_bytes / 2:
+        if not self.is_scarce():
             return self._receive_buffer
         return self._receive_buffer[:MIN_READ_BYTES]
 
