Give requests whose body is still arriving a limit of their own

A request whose body is streamed held a place at its server like one that runs, though a server begins nothing before the last byte. Such requests now use half of a server's limit at most, do not count in the limit of complete ones, nor in the time by which a server's capacity is estimated, and wait behind complete ones.

--- a/loadbalancer/policy/attempts.py
+++ b/loadbalancer/policy/attempts.py
@@ -58,7 +58,10 @@
         self._endpoints.awaiting_first_call.pop(server.endpoint.server, None)
         write_within_ms = deduplicated_until_ms(request, self._settings) - now
         connect_within_ms = self._connect_within_ms(server, request)
-        request.attempts.append(Attempt(server, idle_ms, now, timeout_ms))
+        attempt = Attempt(server, idle_ms, now, timeout_ms)
+        attempt.is_receiving = not request.is_complete
+        server.receiving += attempt.is_receiving
+        request.attempts.append(attempt)
         self._slow_start.record_send(server, now)
         self._actions.append(
             interface.SendAttempt(
--- a/loadbalancer/policy/limits.py
+++ b/loadbalancer/policy/limits.py
@@ -12,6 +12,8 @@
 """Calls that all balancers together have in flight at a server for each unit of its capacity."""
 ORDINARY_FRACTION = 0.6
 """Fraction of these calls that requests of less than the highest priority weight may use."""
+RECEIVING_FRACTION = 0.5
+"""Fraction of a server's limit that requests may use whose body is still arriving, however slowly."""
 
 
 class ConcurrencyLimits:
@@ -44,7 +46,10 @@
         if not self._is_limited:
             return True
         fraction = 1.0 if request.priority_weight >= self._highest_weight else ORDINARY_FRACTION
-        return server.in_flight < self._limit(server, fraction)
+        limit = self._limit(server, fraction)
+        if request.is_complete:
+            return server.begun() < limit
+        return server.in_flight < limit and server.receiving < max(limit * RECEIVING_FRACTION, 1)
 
     def _limit(self, server: Server, fraction: float) -> int:
         """Return this balancer's share of a fraction of a server's limit: at least one call.
--- a/loadbalancer/policy/outcomes.py
+++ b/loadbalancer/policy/outcomes.py
@@ -47,10 +47,16 @@
             self._record_served(attempt, request, now)
         elif outcome not in (Outcome.CANCELLED, Outcome.NOT_SENT):
             self._record_failed(attempt, outcome, request, now)
+        self.record_received(attempt)
         server.in_flight -= 1
         self._endpoints.forget_if_unused(server)
         self._selector.record_call_ended(server, now)
 
+    def record_received(self, attempt: Attempt) -> None:
+        """Count that an attempt waits no longer for the rest of its body: its server may begin it."""
+        attempt.server.receiving -= attempt.is_receiving
+        attempt.is_receiving = False
+
     def record_superseded(self, request: Request) -> None:
         """Count the attempts still in flight as silent: another one has served the request."""
         for attempt in request.attempts:
--- a/loadbalancer/policy/request_lifecycle.py
+++ b/loadbalancer/policy/request_lifecycle.py
@@ -64,15 +64,24 @@
         self._sender.retry_budget.deposit()
         if self._settings.tier == 0 and not self._is_admitted(request, event, now):
             self._reject_unsent(request, OVERLOAD_TEXT, now)
-        elif self.wait_queue or not self._sender.send_if_possible(request, now):
+        elif self._must_queue(request) or not self._sender.send_if_possible(request, now):
             self._wait(request, now)
 
     def handle_completion(self, event: interface.RequestCompleted, now: float) -> None:
         """Restart a request's clock, since its body is complete."""
         request = self.open_requests.get(event.request_id)
-        if request is not None:
-            request.restart_clock(now, event.elapsed_ms)
-            request.is_complete = True
+        if request is None:
+            return
+        was_waiting = request.is_waiting
+        self.wait_queue.discard(request)
+        request.restart_clock(now, event.elapsed_ms)
+        request.is_complete = True
+        for attempt in request.attempts:
+            attempt.server.advance_to(now)
+            self._recorder.record_received(attempt)
+        if was_waiting:
+            self.wait_queue.add(request)
+            self.release_waiting(now)
 
     def handle_response_start(self, event: interface.ResponseStarted, now: float) -> None:
         """Count a streamed response as served from here on, however slowly its client reads."""
@@ -145,6 +154,11 @@
         request.priority_weight = self._quotas.effective_weight(event, request.request_class, now)
         return self._admission.admits(request, self.admitted_fraction(now))
 
+    def _must_queue(self, request: Request) -> bool:
+        """Return whether another request is before this one in the queue."""
+        first = self.wait_queue.first()
+        return first is not None and (first.is_complete or not request.is_complete)
+
     def _wait(self, request: Request, now: float) -> None:
         """Queue a request until a server has capacity, and reject the last one if too many wait.
 
--- a/loadbalancer/policy/requests.py
+++ b/loadbalancer/policy/requests.py
@@ -17,6 +17,7 @@
     __slots__ = (
         "idle_ms",
         "is_in_flight",
+        "is_receiving",
         "is_recorded",
         "may_have_run",
         "sent_at_ms",
@@ -31,6 +32,8 @@
         self.sent_at_ms = now
         self.times_out_at_ms = now + timeout_ms
         self.is_in_flight = True
+        self.is_receiving = False
+        """Whether the rest of its request's body is still to come."""
         self.is_recorded = False
         """Whether its outcome has been counted."""
         self.may_have_run = True
@@ -97,9 +100,13 @@
                 attempt.sent_at_ms += passed
                 attempt.times_out_at_ms += passed - elapsed_ms
 
-    def queue_order(self) -> tuple[float, float, int]:
-        """Return the sort key of the wait queue: by priority weight, then by when it must be served."""
-        return -self.priority_weight, self.useful_until_ms, self.id
+    def queue_order(self) -> tuple[bool, float, float, int]:
+        """Return the sort key of the wait queue: by priority weight, then by when it must be served.
+
+        Requests whose body is still arriving come last: they have a limit of their own, and must not hold up
+        the others.
+        """
+        return not self.is_complete, -self.priority_weight, self.useful_until_ms, self.id
 
     def has_attempt_in_flight(self) -> bool:
         """Return whether an attempt has no outcome yet."""
--- a/loadbalancer/policy/servers.py
+++ b/loadbalancer/policy/servers.py
@@ -25,6 +25,7 @@
         "is_listed",
         "is_ready",
         "rank",
+        "receiving",
         "registered_capacity",
         "remaining_strikes",
         "rounding_offset",
@@ -49,6 +50,8 @@
         self.remaining_strikes = 0
         """Failed connections until it is removed, while it is suspected stale; 0 otherwise."""
         self.in_flight = 0
+        self.receiving = 0
+        """How many of the attempts in flight wait for the rest of their body: it has not begun them."""
         self.idle_since_ms = math.inf
         """When the last attempt ended, if it got a response; infinite otherwise."""
         self.slow_start_sends: deque[float] = deque()
@@ -63,11 +66,15 @@
         self.in_flight_ms = 0.0
         self.updated_at_ms = now
 
+    def begun(self) -> int:
+        """Return how many of the attempts in flight it has been able to begin."""
+        return self.in_flight - self.receiving
+
     def advance_to(self, now: float) -> None:
         """Decay the evidence to `now`, and add the time in flight of attempts since the last update."""
         decay = math.exp((self.updated_at_ms - now) / EVIDENCE_DECAY_MS)
         self.served_calls *= decay
-        self.in_flight_ms = self.in_flight_ms * decay + self.in_flight * (now - self.updated_at_ms)
+        self.in_flight_ms = self.in_flight_ms * decay + self.begun() * (now - self.updated_at_ms)
         self.updated_at_ms = now
 
     def evidence(self) -> interface.ServerEvidence:
