Begin nothing for a client whose end may lie behind what it has sent

A client that had sent far more than a receive window closed its connection, and a retry of its first request began 0.3 s later.

--- a/loadbalancer/net/downstream_pipeline.py
+++ b/loadbalancer/net/downstream_pipeline.py
@@ -42,6 +42,9 @@
     def has_unparsed(self) -> bool:
         """Return whether received bytes wait for a later turn."""
 
+    def probe_after_response(self, on_probed: Callable[[], None]) -> bool:
+        """Call `on_probed` once it is known whether a client has left whose end can't be seen."""
+
     def close_after_body(self) -> None:
         """Close now, or after the body being received."""
 
@@ -67,6 +70,7 @@
         self._current: DownstreamRequest | None = None
         self._rejection: RequestRejection | None = None  # of input after the queued requests
         self._is_advancing = False
+        self._is_probing = False  # whether the client has left
         self.is_streaming = False  # whether a response is being streamed
         self._ends_with_close = False  # whether only the close marks the end of the streamed response
         self.unsent = BufferReservation(connection.buffers)
@@ -167,7 +171,7 @@
 
     def _can_serve(self) -> bool:
         """Return whether a request waits for nothing; at most one response is buffered for its client."""
-        if not self._waiting or self._current is not None or self._transport is None:
+        if not self._waiting or self._current is not None or self._transport is None or self._is_probing:
             return False
         return not self._transport.is_closing() and self._transport.get_write_buffer_size() == 0
 
@@ -217,6 +221,18 @@
         self._transport.write(encode_response(status, headers, body, close=close))
         if close:
             self._connection.close_after_body()
+        else:
+            self._probe_client()
+
+    def _probe_client(self) -> None:
+        """Let the next request wait if the client may have left unseen: a reset will follow the response."""
+        if not self._is_probing:
+            self._is_probing = self._connection.probe_after_response(self._on_probed)
+
+    def _on_probed(self) -> None:
+        self._is_probing = False
+        if not self._connection.is_lost and not self._connection.close_if_disconnected():
+            self.advance()
 
     def start_response(self, request: DownstreamRequest, headers: Headers, length: int | None) -> None:
         """Write the head of a streamed response."""
@@ -248,6 +264,8 @@
             self._transport.write(LAST_CHUNK)
         if not request.keep_alive or self._is_last(request):
             self._connection.close_after_body()
+        else:
+            self._probe_client()
         self.advance()
 
     def abort(self) -> None:
--- a/loadbalancer/net/downstream_request.py
+++ b/loadbalancer/net/downstream_request.py
@@ -74,6 +74,9 @@
     def is_client_connected(self) -> bool:
         """Return whether the kernel sees the client connected."""
 
+    def may_have_left(self) -> bool:
+        """Return whether the client may have left without the kernel's seeing it."""
+
 
 class RequestHandler(Protocol):
     """Handles the requests of clients."""
@@ -180,8 +183,13 @@
             self._writer.abort()
 
     def is_client_connected(self) -> bool:
-        """Return whether its client is connected right now; if not, its connection is closed at once."""
-        return self.is_open and self._connection.is_client_connected()
+        """Return whether its client is connected right now; if not, its connection is closed at once.
+
+        A body that is still arriving tells by its end; before that, no attempt of it begins.
+        """
+        if not (self.is_open and self._connection.is_client_connected()):
+            return False
+        return not (self.body.is_complete and self._connection.may_have_left())
 
     def unread_bytes(self) -> int:
         """Return how many bytes from its client the kernel has and the loop has not read."""
--- a/tests/test_departed_clients.py
+++ b/tests/test_departed_clients.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import asyncio
+import contextlib
 import socket
 import time
 from pathlib import Path
@@ -72,42 +73,83 @@
     run_scenario(scenario())
 
 
+@pytest.mark.parametrize("size_bytes", [300_000, 1_000_000, 3_500_000])
+@pytest.mark.parametrize("framing", ["length", "chunked"])
+def test_the_last_byte_of_a_long_request_is_not_sent_after_its_clients_close(
+    framing: str, size_bytes: int
+) -> None:
+    """Guards against completing a body whose client closed unseen, as its upstream reads on."""
+
+    async def scenario() -> None:
+        read_on = asyncio.Event()
+        received: list[HttpMessage] = []
+        upstream = SlowUpstream(read_on, received)
+        async with ProxyHarness(Upstream()) as harness:
+            pool = next(iter(harness.proxy.upstreams._pools.values()))
+            pool.address = await upstream.start()
+            connection = client_socket(harness)
+            length = f"Content-Length: {size_bytes}" if framing == "length" else "Transfer-Encoding: chunked"
+            more = f"X-Class: pay\r\nX-Request-Id: 1\r\nX-Deadline: 4000m\r\n{length}\r\n\r\n"
+            body = bytes(size_bytes)
+            if framing == "chunked":
+                body = b"%x\r\n%b\r\n0\r\n\r\n" % (size_bytes, body)
+            loop = asyncio.get_running_loop()
+            await loop.sock_sendall(connection, b"POST /pay/x HTTP/1.1\r\n" + more.encode() + body)
+            await wait_at_least(0.05)
+            connection.close()
+            await wait_at_least(2 * MAX_LATE_START_S)
+            read_on.set()
+            await upstream.ended.wait()
+            assert received == []
+
+    run_scenario(scenario())
+
+
+class SlowUpstream:
+    """An upstream that takes little into its kernel's buffer, and reads nothing until it is told to."""
+
+    def __init__(self, read_on: asyncio.Event, received: list[HttpMessage]) -> None:
+        self._read_on = read_on
+        self._received = received
+        self.ended = asyncio.Event()
+
+    async def start(self) -> tuple[str, int]:
+        """Listen; return the address."""
+        listening = socket.socket()
+        listening.setsockopt(socket.SOL_SOCKET, socket.SO_RCVBUF, 8_192)
+        listening.bind(("127.0.0.1", 0))
+        server = await asyncio.start_server(self._serve, sock=listening, limit=4_096)
+        host, port = server.sockets[0].getsockname()[:2]
+        return host, port
+
+    async def _serve(self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter) -> None:
+        with contextlib.suppress(asyncio.IncompleteReadError, ConnectionError):
+            await self._read_on.wait()
+            self._received.append(await read_message(reader))
+        self.ended.set()
+        writer.close()
+
+
 def test_a_request_that_its_upstream_has_not_taken_is_not_delivered_after_the_clients_close() -> None:
     """Guards against the kernel's sending the rest of a request that was given up."""
 
     async def scenario() -> None:
         read_on = asyncio.Event()
         received: list[HttpMessage] = []
-        ended: list[bool] = []
-
-        async def take_late(reader: asyncio.StreamReader, writer: asyncio.StreamWriter) -> None:
-            try:
-                await read_on.wait()
-                received.append(await read_message(reader))
-            except (asyncio.IncompleteReadError, ConnectionError):
-                pass
-            ended.append(True)
-            writer.close()
-
-        with socket.socket() as listening:
-            listening.setsockopt(socket.SOL_SOCKET, socket.SO_RCVBUF, 8_192)
-            listening.bind(("127.0.0.1", 0))
-            server = await asyncio.start_server(take_late, sock=listening, limit=4_096)
-            upstream = Upstream()
-            async with ProxyHarness(upstream) as harness:
-                pool = next(iter(harness.proxy.upstreams._pools.values()))
-                host, port = server.sockets[0].getsockname()[:2]
-                pool.address = (host, port)
-                client = await harness.connect()
-                client.send_request("/pay/x", LARGE_BODY)
-                await client.writer.drain()
-                await wait_until(lambda: harness.proxy.upstreams.open_connections > 0)
-                await wait_at_least(0.2)
-                client.writer.transport.abort()
-                await wait_at_least(2 * MAX_LATE_START_S)
-                read_on.set()
-                await wait_until(lambda: bool(ended))
-                assert received == []
+        upstream = SlowUpstream(read_on, received)
+        async with ProxyHarness(Upstream()) as harness:
+            pool = next(iter(harness.proxy.upstreams._pools.values()))
+            pool.address = await upstream.start()
+            client = await harness.connect()
+            client.send_request("/pay/x", LARGE_BODY)
+            await client.writer.drain()
+            await wait_until(lambda: harness.proxy.upstreams.open_connections > 0)
+            await wait_at_least(0.2)
+            client.writer.transport.abort()
+            await wait_at_least(2 * MAX_LATE_START_S)
+            read_on.set()
+            await upstream.ended.wait()
+            assert received == []
 
     run_scenario(scenario())
 
