Run no command again under an ID that may have run

In a hot restart both processes tell one another, on a second connection to the same socket, which older versions close; the messages that exist stay byte for byte.

--- a/loadbalancer/net/hot_restart/predecessor.py
+++ b/loadbalancer/net/hot_restart/predecessor.py
@@ -11,6 +11,7 @@
 
 from loadbalancer.net.hot_restart.protocol import (
     END_OF_MESSAGE,
+    EXCHANGE,
     READY,
     DescriptorCounts,
     decode_counts,
@@ -27,7 +28,15 @@
 class Predecessor:
     """The connection to the old process, with the listening socket and the state that it has sent."""
 
-    def __init__(self, connection: socket.socket, listener: socket.socket, state: dict[str, Any]) -> None:
+    def __init__(
+        self,
+        connection: socket.socket,
+        listener: socket.socket,
+        state: dict[str, Any],
+        exchange: socket.socket | None = None,
+    ) -> None:
+        """`exchange` is the connection for the IDs of requests that may have run; None if there is none."""
+        self.exchange = exchange
         self.listener = listener
         self.state = state
         self._connection = connection
@@ -70,19 +79,36 @@
     """
     if folder is None:
         return None
+    try:
+        connection, listener, state = _connect(folder)
+    except (OSError, ValueError):
+        return None
+    return Predecessor(connection, listener, state, _connect_exchange(folder))
+
+
+def _connect(folder: Path) -> tuple[socket.socket, socket.socket, dict[str, Any]]:
+    """Return a connection to the serving process, its listening socket and its state."""
     with ExitStack() as opened:
-        try:
-            connection = opened.enter_context(socket.socket(socket.AF_UNIX, socket.SOCK_STREAM))
-            connection.settimeout(ANSWER_TIMEOUT_S)
-            with socket_path(folder) as path:
-                connection.connect(path)
-            listener, received = _receive_listener(connection)
-            opened.enter_context(listener)
-            state = decode_state(_receive_message(connection, received))
-        except (OSError, ValueError):
-            return None  # we start without it; the exit stack closes what was opened
+        connection = opened.enter_context(socket.socket(socket.AF_UNIX, socket.SOCK_STREAM))
+        connection.settimeout(ANSWER_TIMEOUT_S)
+        with socket_path(folder) as path:
+            connection.connect(path)
+        listener, received = _receive_listener(connection)
+        opened.enter_context(listener)
+        state = decode_state(_receive_message(connection, received))
         opened.pop_all()
-    return Predecessor(connection, listener, state)
+    return connection, listener, state
+
+
+def _connect_exchange(folder: Path) -> socket.socket | None:
+    """Return a second connection, on which IDs are exchanged; None if that is not possible."""
+    try:
+        connection, listener, _ = _connect(folder)
+        listener.close()
+        connection.sendall(EXCHANGE)
+    except (OSError, ValueError):
+        return None
+    return connection
 
 
 def _receive_listener(connection: socket.socket) -> tuple[socket.socket, bytes]:
--- a/loadbalancer/net/hot_restart/protocol.py
+++ b/loadbalancer/net/hot_restart/protocol.py
@@ -3,6 +3,9 @@
 The old process sends the listening socket with a leading space, then the state as one line of JSON; the new
 one answers with `READY`; from then on the old one sends a line of descriptor counts whenever they change.
 Older and newer versions read the keys too: they are fixed, and differ from the fields' names.
+
+On a second connection the new process answers the state with `EXCHANGE`, see `executed_exchange`; older
+versions close it.
 """
 
 from __future__ import annotations
@@ -16,6 +19,7 @@
 from typing import Any
 
 READY = b"ready\n"
+EXCHANGE = b"ids  \n"  # as long as READY, which older versions expect
 END_OF_MESSAGE = b"\n"
 LISTENER_PADDING = b" "  # descriptors need at least one byte of data; JSON ignores leading spaces
 
--- a/loadbalancer/net/proxy.py
+++ b/loadbalancer/net/proxy.py
@@ -21,6 +21,7 @@
 from loadbalancer.net.descriptors import max_connections_per_side
 from loadbalancer.net.downstream_listener import DownstreamListener
 from loadbalancer.net.endpoint_list import EndpointListFollower
+from loadbalancer.net.executed_ids import ExecutedIds
 from loadbalancer.net.hot_restart import Predecessor
 from loadbalancer.net.log import Log, Sink, write_text
 from loadbalancer.net.memory_limits import share_memory
@@ -82,7 +83,8 @@
             max_connections_per_side(config.max_sockets), shares.max_connections_per_side
         )
         self.upstreams = UpstreamPools(config, loop, self.buffers, self._max_connections)
-        self.requests = RequestTable(loop, self._counters, self._decisions.dispatch)
+        self.executed = ExecutedIds(config.settings.classes, self.clock)
+        self.requests = RequestTable(loop, self._counters, self._decisions.dispatch, self.executed)
         self.intake = RequestIntake(self.requests)
         self.downstream = self._create_downstream_listener()
         self.console = Console(config.console, loop, self) if config.console else None
@@ -90,7 +92,11 @@
         self._snapshot = self._snapshots.load() if self._snapshots and predecessor is None else None
         self.endpoint_list = self._create_endpoint_list()
         self.attempts = RequestAttempts(
-            self.requests, self.upstreams, self._counters, self.endpoint_list.record_outcome, self.log
+            self.requests,
+            self.upstreams,
+            self._counters,
+            self.endpoint_list.record_outcome,
+            self.log,
         )
         self.cordons = self._create_cordon_controller(folder if config.console else None)
         self._transfer = StateTransfer(
@@ -161,6 +167,7 @@
             self.upstreams,
             self.membership,
             self._transfer,
+            self.executed,
             self.log,
             self._decisions.dispatch,
         )
--- a/loadbalancer/net/request_attempts.py
+++ b/loadbalancer/net/request_attempts.py
@@ -103,6 +103,7 @@
         downstream = request.downstream
         if request.is_open and not downstream.body.is_discarded and downstream.is_client_connected():
             handler = RequestAttempt(self, request, action, index)
+            self._requests.record_sent(downstream)
             attempt = self._upstreams.start_attempt(
                 action.server,
                 handler.timeout_ms / 1000,
--- a/loadbalancer/net/request_intake.py
+++ b/loadbalancer/net/request_intake.py
@@ -21,6 +21,8 @@
             downstream.release()
             downstream.send_response(503)
             return
+        if self._requests.reject_repeat(downstream):
+            return
         request = self._requests.add(downstream)
         self._requests.start_safety_timer(request)
         arrival = interface.RequestArrived(
--- a/loadbalancer/net/request_table.py
+++ b/loadbalancer/net/request_table.py
@@ -4,15 +4,18 @@
 
 import asyncio
 from collections.abc import Callable
+from http import HTTPStatus
 
 from loadbalancer import interface
 from loadbalancer.net.downstream_request import DownstreamRequest
+from loadbalancer.net.executed_ids import ExecutedIds
 from loadbalancer.net.http_framing import Headers
 from loadbalancer.net.request_counters import RequestCounters
 from loadbalancer.net.upstream_attempt import Attempt
 
 RESPONSE_MARGIN_MS = 10.0  # the module gets this much less than the deadline: the response must still travel
 SAFETY_MARGIN_MS = 5.0  # the safety timer answers open requests this long before the deadline
+REPEATED_ID_TEXT = b"a request of this ID may have run\n"
 
 
 class RequestInFlight:
@@ -71,8 +74,10 @@
         loop: asyncio.AbstractEventLoop,
         counters: RequestCounters,
         dispatch: Callable[[interface.Event], None],
+        executed: ExecutedIds,
     ) -> None:
         """Create an empty table; `dispatch` passes events to the decision module."""
+        self._executed = executed
         self._loop = loop
         self._counters = counters
         self._dispatch = dispatch
@@ -88,6 +93,20 @@
         self._counters.record_request()
         return request
 
+    def reject_repeat(self, downstream: DownstreamRequest) -> bool:
+        """Answer a request that must not run if one of its ID may have run before; return whether it was."""
+        if not self._executed.may_have_run(downstream):
+            return False
+        self._counters.record_request()
+        self._counters.record_response(downstream.class_name, HTTPStatus.CONFLICT)
+        downstream.release()
+        downstream.send_response(HTTPStatus.CONFLICT, body=REPEATED_ID_TEXT)
+        return True
+
+    def record_sent(self, downstream: DownstreamRequest) -> None:
+        """Record that an attempt of a request begins."""
+        self._executed.record_sent(downstream)
+
     def get_open(self, request_id: int | None) -> RequestInFlight | None:
         """Return the request if it still awaits its response."""
         request = self.by_id.get(request_id) if request_id is not None else None
@@ -111,6 +130,8 @@
         """Remove a closed request once no attempt or event is pending."""
         if not (request.is_open or request.attempts_in_flight or request.pending_events):
             self.by_id.pop(request.id, None)
+            if not request.has_run:
+                self._executed.record_not_run(request.downstream)
             request.downstream.release()
 
     def start_safety_timer(self, request: RequestInFlight) -> None:
