Keep warm-ups, cordons and leases in real time when the system's clock is set

The clock may be stepped by an hour either way. Deadlines and waits ran on the monotonic clock already; three things did not: the start times of servers in the list (after a step back a cold server counted as an hour old and got full load, after a step forward it warmed up for an hour), the time of a return from a cordon, and the leases of the registry, which ended all at once. Start times are converted when they are read, each once; where a start may lie on either side of a step, the later one counts, so that a server counts as warming up in doubt. Without a step nothing is converted.

--- a/loadbalancer/net/cordon_file.py
+++ b/loadbalancer/net/cordon_file.py
@@ -15,6 +15,7 @@
 from pathlib import Path
 
 from loadbalancer.interface import ZoneEvacuation
+from loadbalancer.net.clock import Clock
 from loadbalancer.net.cordons import Cordons, decode_cordons, encode_cordons
 
 # The lock is held for one small write; a process that hangs while holding it must not block this one.
@@ -28,6 +29,7 @@
 
     def __init__(self, folder: Path | None) -> None:
         self._path = folder / "cordons.json" if folder else None
+        self._clock = Clock()
         self._last_stat: tuple[int, int, int] | None = None
         self.cordons = Cordons()
 
@@ -48,8 +50,9 @@
 
     def set_cordon(self, server: str, *, is_cordoned: bool) -> str:
         """Cordon or uncordon a server; return the error of writing the file, or an empty string."""
+        now_ms = self._clock.now()
         return self._change(
-            lambda cordons: cordons.with_cordon(server, is_cordoned=is_cordoned, now_ms=time.time() * 1000)
+            lambda cordons: cordons.with_cordon(server, is_cordoned=is_cordoned, now_ms=now_ms)
         )
 
     def set_evacuation(self, evacuation: ZoneEvacuation) -> str:
--- a/loadbalancer/net/endpoint_list.py
+++ b/loadbalancer/net/endpoint_list.py
@@ -11,10 +11,12 @@
 from loadbalancer import interface
 from loadbalancer.endpoint_watch import ListRequest
 from loadbalancer.interface import Outcome, Readiness, UpdateKind
+from loadbalancer.net.clock import Clock
 from loadbalancer.net.config import AddressedEndpoint, Config, EndpointList
 from loadbalancer.net.discovery import DiscoveryClient
 from loadbalancer.net.log import Log
 from loadbalancer.net.reports import EndpointListReport
+from loadbalancer.net.start_times import StartTimes
 from loadbalancer.net.upstream_pool import UpstreamPools
 from loadbalancer.policy import Balancer
 
@@ -52,6 +54,7 @@
         self.endpoints: dict[str, AddressedEndpoint] = {}
         self.revision = 0
         self._remembered_servers: dict[str, None] = {}  # servers ever listed, most recent last
+        self._start_times = StartTimes(Clock().now, _system_ms)
         self._first_response = asyncio.Event()  # set after the first response or failure of the watch
         self.discovery = DiscoveryClient(
             config,
@@ -111,6 +114,7 @@
 
         Return False if it is suspected to be stale: the decision module then keeps servers that it omits.
         """
+        update = self._start_times.convert(update)
         event = self._balancer.validate(
             interface.EndpointListUpdate(
                 kind, tuple([e.endpoint for e in update.endpoints]), update.is_rewound
@@ -173,7 +177,7 @@
             suspected_servers = self._balancer.suspected_stale_servers()
         elif self._snapshot_written_ms is not None:
             source = "snapshot"
-            response_age_ms = round(max(time.time() * 1_000 - self._snapshot_written_ms, 0.0))
+            response_age_ms = round(max(_system_ms() - self._snapshot_written_ms, 0.0))
         else:
             source = "configuration"
         return EndpointListReport(
@@ -187,3 +191,8 @@
             contradicted_servers=watch.contradicting_servers,
             suspected_servers=suspected_servers,
         )
+
+
+def _system_ms() -> float:
+    """Return the time of the system's clock, in Unix ms."""
+    return time.time() * 1_000
--- a/loadbalancer/registry/http_api.py
+++ b/loadbalancer/registry/http_api.py
@@ -10,6 +10,7 @@
 from loadbalancer.registry.anti_entropy import AntiEntropy
 from loadbalancer.registry.catalog import Catalog
 from loadbalancer.registry.changes import WriteRejectedError
+from loadbalancer.registry.clock import unix_ms
 from loadbalancer.registry.entries import Entry, Registration
 from loadbalancer.registry.http_messages import (
     answer_errors_as_json,
@@ -19,7 +20,7 @@
     read_write_context,
 )
 from loadbalancer.registry.list_query import parse_list_query, read_number
-from loadbalancer.registry.peer_sync import PeerSync, unix_ms
+from loadbalancer.registry.peer_sync import PeerSync
 from loadbalancer.registry.query_evaluation import QueryEvaluator
 from loadbalancer.registry.store import CatalogStore
 from loadbalancer.registry.write_queue import Write, WriteQueue
--- a/loadbalancer/registry/peer_sync.py
+++ b/loadbalancer/registry/peer_sync.py
@@ -3,7 +3,6 @@
 from __future__ import annotations
 
 import asyncio
-import time
 from collections.abc import AsyncIterator, Sequence
 from contextlib import asynccontextmanager, suppress
 
@@ -12,6 +11,7 @@
 
 from loadbalancer.registry.anti_entropy import AntiEntropy, InstanceMismatchError, SyncMessage
 from loadbalancer.registry.changes import Change, WriteRejectedError
+from loadbalancer.registry.clock import unix_ms
 from loadbalancer.registry.store import CatalogStoreError
 from loadbalancer.registry.write_queue import WriteQueue
 
@@ -20,11 +20,6 @@
 MAX_INITIAL_SYNC_MS = 3_000.0  # wait after a start for the peers' answers
 
 
-def unix_ms() -> float:
-    """Return the time as Unix ms."""
-    return time.time() * 1_000
-
-
 class PeerSync:
     """Synchronizes one instance with its peers over HTTP."""
 
--- a/loadbalancer/registry/query_evaluation.py
+++ b/loadbalancer/registry/query_evaluation.py
@@ -8,7 +8,6 @@
 from __future__ import annotations
 
 import asyncio
-import time
 from collections.abc import Hashable
 from typing import Any, NamedTuple
 
@@ -21,6 +20,7 @@
     ScheduledRetry,
 )
 from loadbalancer.registry.catalog import Catalog
+from loadbalancer.registry.clock import unix_ms
 from loadbalancer.registry.entries import Entry
 from loadbalancer.registry.interest import SubsetView, complete_levels, encode_levels
 from loadbalancer.registry.interest_changes import changes_for
@@ -166,9 +166,7 @@
 
     def _can_resume(self, query: ListQuery) -> bool:
         start = self._catalog.revisions.start
-        can_resume = self._catalog.resume_watch(
-            _services_of(query), query.after_revision, time.time() * 1_000
-        )
+        can_resume = self._catalog.resume_watch(_services_of(query), query.after_revision, unix_ms())
         if self._catalog.revisions.start != start:
             self._store.record_revision_jump(self._catalog.revisions.start)
         return can_resume
--- a/loadbalancer/registry/service.py
+++ b/loadbalancer/registry/service.py
@@ -14,9 +14,10 @@
 
 from loadbalancer.registry.anti_entropy import MAX_INSTANCES, AntiEntropy
 from loadbalancer.registry.catalog import Catalog
+from loadbalancer.registry.clock import unix_ms
 from loadbalancer.registry.entries import Rules
 from loadbalancer.registry.http_api import HttpApi
-from loadbalancer.registry.peer_sync import PeerSync, unix_ms
+from loadbalancer.registry.peer_sync import PeerSync
 from loadbalancer.registry.query_evaluation import QueryEvaluator
 from loadbalancer.registry.revisions import first_revision
 from loadbalancer.registry.store import CatalogStore, CatalogStoreError
