Save cordons that could not be written as soon as the folder takes them

A cordon whose write failed (ENOSPC, EIO) was answered with yes, as it is in force, and kept only in memory: it ended with the process, and a later change of the file by the other process of an upgrade dropped it at once. Unsaved changes are now applied on top of what the file says, and written again at each look at the file (every 0.1 s or so) until that succeeds, which is logged. A read that fails is tried again; before, the file counted as read. Six tests; they fail before (no save_pending, and a lost cordon).

--- a/loadbalancer/net/cordon_controller.py
+++ b/loadbalancer/net/cordon_controller.py
@@ -57,6 +57,8 @@
 
     def start(self) -> None:
         """Apply the cordons in the file, now and whenever it has changed."""
+        if self._file.save_pending():
+            self._log.event("cordons_saved", "cordons that could not be saved before are saved now")
         if self._file.refresh():
             self._apply()
         self._loop.call_later(CORDON_FILE_POLL_INTERVAL_S, self.start)
--- a/loadbalancer/net/cordon_file.py
+++ b/loadbalancer/net/cordon_file.py
@@ -25,12 +25,13 @@
 
 
 class CordonFile:
-    """The cordons, kept in a file; only in memory without a folder or if writing fails."""
+    """The cordons, kept in a file; only in memory without a folder, or until writing succeeds."""
 
     def __init__(self, folder: Path | None) -> None:
         self._path = folder / "cordons.json" if folder else None
         self._clock = Clock()
         self._last_stat: tuple[int, int, int] | None = None
+        self._unsaved: list[Callable[[Cordons], Cordons]] = []  # changes that could not be written, in order
         self.cordons = Cordons()
 
     def refresh(self) -> bool:
@@ -42,12 +43,30 @@
             identity = stat.st_ino, stat.st_mtime_ns, stat.st_size
             if identity == self._last_stat or stat.st_size > MAX_CORDON_FILE_BYTES:
                 return False
+            self.cordons = self._with_unsaved(decode_cordons(json.loads(self._path.read_bytes())))
             self._last_stat = identity
-            self.cordons = decode_cordons(json.loads(self._path.read_bytes()))
         except (OSError, ValueError):
             return False
         return True
 
+    def _with_unsaved(self, cordons: Cordons) -> Cordons:
+        for change in self._unsaved:
+            cordons = change(cordons)
+        return cordons
+
+    def save_pending(self) -> bool:
+        """Write what could not be written before, if there is any; return whether that succeeded."""
+        if not self._unsaved:
+            return False
+        try:
+            with self._locked():
+                self.refresh()
+                self._write()
+        except OSError:
+            return False
+        self._unsaved.clear()
+        return True
+
     def set_cordon(self, server: str, *, is_cordoned: bool) -> str:
         """Cordon or uncordon a server; return the error of writing the file, or an empty string."""
         now_ms = self._clock.now()
@@ -79,7 +98,9 @@
                 self._write()
         except OSError as error:
             self.cordons = change(self.cordons)
-            return f"cordons could not be saved and are kept only in memory: {error}"
+            self._unsaved.append(change)
+            return f"cordons could not be saved and are kept only in memory until they can: {error}"
+        self._unsaved.clear()
         return ""
 
     @contextmanager
