Tell why requests were closed, retried or rejected, and what the process holds

Missing in the evidence: which client's input was rejected, how attempts ended, what filled the memory. New metrics: attempts by outcome, requests closed by reason, rejected input by status, connections of clients, buffered bytes with their bound, resident memory. New log lines: long heads that are shed, an ID that may have run, a response that had begun and was not finished, each with the ID or the server.

--- a/loadbalancer/net/downstream_pipeline.py
+++ b/loadbalancer/net/downstream_pipeline.py
@@ -166,6 +166,7 @@
         if self._rejection is not None and self.is_empty():
             rejection = self._rejection
             self._rejection = None
+            self._listener.handler.on_input_rejected(rejection.status)
             self._write(rejection.status, [], rejection.reason.encode() + b"\n", close=True)
         self._connection.on_pipeline_advanced()
 
@@ -185,6 +186,7 @@
             else:
                 request.send_response(200, body=b"ok\n")
         elif rejection := request.validate(self._listener.class_names):
+            self._listener.handler.on_input_rejected(rejection.status)
             request.keep_alive = False
             request.release()
             request.send_response(rejection.status, body=rejection.reason.encode() + b"\n")
--- a/loadbalancer/net/downstream_request.py
+++ b/loadbalancer/net/downstream_request.py
@@ -12,6 +12,7 @@
 from loadbalancer.net.request_head import RequestHead
 
 MAX_DEADLINE_MS = 3_600_000.0  # a longer one is cut to this, as it would amount to none
+MAX_LOGGED_ID_BYTES = 64
 SHEDDING_REASON = "too much is being received"
 _MS_PER_UNIT = {b"m": 1.0, b"u": 0.001}
 
@@ -93,6 +94,9 @@
     def on_client_disconnected(self, request: DownstreamRequest) -> None:
         """Handle the disconnect of a request's client."""
 
+    def on_input_rejected(self, status: int) -> None:
+        """Handle that input was rejected with this status before it was a request of any class."""
+
     def on_shutdown_deadline(self) -> None:
         """Answer all open requests, and reject later ones: the time for the shutdown is over."""
 
@@ -237,6 +241,10 @@
         """Return the ID that its client gave it."""
         return self._head.value(b"x-request-id") or b""
 
+    def printable_id(self) -> str:
+        """Return the ID that its client gave it, for the log."""
+        return ascii(self.client_id()[:MAX_LOGGED_ID_BYTES].decode("latin-1"))[1:-1]
+
     def forwarded_head(self) -> bytes:
         """Return its head without X-Deadline, framing headers and the blank line."""
         return b"%b %b HTTP/1.1\r\n%b" % (self.method, self.target, self._head.forwarded_lines())
--- a/loadbalancer/net/proxy.py
+++ b/loadbalancer/net/proxy.py
@@ -24,9 +24,9 @@
 from loadbalancer.net.executed_ids import ExecutedIds
 from loadbalancer.net.hot_restart import Predecessor
 from loadbalancer.net.log import Log, Sink, write_text
-from loadbalancer.net.memory_limits import share_memory
+from loadbalancer.net.memory_limits import resident_bytes, share_memory
 from loadbalancer.net.message_body import BufferBudget
-from loadbalancer.net.reports import BalancerStats, EndpointListReport, MembershipReport
+from loadbalancer.net.reports import BalancerStats, EndpointListReport, MembershipReport, ResourceStats
 from loadbalancer.net.request_attempts import RequestAttempts
 from loadbalancer.net.request_counters import RequestCounters
 from loadbalancer.net.request_intake import RequestIntake
@@ -85,7 +85,7 @@
         self.upstreams = UpstreamPools(config, loop, self.buffers, self._max_connections)
         self.executed = ExecutedIds(config.settings.classes, self.clock)
         self.requests = RequestTable(loop, self._counters, self._decisions.dispatch, self.executed)
-        self.intake = RequestIntake(self.requests)
+        self.intake = RequestIntake(self.requests, self._counters, self.log)
         self.downstream = self._create_downstream_listener()
         self.console = Console(config.console, loop, self) if config.console else None
         self._snapshots = self._create_snapshot_writer()
@@ -233,7 +233,15 @@
     def prometheus_metrics(self) -> str:
         """Return the same counts in the Prometheus text format."""
         members_by_state = self.membership.count_by_state() if self.membership else {}
-        return metrics.render(self.stats(), self.log.dropped_lines, members_by_state)
+        return metrics.render(self.stats(), self.log.dropped_lines, members_by_state, self._resource_stats())
+
+    def _resource_stats(self) -> ResourceStats:
+        return ResourceStats(
+            client_connections=self.downstream.connection_count(),
+            buffered_bytes=self.buffers.used_bytes,
+            buffer_limit_bytes=self.buffers.max_bytes,
+            resident_bytes=resident_bytes(),
+        )
 
     def membership_report(self) -> MembershipReport | None:
         """Return the view of the other balancers; None if membership is off."""
--- a/loadbalancer/net/reports.py
+++ b/loadbalancer/net/reports.py
@@ -21,6 +21,23 @@
     requests_in_flight: int
     listed_servers: int
     ejected_servers: int
+    attempt_outcomes: Mapping[str, int] = field(default_factory=dict)
+    """Attempts by how they ended."""
+    close_reasons: Mapping[str, int] = field(default_factory=dict)
+    """Requests that were closed by neither an attempt nor the decision module, by reason."""
+    rejected_inputs: Mapping[str, int] = field(default_factory=dict)
+    """What clients sent that was no acceptable request, by the status of the response."""
+
+
+@dataclass(frozen=True, slots=True)
+class ResourceStats:
+    """What the process holds for its clients, and its bounds."""
+
+    client_connections: int
+    buffered_bytes: int
+    buffer_limit_bytes: int
+    resident_bytes: int
+    """0 if the kernel does not tell."""
 
 
 @dataclass(frozen=True, slots=True)
--- a/loadbalancer/net/request_attempts.py
+++ b/loadbalancer/net/request_attempts.py
@@ -164,6 +164,8 @@
         request.attempts_in_flight -= 1
         request.has_run = request.has_run or outcome not in OUTCOMES_WITHOUT_EFFECT
         self._on_outcome(server, outcome)
+        self._counters.record_attempt_end(outcome)
+        self._log_if_cut_off(request, index, server, outcome)
         self._respond(request, index, outcome, answer)
         attempt = request.attempts[index]
         connect_s = attempt.connect_duration_s if attempt is not None else None
@@ -178,6 +180,20 @@
         )
         self._requests.dispatch(request, event)
 
+    def _log_if_cut_off(self, request: RequestInFlight, index: int, server: str, outcome: Outcome) -> None:
+        """Log that a response that had begun is not finished, if a client still waits for it."""
+        is_streaming = request.is_open and request.streaming_attempt is not None
+        if not is_streaming or request.streaming_attempt is not request.attempts[index]:
+            return
+        if outcome is not Outcome.SERVED:
+            self._log.event(
+                "response_cut_off",
+                "a response that had begun was not finished by its server",
+                server=server,
+                outcome=outcome.value,
+                id=request.downstream.printable_id(),
+            )
+
     def _respond(
         self, request: RequestInFlight, index: int, outcome: Outcome, answer: UpstreamResponse | None
     ) -> None:
--- a/loadbalancer/net/request_intake.py
+++ b/loadbalancer/net/request_intake.py
@@ -2,17 +2,23 @@
 
 from __future__ import annotations
 
+from http import HTTPStatus
+
 from loadbalancer import interface
 from loadbalancer.net.downstream_request import DownstreamRequest
+from loadbalancer.net.log import Log
+from loadbalancer.net.request_counters import CloseReason, RequestCounters
 from loadbalancer.net.request_table import RESPONSE_MARGIN_MS, RequestTable
 
 
 class RequestIntake:
     """Handles the requests of the downstream listener."""
 
-    def __init__(self, requests: RequestTable) -> None:
+    def __init__(self, requests: RequestTable, counters: RequestCounters, log: Log) -> None:
         """Create an intake that adds to `requests`."""
         self._requests = requests
+        self._counters = counters
+        self._log = log
         self.is_closed = False
 
     def on_request_arrived(self, downstream: DownstreamRequest) -> None:
@@ -22,6 +28,12 @@
             downstream.send_response(503)
             return
         if self._requests.reject_repeat(downstream):
+            self._log.event(
+                "repeated_id",
+                "a request was rejected, as one of its ID may have run",
+                id=downstream.printable_id(),
+                request_class=downstream.class_name,
+            )
             return
         request = self._requests.add(downstream)
         self._requests.start_safety_timer(request)
@@ -55,10 +67,17 @@
         request = self._requests.get_open(downstream.request_id)
         if request is not None:
             self._requests.close(request, None)
+            self._counters.record_close(CloseReason.CLIENT_LEFT)
             if request.streaming_attempt is not None:
                 request.streaming_attempt.cancel()  # nobody is left to receive the response
             self._requests.dispatch(request, interface.ClientDisconnected(request.id))
 
+    def on_input_rejected(self, status: int) -> None:
+        """Count input that is no acceptable request, or that there is no memory for."""
+        self._counters.record_rejected_input(status)
+        if status == HTTPStatus.SERVICE_UNAVAILABLE:
+            self._log.event("heads_shed", "too much is being received: rejecting requests with long heads")
+
     def on_shutdown_deadline(self) -> None:
         """Answer all requests but those whose response is being streamed, and reject later ones."""
         self.is_closed = True
--- a/loadbalancer/net/request_table.py
+++ b/loadbalancer/net/request_table.py
@@ -10,7 +10,7 @@
 from loadbalancer.net.downstream_request import DownstreamRequest
 from loadbalancer.net.executed_ids import ExecutedIds
 from loadbalancer.net.http_framing import Headers
-from loadbalancer.net.request_counters import RequestCounters
+from loadbalancer.net.request_counters import CloseReason, RequestCounters
 from loadbalancer.net.upstream_attempt import Attempt
 
 RESPONSE_MARGIN_MS = 10.0  # the module gets this much less than the deadline: the response must still travel
@@ -99,6 +99,7 @@
             return False
         self._counters.record_request()
         self._counters.record_response(downstream.class_name, HTTPStatus.CONFLICT)
+        self._counters.record_close(CloseReason.REPEATED_ID)
         downstream.release()
         downstream.send_response(HTTPStatus.CONFLICT, body=REPEATED_ID_TEXT)
         return True
@@ -144,6 +145,7 @@
         if request.downstream.remaining_ms() > SAFETY_MARGIN_MS:
             self.start_safety_timer(request)
         else:
+            self._counters.record_close(CloseReason.DEADLINE)
             self.respond_with_error(request.id)
 
     def respond_with_error(self, request_id: int | None) -> None:
@@ -176,5 +178,6 @@
         if request.streaming_attempt is None:
             request.downstream.send_response(status, headers)
             return
+        self._counters.record_close(CloseReason.CUT_OFF)
         request.downstream.abort_response()
         request.streaming_attempt.cancel()
--- a/tests/test_metrics_and_log.py
+++ b/tests/test_metrics_and_log.py
@@ -13,9 +13,19 @@
 from loadbalancer.net import log, metrics
 from loadbalancer.net.config_reader import read_config
 from loadbalancer.net.configuration_reload import ReloadReport
+from loadbalancer.net.reports import ResourceStats
 from loadbalancer.net.request_counters import RequestCounters
 from tests.console_client import call_console, read_stats
-from tests.loopback import ProxyHarness, Upstream, config_text, run_scenario, status_of
+from tests.loopback import (
+    ProxyHarness,
+    Upstream,
+    config_text,
+    http_response,
+    never_answer,
+    run_scenario,
+    status_of,
+    wait_until,
+)
 
 ROOT = Path(__file__).parent.parent
 
@@ -51,11 +61,42 @@
 
 def test_class_names_are_escaped() -> None:
     name = 'a"b\\c\nd'
-    read = samples(metrics.render(RequestCounters([name]).stats(0, 0), 7, {"alive": 2}))
+    read = samples(
+        metrics.render(RequestCounters([name]).stats(0, 0), 7, {"alive": 2}, ResourceStats(1, 2, 3, 4))
+    )
     assert read["irondrum_requests_total", name, "aborted"] == 0
     assert read["irondrum_log_lines_left_out_total", "", ""] == 7
 
 
+def test_metrics_tell_what_is_held_and_why_requests_were_closed() -> None:
+    async def scenario() -> None:
+        async with ProxyHarness(Upstream(never_answer, http_response())) as harness:
+            first = await harness.connect()
+            first.send_request("/pay/x", b"body", x_request_id="one")
+            await wait_until(lambda: bool(harness.upstreams[0].requests))
+            first.writer.transport.abort()
+            await wait_until(lambda: harness.proxy.downstream.connection_count() == 0)
+            assert status_of(await harness.request("/pay/x", b"body", x_request_id="one")) == 409
+            assert status_of(await harness.request("/nosuch/x")) == 404
+            kept = await harness.connect()
+            text = (await call_console(harness, "GET", "/metrics")).body.decode()
+            kept.writer.close()
+        values = {
+            (s.name, *s.labels.values()): s.value
+            for family in text_string_to_metric_families(text)
+            for s in family.samples
+        }
+        assert values["irondrum_requests_closed_total", "client_left"] == 1
+        assert values["irondrum_requests_closed_total", "repeated_id"] == 1
+        assert values["irondrum_inputs_rejected_total", "404"] == 1
+        assert values["irondrum_attempts_ended_total", "cancelled"] == 1
+        assert values["irondrum_client_connections",] >= 1
+        assert values["irondrum_resident_bytes",] > 1_000_000
+        assert values["irondrum_buffer_limit_bytes",] == harness.proxy.buffers.max_bytes
+
+    run_scenario(scenario())
+
+
 def test_dashboard_and_alerts_name_only_metrics_that_exist() -> None:
     for path in ((ROOT / "ops" / "dashboard.json"), (ROOT / "ops" / "alerts.yml")):
         named = set(re.findall(r"irondrum_\w+", path.read_text(encoding="utf-8")))
