Count a window that is smaller than a segment as closed

The time of a request counts from the writing of its last byte; the rest of a body that waits on its client's machine was overlooked where the receive window was closed with little unread: the kernel offers no window that is smaller than a segment, and on one machine segments are as large as the window. The size of the client's segments (TCP_INFO) now counts.

--- a/loadbalancer/net/downstream_connection.py
+++ b/loadbalancer/net/downstream_connection.py
@@ -9,13 +9,14 @@
 
 from loadbalancer.net.descriptors import NEW_CONNECTION_GRACE_S
 from loadbalancer.net.downstream_pipeline import PipelineListener, RequestPipeline
-from loadbalancer.net.downstream_read_lag import OPEN_WINDOW_FRACTION
+from loadbalancer.net.downstream_read_lag import may_have_closed_window
 from loadbalancer.net.downstream_reader import RequestReader
 from loadbalancer.net.message_body import BufferBudget
 from loadbalancer.net.sockets import (
     has_peer_closed,
     peek_socket,
     receive_buffer_bytes,
+    received_segment_bytes,
     set_no_delay,
     unread_bytes,
 )
@@ -164,7 +165,9 @@
         transport = self._transport
         if transport is None or self.is_lost or not self.reader.control.is_paused:
             return False
-        return unread_bytes(transport) > OPEN_WINDOW_FRACTION * receive_buffer_bytes(transport)
+        return may_have_closed_window(
+            unread_bytes(transport), receive_buffer_bytes(transport), received_segment_bytes(transport)
+        )
 
     def may_have_left(self) -> bool:
         """Return whether the client may have left unseen, and for longer than a request may still begin."""
--- a/loadbalancer/net/downstream_flow.py
+++ b/loadbalancer/net/downstream_flow.py
@@ -7,7 +7,7 @@
 from collections.abc import Callable
 
 from loadbalancer.net.downstream_read_lag import ReadLag
-from loadbalancer.net.sockets import receive_buffer_bytes, unread_bytes
+from loadbalancer.net.sockets import receive_buffer_bytes, received_segment_bytes, unread_bytes
 
 # Between disconnect checks while reading is paused: no attempt may begin 0.1 s after a disconnect.
 DISCONNECT_POLL_INTERVAL_S = 0.03
@@ -47,7 +47,11 @@
         if paused_s < SHORT_PAUSE_S:
             self._lag.on_resumed_at_once()
         else:
-            self._lag.on_resumed(unread_bytes(transport), receive_buffer_bytes(transport))
+            self._lag.on_resumed(
+                unread_bytes(transport),
+                receive_buffer_bytes(transport),
+                received_segment_bytes(transport),
+            )
         transport.resume_reading()
         self.stop_polling()
         return paused_s
--- a/loadbalancer/net/downstream_read_lag.py
+++ b/loadbalancer/net/downstream_read_lag.py
@@ -13,6 +13,7 @@
 
 # With no more of the receive buffer in use, its window has stayed open, so that the client could send.
 OPEN_WINDOW_FRACTION = 0.25  # the rest may be taken up by what the kernel adds to each segment
+WINDOW_FRACTION = 0.5  # of the receive buffer that the kernel offers at the most, by default
 # After a closed window has opened, a client with more to send has sent some of it within this time.
 WINDOW_UPDATE_S = 0.1
 # A request may be answered later than its deadline by far more than this.
@@ -26,6 +27,17 @@
     return missing_bytes > MAX_SEND_BUFFER_BYTES
 
 
+def may_have_closed_window(unread_bytes: int, receive_buffer_bytes: int, segment_bytes: int) -> bool:
+    """Return whether so many unread bytes may have kept a client from sending more.
+
+    A window that is smaller than a segment is offered as none (RFC 9293, 3.8.6.2.2).
+    """
+    if not unread_bytes:
+        return False
+    window_bytes = WINDOW_FRACTION * receive_buffer_bytes - unread_bytes
+    return unread_bytes > OPEN_WINDOW_FRACTION * receive_buffer_bytes or window_bytes < segment_bytes
+
+
 class ReadLag:
     """Since when bytes that a client has written may have been waiting to be read, on one connection."""
 
@@ -57,13 +69,16 @@
         """Handle that reading resumes after too short a pause to matter."""
         self._paused_s = None
 
-    def on_resumed(self, unread_bytes: int, receive_buffer_bytes: int) -> None:
-        """Handle that reading resumes, with so many bytes in the kernel's receive buffer."""
+    def on_resumed(self, unread_bytes: int, receive_buffer_bytes: int, segment_bytes: int = 0) -> None:
+        """Handle that reading resumes, with so many bytes in the kernel's receive buffer.
+
+        `segment_bytes` is the size of the client's segments.
+        """
         if self._behind_since_s is None:
             self._behind_since_s = self._paused_s
         self._paused_s = None
         self._is_drained = unread_bytes == 0
-        if unread_bytes > OPEN_WINDOW_FRACTION * receive_buffer_bytes:
+        if may_have_closed_window(unread_bytes, receive_buffer_bytes, segment_bytes):
             self._window_opened_s = time.monotonic()
 
     def on_read(self, *, is_drained: bool) -> None:
--- a/loadbalancer/net/sockets.py
+++ b/loadbalancer/net/sockets.py
@@ -11,6 +11,7 @@
 import termios
 
 _INT = struct.Struct("i")
+_RECEIVED_SEGMENT_END = 24  # of tcpi_rcv_mss in struct tcp_info (linux/tcp.h)
 _SIOCOUTQNSD = 0x894B  # bytes in the send queue that were never sent (linux/sockios.h); the same everywhere
 
 
@@ -66,6 +67,17 @@
         return 0
 
 
+def received_segment_bytes(transport: asyncio.BaseTransport) -> int:
+    """Return the size of the segments that the peer sends (tcpi_rcv_mss of TCP_INFO); 0 if unknown."""
+    try:
+        wrapped = transport.get_extra_info("socket")
+        info = wrapped.getsockopt(socket.IPPROTO_TCP, socket.TCP_INFO, _RECEIVED_SEGMENT_END)
+        (size,) = _INT.unpack(info[-_INT.size :])
+    except (OSError, struct.error):
+        return 0
+    return int(size)
+
+
 def peek_socket(transport: asyncio.BaseTransport) -> bytes | None:
     """Return the first byte that the kernel has received and the loop has not read.
 
--- a/tests/test_read_lag.py
+++ b/tests/test_read_lag.py
@@ -11,6 +11,7 @@
     WINDOW_UPDATE_S,
     ReadLag,
     is_unwritten,
+    may_have_closed_window,
 )
 
 RECEIVE_BUFFER_BYTES = 131_072
@@ -101,3 +102,14 @@
     lag.on_paused()
     lag.on_resumed_at_once()
     assert lag.written_after_s() == paused_s
+
+
+@pytest.mark.parametrize(
+    ("unread_bytes", "segment_bytes", "is_closed"),
+    [(0, 65_483, False), (2_000, 1_448, False), (2_000, 65_483, True), (60_000, 1_448, True)],
+)
+def test_a_window_of_less_than_a_segment_is_closed(
+    unread_bytes: int, segment_bytes: int, *, is_closed: bool
+) -> None:
+    """Guards against a new deadline for a request whose rest waits on its client's machine."""
+    assert may_have_closed_window(unread_bytes, RECEIVE_BUFFER_BYTES, segment_bytes) == is_closed
