Hold responses' heads as bytes too, and leave half of the memory to another process

ResponseHead holds the lines to forward; heads count with the bodies. RequestHead and ResponseHead share MessageHead; header lines are passed on as bytes. Where a console allows an upgrade, a process takes no more than half of what is left of the limit.

--- a/loadbalancer/drill/defects/proxy.py
+++ b/loadbalancer/drill/defects/proxy.py
@@ -89,7 +89,7 @@
         nonlocal count
         count += 1
         if count % FABRICATED_RESPONSE_INTERVAL == 0 and downstream.body.is_complete:
-            downstream.send_response(200, [], b'{"served": true}')
+            downstream.send_response(200, b"", b'{"served": true}')
         else:
             real(self, downstream)
 
--- a/loadbalancer/net/action_executor.py
+++ b/loadbalancer/net/action_executor.py
@@ -10,7 +10,6 @@
 from loadbalancer.interface import Outcome
 from loadbalancer.net.clock import Clock
 from loadbalancer.net.endpoint_list import EndpointListFollower
-from loadbalancer.net.http_framing import Headers
 from loadbalancer.net.log import Log
 from loadbalancer.net.request_attempts import RequestAttempts
 from loadbalancer.net.request_table import RequestTable
@@ -71,10 +70,10 @@
                 delay_s = max(at - self._clock.now(), 0.0) / 1000
                 self._loop.call_later(delay_s, self._dispatch, interface.TimerExpired(token))
             case interface.Reject(request_id, retry_after_ms):
-                retry_after = (b"Retry-After", b"%.3f" % (retry_after_ms / 1000))
-                self._respond(request_id, 503, [retry_after] if retry_after_ms > 0 else [])
+                retry_after = b"Retry-After: %.3f\r\n" % (retry_after_ms / 1000)
+                self._respond(request_id, 503, retry_after if retry_after_ms > 0 else b"")
             case interface.Fail(request_id):
-                self._respond(request_id, 502, [])
+                self._respond(request_id, 502)
             case interface.CancelAttempt():
                 self._attempts.cancel(action)
             case interface.SendHealthCheck(server):
@@ -88,10 +87,10 @@
             case _:
                 assert_never(action)
 
-    def _respond(self, request_id: int, status: int, headers: Headers) -> None:
+    def _respond(self, request_id: int, status: int, header_lines: bytes = b"") -> None:
         request = self._requests.get_open(request_id)
         if request is not None:
-            self._requests.respond(request, status, headers)
+            self._requests.respond(request, status, header_lines)
             # On a timer or another request's event, `on_event_handled` doesn't remove this request.
             self._requests.forget_if_finished(request)
 
--- a/loadbalancer/net/console.py
+++ b/loadbalancer/net/console.py
@@ -14,7 +14,7 @@
 
 from loadbalancer.net.address import Address
 from loadbalancer.net.console_service import ConsoleBackend, ConsoleResponse, ConsoleService, text_response
-from loadbalancer.net.http_framing import encode_response
+from loadbalancer.net.http_framing import encode_response, header_lines
 from loadbalancer.net.sockets import set_no_delay
 
 MAX_CONNECTIONS = 16  # the spare descriptors suffice for these; one more replaces the oldest
@@ -82,7 +82,7 @@
             return
         self._is_answered = True
         body = answer.text.encode() + b"\n"
-        self._transport.write(encode_response(answer.status, answer.headers, body, close=True))
+        self._transport.write(encode_response(answer.status, header_lines(answer.headers), body, close=True))
         self._transport.write_eof()
         self._console.loop.call_later(CLOSE_TIMEOUT_S, self._transport.abort)
 
--- a/loadbalancer/net/downstream_parser.py
+++ b/loadbalancer/net/downstream_parser.py
@@ -17,7 +17,7 @@
 )
 from loadbalancer.net.memory_limits import MAX_UNSHED_HEAD_BYTES
 from loadbalancer.net.message_body import BufferReservation
-from loadbalancer.net.request_head import RequestHead
+from loadbalancer.net.message_head import RequestHead
 
 MAX_PIECE_BYTES = 4_096  # that are parsed at once where a request may end anywhere
 MAX_SHORT_HEAD_BYTES = 2_048
--- a/loadbalancer/net/downstream_pipeline.py
+++ b/loadbalancer/net/downstream_pipeline.py
@@ -11,7 +11,6 @@
 from loadbalancer.net.downstream_request import DownstreamRequest, RequestHandler, RequestRejection
 from loadbalancer.net.http_framing import (
     LAST_CHUNK,
-    Headers,
     encode_chunk,
     encode_response,
     encode_response_head,
@@ -167,7 +166,7 @@
             rejection = self._rejection
             self._rejection = None
             self._listener.handler.on_input_rejected(rejection.status)
-            self._write(rejection.status, [], rejection.reason.encode() + b"\n", close=True)
+            self._write(rejection.status, b"", rejection.reason.encode() + b"\n", close=True)
         self._connection.on_pipeline_advanced()
 
     def _can_serve(self) -> bool:
@@ -202,12 +201,14 @@
 
     # ---- the response of the current request ------------------------------------------------
 
-    def send_response(self, request: DownstreamRequest, status: int, headers: Headers, body: bytes) -> None:
+    def send_response(
+        self, request: DownstreamRequest, status: int, header_lines: bytes, body: bytes
+    ) -> None:
         """Write a complete response."""
         if self._connection.is_lost or request is not self._current:
             return
         self._current = None
-        self._write(status, headers, body, close=self._is_last(request))
+        self._write(status, header_lines, body, close=self._is_last(request))
         self.advance()
 
     def _is_last(self, request: DownstreamRequest) -> bool:
@@ -217,10 +218,10 @@
         is_last = not self._waiting and self._rejection is None and not self._connection.has_unparsed()
         return is_last and (self._listener.is_closing_connections or not request.keep_alive)
 
-    def _write(self, status: int, headers: Headers, body: bytes, *, close: bool) -> None:
+    def _write(self, status: int, header_lines: bytes, body: bytes, *, close: bool) -> None:
         assert self._transport is not None
         self._connection.idle_since_s = time.monotonic()
-        self._transport.write(encode_response(status, headers, body, close=close))
+        self._transport.write(encode_response(status, header_lines, body, close=close))
         if close:
             self._connection.close_after_body()
         else:
@@ -236,7 +237,7 @@
         if not self._connection.is_lost and not self._connection.close_if_disconnected():
             self.advance()
 
-    def start_response(self, request: DownstreamRequest, headers: Headers, length: int | None) -> None:
+    def start_response(self, request: DownstreamRequest, header_lines: bytes, length: int | None) -> None:
         """Write the head of a streamed response."""
         if self._connection.is_lost or self._transport is None or request is not self._current:
             return
@@ -245,9 +246,9 @@
         close = self._is_last(request) or self._ends_with_close
         request.keep_alive = not close
         if length is None and request.version == "1.1":
-            headers = [*headers, (b"Transfer-Encoding", b"chunked")]
+            header_lines = header_lines + b"Transfer-Encoding: chunked\r\n"
             request.is_chunked = True
-        self._transport.write(encode_response_head(200, headers, length, close=close))
+        self._transport.write(encode_response_head(200, header_lines, length, close=close))
 
     def send_body_part(self, request: DownstreamRequest, data: bytes) -> None:
         """Write a part of the body of a streamed response."""
--- a/loadbalancer/net/downstream_request.py
+++ b/loadbalancer/net/downstream_request.py
@@ -7,9 +7,9 @@
 from dataclasses import dataclass
 from typing import Protocol
 
-from loadbalancer.net.http_framing import Headers, body_length, to_origin_form
+from loadbalancer.net.http_framing import body_length, to_origin_form
 from loadbalancer.net.message_body import Body, BufferBudget, BufferReservation
-from loadbalancer.net.request_head import RequestHead
+from loadbalancer.net.message_head import RequestHead
 
 MAX_DEADLINE_MS = 3_600_000.0  # a longer one is cut to this, as it would amount to none
 MAX_LOGGED_ID_BYTES = 64
@@ -38,10 +38,12 @@
 class ResponseWriter(Protocol):
     """Writes the responses of a connection."""
 
-    def send_response(self, request: DownstreamRequest, status: int, headers: Headers, body: bytes) -> None:
+    def send_response(
+        self, request: DownstreamRequest, status: int, header_lines: bytes, body: bytes
+    ) -> None:
         """Write a complete response."""
 
-    def start_response(self, request: DownstreamRequest, headers: Headers, length: int | None) -> None:
+    def start_response(self, request: DownstreamRequest, header_lines: bytes, length: int | None) -> None:
         """Write the head of a streamed response."""
 
     def send_body_part(self, request: DownstreamRequest, data: bytes) -> None:
@@ -158,16 +160,16 @@
         self.is_chunked = False  # whether the response is sent in chunks
         self.response_source: ResponseSource | None = None  # of a streamed response
 
-    def send_response(self, status: int, headers: Headers | None = None, body: bytes = b"") -> None:
+    def send_response(self, status: int, header_lines: bytes = b"", body: bytes = b"") -> None:
         """Send the final response; any later one is dropped."""
         if self.is_open:
             self.is_open = False
-            self._writer.send_response(self, status, headers or [], body)
+            self._writer.send_response(self, status, header_lines, body)
 
-    def start_response(self, source: ResponseSource, headers: Headers, length: int | None) -> None:
+    def start_response(self, source: ResponseSource, header_lines: bytes, length: int | None) -> None:
         """Begin to stream an upstream's response; end it with `end_response` or `abort_response`."""
         self.response_source = source
-        self._writer.start_response(self, headers, length)
+        self._writer.start_response(self, header_lines, length)
 
     def send_body_part(self, data: bytes) -> None:
         """Send a part of the response's body."""
--- a/loadbalancer/net/http_framing.py
+++ b/loadbalancer/net/http_framing.py
@@ -59,9 +59,9 @@
     return path if path[:1] == b"/" else b"/" + path
 
 
-def end_to_end_headers(headers: Headers) -> Headers:
-    """Return the headers that are not hop-by-hop."""
-    return [(name, value) for name, value in headers if name not in HOP_BY_HOP_HEADERS]
+def header_lines(headers: Headers) -> bytes:
+    """Return headers as the lines of a head."""
+    return b"".join([b"%b: %b\r\n" % header for header in headers])
 
 
 def reason_phrase(status: int) -> str:
@@ -72,15 +72,15 @@
         return ""
 
 
-def encode_response_head(status: int, headers: Headers, length: int | None, *, close: bool) -> bytes:
-    """Return the head of a response; without a Content-Length if `length` is None."""
+def encode_response_head(status: int, lines: bytes, length: int | None, *, close: bool) -> bytes:
+    """Return the head of a response with header lines; without a Content-Length if `length` is None."""
     parts = [b"HTTP/1.1 %d %b\r\n" % (status, reason_phrase(status).encode())]
     parts.append(b"Content-Length: %d\r\n" % length if length is not None else b"")
-    parts.extend([b"%b: %b\r\n" % pair for pair in headers])
+    parts.append(lines)
     parts.append(b"Connection: close\r\n\r\n" if close else b"\r\n")
     return b"".join(parts)
 
 
-def encode_response(status: int, headers: Headers, body: bytes, *, close: bool) -> bytes:
-    """Return a complete response; with `close` it has `Connection: close`."""
-    return encode_response_head(status, headers, len(body), close=close) + body
+def encode_response(status: int, lines: bytes, body: bytes, *, close: bool) -> bytes:
+    """Return a complete response with header lines; with `close` it has `Connection: close`."""
+    return encode_response_head(status, lines, len(body), close=close) + body
--- a/loadbalancer/net/memory_limits.py
+++ b/loadbalancer/net/memory_limits.py
@@ -6,7 +6,8 @@
 from dataclasses import dataclass
 from pathlib import Path
 
-BUFFER_FRACTION = 0.1  # of the limit: two processes and their runtimes share it during a hot restart
+BUFFER_FRACTION = 0.1  # of the limit
+PROCESSES_IN_HOT_RESTART = 2  # which share the limit
 # Of what the process leaves of its limit at its start; the rest is for copies and for the allocator.
 BUFFER_HEADROOM_FRACTION = 0.2
 CONNECTIONS_HEADROOM_FRACTION = 0.3  # on each side
@@ -25,10 +26,16 @@
     max_connections_per_side: int
 
 
-def share_memory(limit_mb: float, max_sockets: int, resident_bytes: int) -> MemoryShares:
-    """Share out a limit, of which the process has `resident_bytes` at its start; 0 if that is unknown."""
+def share_memory(
+    limit_mb: float, max_sockets: int, resident_bytes: int, *, may_hot_restart: bool = False
+) -> MemoryShares:
+    """Share out a limit, of which the process has `resident_bytes` at its start; 0 if that is unknown.
+
+    Where another process may take over, it gets an equal part.
+    """
     limit_bytes = limit_mb * 1_000_000
-    headroom_bytes = max(limit_bytes - resident_bytes, MIN_HEADROOM_FRACTION * limit_bytes)
+    own_bytes = limit_bytes / PROCESSES_IN_HOT_RESTART if may_hot_restart else limit_bytes
+    headroom_bytes = max(own_bytes - resident_bytes, MIN_HEADROOM_FRACTION * limit_bytes)
     buffer_bytes = min(BUFFER_FRACTION * limit_bytes, BUFFER_HEADROOM_FRACTION * headroom_bytes)
     connections = CONNECTIONS_HEADROOM_FRACTION * headroom_bytes / CONNECTION_BYTES
     return MemoryShares(int(buffer_bytes), int(max(connections, MIN_DESCRIPTOR_FRACTION * max_sockets)))
--- a/loadbalancer/net/proxy.py
+++ b/loadbalancer/net/proxy.py
@@ -77,7 +77,12 @@
         self.balancer = Balancer(config.settings, config.seed)
         self._decisions = DecisionLoop(self.balancer, self.clock, self.log)
         self._counters = RequestCounters(c.name for c in config.settings.classes)
-        shares = share_memory(config.memory_mb, config.max_sockets, process.resident_bytes)
+        shares = share_memory(
+            config.memory_mb,
+            config.max_sockets,
+            process.resident_bytes,
+            may_hot_restart=config.console is not None,
+        )
         self.buffers = BufferBudget(shares.buffer_bytes)
         self._max_connections = min(
             max_connections_per_side(config.max_sockets), shares.max_connections_per_side
--- a/loadbalancer/net/request_attempts.py
+++ b/loadbalancer/net/request_attempts.py
@@ -8,7 +8,6 @@
 from loadbalancer import interface
 from loadbalancer.interface import OUTCOMES_WITHOUT_EFFECT, Outcome
 from loadbalancer.net.downstream_request import DownstreamRequest
-from loadbalancer.net.http_framing import end_to_end_headers
 from loadbalancer.net.log import Log
 from loadbalancer.net.request_counters import RequestCounters
 from loadbalancer.net.request_table import RESPONSE_MARGIN_MS, RequestInFlight, RequestTable
@@ -146,7 +145,7 @@
             return None
         request.streaming_attempt = attempt
         request.cancel_safety_timer()
-        request.downstream.start_response(attempt, end_to_end_headers(answer.headers), answer.length)
+        request.downstream.start_response(attempt, answer.head.forwarded_lines(), answer.length)
         if answer.body:  # an empty chunk would end the response
             request.downstream.send_body_part(answer.body)
         self._requests.dispatch(request, interface.ResponseStarted(request.id, index))
@@ -210,4 +209,4 @@
                 self._requests.respond(request, 502)
         elif outcome is Outcome.SERVED and answer is not None:
             self._requests.close(request, 200)
-            request.downstream.send_response(200, end_to_end_headers(answer.headers), answer.body)
+            request.downstream.send_response(200, answer.head.forwarded_lines(), answer.body)
--- a/loadbalancer/net/request_table.py
+++ b/loadbalancer/net/request_table.py
@@ -9,7 +9,6 @@
 from loadbalancer import interface
 from loadbalancer.net.downstream_request import DownstreamRequest
 from loadbalancer.net.executed_ids import ExecutedIds
-from loadbalancer.net.http_framing import Headers
 from loadbalancer.net.request_counters import CloseReason, RequestCounters
 from loadbalancer.net.upstream_attempt import Attempt
 
@@ -172,11 +171,11 @@
         self._counters.record_response(request.downstream.class_name, status)
         request.cancel_safety_timer()
 
-    def respond(self, request: RequestInFlight, status: int, headers: Headers | None = None) -> None:
+    def respond(self, request: RequestInFlight, status: int, header_lines: bytes = b"") -> None:
         """Send the final response of an open request, or abort the one that is being streamed."""
         self.close(request, status)
         if request.streaming_attempt is None:
-            request.downstream.send_response(status, headers)
+            request.downstream.send_response(status, header_lines)
             return
         self._counters.record_close(CloseReason.CUT_OFF)
         request.downstream.abort_response()
--- a/loadbalancer/net/upstream_attempt.py
+++ b/loadbalancer/net/upstream_attempt.py
@@ -13,8 +13,8 @@
 from typing import Protocol
 
 from loadbalancer.interface import Outcome
-from loadbalancer.net.http_framing import Headers
 from loadbalancer.net.message_body import Body
+from loadbalancer.net.message_head import ResponseHead
 from loadbalancer.net.upstream_connection import UpstreamConnection
 from loadbalancer.net.upstream_response import ResponseReader, UpstreamResponse
 
@@ -79,10 +79,10 @@
         """Handle the end; `answer` is the response if it is complete and was not streamed."""
 
 
-def _outcome_of(status: int, headers: Headers) -> Outcome:
-    if status == 200:
+def _outcome_of(head: ResponseHead) -> Outcome:
+    if head.status == 200:
         return Outcome.SERVED
-    if status in (503, 504) and (b"x-not-run", b"1") in headers:
+    if head.status in (503, 504) and head.has_not_run:
         return Outcome.REJECTED
     return Outcome.ERROR
 
@@ -266,7 +266,7 @@
             self._end(Outcome.SERVED, reuse=True)
             return
         response = reader.response()
-        outcome = _outcome_of(response.status, response.headers)
+        outcome = _outcome_of(response.head)
         if outcome is Outcome.SERVED and not self._is_written():
             # It answers an earlier request: no server runs a request before its last byte.
             self.on_connection_failed()
--- a/loadbalancer/net/upstream_connection.py
+++ b/loadbalancer/net/upstream_connection.py
@@ -200,7 +200,7 @@
                     MAX_RESPONSE_BUFFERING_S, self._on_buffering_timeout
                 )
                 attempt.on_response_begun()
-        self._unread.resize(reader.buffered_bytes)
+        self._unread.resize(reader.held_bytes())
         if reader.is_complete and self._attempt is attempt:
             attempt.on_response_completed(reader)
 
@@ -209,7 +209,7 @@
         self._streaming_timer = None
         if attempt is not None and reader is not None and reader.buffered_bytes:
             attempt.start_streaming(reader)
-            self._unread.resize(reader.buffered_bytes)
+            self._unread.resize(reader.held_bytes())
 
     def start_streaming(self) -> bool:
         """Stream a response that has begun and whose length is not known; return whether there is one."""
@@ -220,7 +220,7 @@
             return False
         if not attempt.is_streaming():
             attempt.start_streaming(reader)
-            self._unread.resize(reader.buffered_bytes)
+            self._unread.resize(reader.held_bytes())
         return True
 
     def pause(self) -> None:
--- a/loadbalancer/net/upstream_response.py
+++ b/loadbalancer/net/upstream_response.py
@@ -5,15 +5,14 @@
 import httptools
 
 from loadbalancer.net.http_framing import (
-    HEADER_OVERHEAD_BYTES,
     LENGTH_NOT_GIVEN,
     MAX_BODY_BYTES,
     MAX_HEAD_BYTES,
     FramingError,
-    Headers,
     MessageTooLargeError,
     body_length,
 )
+from loadbalancer.net.message_head import ResponseHead
 
 RESPONSE_ERRORS = (httptools.HttpParserError, httptools.HttpParserUpgrade, FramingError)
 """What a reader raises on an invalid response."""
@@ -22,15 +21,19 @@
 class UpstreamResponse:
     """A complete response, or its head and what has arrived of a body that is streamed."""
 
-    __slots__ = ("body", "headers", "length", "status")
+    __slots__ = ("body", "head", "length")
 
-    def __init__(self, status: int, headers: Headers, length: int | None, body: bytes = b"") -> None:
+    def __init__(self, head: ResponseHead, length: int | None, body: bytes = b"") -> None:
         """Create a response; `length` is None if the head does not give it."""
-        self.status = status
-        self.headers = headers
+        self.head = head
         self.length = length
         self.body = body
 
+    @property
+    def status(self) -> int:
+        """The status of the response."""
+        return self.head.status
+
 
 class ResponseReader:
     """Parses the successive responses of a connection, with incremental access to each body.
@@ -55,13 +58,12 @@
         self.is_reusable = False  # whether the connection may carry a further request
         self.has_head = False
         self.is_complete = False
-        self.status = 0
+        self._head = ResponseHead()
         self.length: int | None = LENGTH_NOT_GIVEN  # None for a chunked body
         self.buffered_bytes = 0  # of the body: received and not taken yet
-        self._headers: Headers = []
         self._body = bytearray()  # what has not been taken yet
         self._raw_head_bytes = 0  # as fed to the parser
-        self._header_bytes = 0  # names and values, plus a fixed overhead for each header
+        self._header_bytes = 0  # of all heads, those of interim responses included
         self._body_bytes = 0
 
     def feed(self, data: bytes | memoryview) -> bool:
@@ -88,7 +90,17 @@
     def response(self) -> UpstreamResponse:
         """Return the response as far as it has arrived, and take its body."""
         length = None if self.length == LENGTH_NOT_GIVEN else self.length
-        return UpstreamResponse(self.status, self._headers, length, self.take_body())
+        return UpstreamResponse(self._head, length, self.take_body())
+
+    @property
+    def status(self) -> int:
+        """The status; 0 before the head is complete."""
+        return self._head.status
+
+    def held_bytes(self) -> int:
+        """Return about how much memory the response takes as far as it has arrived."""
+        head_bytes = self._head.memory_bytes() if self.has_head else self._raw_head_bytes
+        return head_bytes + self.buffered_bytes
 
     def take_body(self) -> bytes:
         """Return the part of the body that has arrived since the last call."""
@@ -104,16 +116,17 @@
         if self.is_complete:
             self.is_reusable = False
         else:
-            self._headers = []
+            self._head = ResponseHead()
 
     def on_header(self, name: bytes, value: bytes) -> None:
         """Keep a header; trailers are dropped."""
         if self.is_complete or self.has_head:
             return
-        self._header_bytes += len(name) + len(value) + HEADER_OVERHEAD_BYTES
+        size_bytes = self._head.size_bytes
+        self._head.add_header(name, value)
+        self._header_bytes += self._head.size_bytes - size_bytes
         if self._header_bytes > MAX_HEAD_BYTES:
             raise MessageTooLargeError("headers too large")
-        self._headers.append((name.lower(), value))
 
     def on_headers_complete(self) -> None:
         """Store the head; that of an interim response (status below 200) is dropped."""
@@ -121,8 +134,8 @@
         if self.is_complete or status < 200:
             return
         self.has_head = True
-        self.status = status
-        self.length = body_length(dict(self._headers))
+        self._head.status = status
+        self.length = body_length(self._head.framing())
         if (self.length or 0) > MAX_BODY_BYTES:
             raise MessageTooLargeError(f"body of {self.length} bytes is too large")
 
--- a/tests/list_service_faults.py
+++ b/tests/list_service_faults.py
@@ -20,6 +20,7 @@
 from loadbalancer.net.config import EndpointList
 from loadbalancer.net.config_reader import read_config
 from loadbalancer.net.discovery import DiscoveryClient, connection
+from loadbalancer.net.message_head import ResponseHead
 from loadbalancer.net.upstream_response import UpstreamResponse
 from loadbalancer.policy import Balancer
 from tests.loopback import config_text, endpoint_entry, http_response
@@ -140,10 +141,10 @@
         if phase.mode in ("reset", "refused"):
             raise ConnectionResetError
         if phase.mode != "up":
-            return UpstreamResponse(503 if phase.mode == "503" else 200, [], 1, b"{")
+            return UpstreamResponse(ResponseHead(503 if phase.mode == "503" else 200), 1, b"{")
         if f"after={CHANGED_INDEX}&".encode() in request:
             await asyncio.Event().wait()
-        return UpstreamResponse(200, [], None, list_body(CHANGED_INDEX))
+        return UpstreamResponse(ResponseHead(200), None, list_body(CHANGED_INDEX))
 
     async def wait_for_late_response(self) -> UpstreamResponse:
         """Wait forever."""
--- a/tests/real_processes.py
+++ b/tests/real_processes.py
@@ -63,6 +63,17 @@
         """Open a connection."""
         return await asyncio.open_connection("127.0.0.1", self.port)
 
+    async def is_ready(self) -> bool:
+        """Return whether the health check answers 200."""
+        try:
+            reader, writer = await self.connect()
+            writer.write(b"GET /healthz HTTP/1.1\r\nHost: h\r\n\r\n")
+            response = await read_message(reader)
+            writer.close()
+        except (OSError, asyncio.IncompleteReadError):
+            return False
+        return response.start_line.startswith("HTTP/1.1 200")
+
     async def request(self, number: int, deadline_s: float) -> Served:
         """Send one request on a connection of its own."""
         started_s = time.monotonic()
@@ -148,5 +159,5 @@
 
 async def _wait_until_ready(program: RunningProgram) -> None:
     async with asyncio.timeout(READY_TIMEOUT_S):
-        while (await program.request(0, 1.0)).status != 200:
+        while not await program.is_ready():
             await asyncio.sleep(0.05)
--- a/tests/test_memory_limit.py
+++ b/tests/test_memory_limit.py
@@ -181,3 +181,24 @@
         assert [s for s in served if s.status == 0] == []
 
     run_play(scenario())
+
+
+async def respond_with_many_fields(_: HttpMessage, writer: Writer) -> None:
+    """Answer with a head of very many short fields, and with a body that comes late."""
+    head = b"HTTP/1.1 200 OK\r\nContent-Length: 50000\r\n" + FIELDS * 1_700 + b"\r\n"
+    writer.write(head + bytes(1_000))
+    await asyncio.sleep(1.0)
+    writer.write(bytes(49_000))
+
+
+def test_hundreds_of_slow_responses_stay_within_the_least_memory(tmp_path: Path) -> None:
+    """Guards against a kill for memory by what upstreams send: heads of many fields, and halves of bodies."""
+
+    async def scenario() -> None:
+        async with running_balancer(tmp_path, respond_with_many_fields, upstream_count=40, tier=1) as program:
+            served = await program.sound_clients(CLIENTS, HOLD_S / 2 / CLIENTS, 2 * DEADLINE_S)
+            peak_mb = program.peak_resident_mb()
+        assert peak_mb < LEAST_MEMORY_MB
+        assert [s for s in served if s.status == 0] == []
+
+    run_play(scenario())
--- a/tests/test_memory_shares.py
+++ b/tests/test_memory_shares.py
@@ -6,7 +6,8 @@
 
 import pytest
 
-from loadbalancer.net.memory_limits import resident_bytes, share_memory
+from loadbalancer.net.memory_limits import resident_bytes as own_resident_bytes
+from loadbalancer.net.memory_limits import share_memory
 from loadbalancer.net.message_body import BufferReservation
 from tests.loopback import ProxyHarness, Upstream, run_scenario, status_of, unreleased_resources, wait_until
 
@@ -33,8 +34,15 @@
         assert 2 * connections + shares.buffer_bytes < (limit_mb - resident_mb) * 1_000_000
 
 
+def test_two_processes_of_a_hot_restart_fit_into_the_limit() -> None:
+    resident_bytes = 23_000_000
+    shares = share_memory(64.0, 1_024, resident_bytes, may_hot_restart=True)
+    own_bytes = 2 * shares.max_connections_per_side * 6_144 + shares.buffer_bytes
+    assert 2 * (resident_bytes + own_bytes) < 64_000_000
+
+
 def test_the_resident_memory_is_known() -> None:
-    assert 1_000_000 < resident_bytes() < 10_000_000_000
+    assert 1_000_000 < own_resident_bytes() < 10_000_000_000
 
 
 def test_the_oldest_long_head_is_rejected_when_the_buffers_are_full() -> None:
