--- a/loadbalancer/net/downstream_connection.py
+++ b/loadbalancer/net/downstream_connection.py
@@ -257,6 +257,11 @@
         self.half_close()
         return self._transport.get_write_buffer_size() > 0
 
+    def progress(self) -> tuple[int, int]:
+        """Return how many parts of responses were written, and how many bytes have not been sent yet."""
+        unsent = 0 if self._transport is None or self.is_lost else self._transport.get_write_buffer_size()
+        return self.pipeline.written_parts, unsent
+
     def abort_unfinished_response(self) -> None:
         """Abort an unfinished response at exit, so that the client sees that it is incomplete."""
         if self.pipeline.is_streaming:
--- a/loadbalancer/net/downstream_listener.py
+++ b/loadbalancer/net/downstream_listener.py
@@ -42,7 +42,7 @@
 SHUTDOWN_KEEP_ALIVE_FRACTION = 0.6
 # In the final phase responses are sent and input is still read; the platform kills 0.2 s after its start.
 SHUTDOWN_FINAL_S = 0.15
-# Extra time for clients that have not read their response; their reading, or a kill, ends it sooner.
+# Extra time without progress for responses that are not finished, or not read; a kill ends it sooner.
 SHUTDOWN_UNREAD_S = 5.0
 
 
@@ -219,12 +219,18 @@
             await asyncio.sleep(SHUTDOWN_POLL_INTERVAL_S)
 
     async def _flush_and_close(self) -> None:
-        """Close all connections, waiting a while for clients that read their response slowly."""
+        """Close all connections, waiting for responses as long as they make progress."""
         final_s = time.monotonic() + SHUTDOWN_FINAL_S
-        while self._connections and time.monotonic() < final_s + SHUTDOWN_UNREAD_S:
+        until_s = final_s + SHUTDOWN_UNREAD_S
+        progress: list[tuple[int, int]] = []
+        while self._connections and time.monotonic() < until_s:
             is_unread = [connection.close_at_shutdown() for connection in list(self._connections)]
             if time.monotonic() >= final_s and not any(is_unread):
                 break
+            last_progress = progress
+            progress = [connection.progress() for connection in self._connections]
+            if progress != last_progress:
+                until_s = max(until_s, time.monotonic() + SHUTDOWN_UNREAD_S)
             await asyncio.sleep(SHUTDOWN_POLL_INTERVAL_S)
         for connection in list(self._connections):
             connection.abort_unfinished_response()
--- a/loadbalancer/net/downstream_pipeline.py
+++ b/loadbalancer/net/downstream_pipeline.py
@@ -70,6 +70,7 @@
         self._rejection: RequestRejection | None = None  # of input after the queued requests
         self._is_advancing = False
         self._is_probing = False  # whether the client has left
+        self.written_parts = 0  # of streamed responses
         self.is_streaming = False  # whether a response is being streamed
         self._ends_with_close = False  # whether only the close marks the end of the streamed response
         self.unsent = BufferReservation(connection.buffers)
@@ -254,6 +255,7 @@
         """Write a part of the body of a streamed response."""
         if self._connection.is_lost or self._transport is None or request is not self._current:
             return
+        self.written_parts += 1
         self._transport.write(encode_chunk(data) if request.is_chunked else data)
 
     def end_response(self, request: DownstreamRequest) -> None:
--- a/tests/test_endings_shutdown.py
+++ b/tests/test_endings_shutdown.py
@@ -89,6 +89,34 @@
     run_scenario(scenario())
 
 
+def test_a_response_that_its_server_still_writes_is_not_cut_off_by_shutdown(
+    monkeypatch: pytest.MonkeyPatch,
+) -> None:
+    """Guards against ending the process under a long response that makes progress."""
+    shut_down_at_once(monkeypatch)
+    monkeypatch.setattr(downstream_listener, "SHUTDOWN_UNREAD_S", 0.4)
+    parts = [bytes([number]) * 50_000 for number in range(12)]
+
+    async def scenario() -> None:
+        async def write_slowly(_: HttpMessage, writer: asyncio.StreamWriter) -> None:
+            writer.write(b"HTTP/1.1 200 OK\r\nContent-Length: 600000\r\n\r\n")
+            for part in parts:
+                writer.write(part)
+                await asyncio.sleep(0.1)
+
+        async with ProxyHarness(Upstream(write_slowly)) as harness:
+            client = await harness.connect()
+            client.send_request()
+            (connection,) = harness.proxy.downstream._connections
+            await wait_until(lambda: connection.pipeline.is_streaming)
+            ending = asyncio.ensure_future(harness.proxy.downstream.shut_down())
+            assert (await client.read_response()).body == b"".join(parts)
+            client.writer.close()
+            await ending
+
+    run_scenario(scenario())
+
+
 def test_a_response_that_is_cut_off_by_shutdown_is_seen_to_be_incomplete(
     monkeypatch: pytest.MonkeyPatch,
 ) -> None:
