Give attempt timers and the presence of a client modules of their own

Files that had grown: the timers of an attempt and the question whether a client may have disconnected unseen were parts of upstream_attempt and downstream_connection.

--- a/loadbalancer/net/downstream_connection.py
+++ b/loadbalancer/net/downstream_connection.py
@@ -7,26 +7,20 @@
 from collections.abc import Callable
 from typing import Protocol, cast
 
+from loadbalancer.net.attempt_timers import STALL_TIMEOUT_S
 from loadbalancer.net.descriptors import NEW_CONNECTION_GRACE_S
 from loadbalancer.net.downstream_pipeline import PipelineListener, RequestPipeline
-from loadbalancer.net.downstream_read_lag import may_have_closed_window
+from loadbalancer.net.downstream_presence import ClientPresence
 from loadbalancer.net.downstream_reader import RequestReader
 from loadbalancer.net.message_body import BufferBudget
 from loadbalancer.net.sockets import (
     has_peer_closed,
     peek_socket,
-    receive_buffer_bytes,
-    received_segment_bytes,
     set_no_delay,
     unread_bytes,
 )
 from loadbalancer.net.turn_queue import TurnQueue
-from loadbalancer.net.upstream_attempt import STALL_TIMEOUT_S
 
-# After a response, a client that has left answers with a reset within this time.
-PROBE_S = 0.02
-# No request begins for a client that was not known to be there for so long: it may have left in between.
-MAX_UNSEEN_S = 0.08
 # How long to read on after a half-close, so that no reset overtakes the response.
 LINGERING_CLOSE_S = 0.5
 
@@ -55,6 +49,7 @@
         self._transport: asyncio.Transport | None = None
         self.pipeline = RequestPipeline(self, listener)
         self.reader = RequestReader(self, self.pipeline, self._loop)
+        self._presence = ClientPresence(self._loop, self.reader)
         self.closes_after_body = False  # the response was sent before the body was complete
         self._is_half_closed = False  # by us
         self._offered_bytes = 0  # for the next read
@@ -69,6 +64,7 @@
         self._transport = cast(asyncio.Transport, transport)
         self._transport.set_write_buffer_limits(high=0, low=0)
         set_no_delay(transport)
+        self._presence.connect(self._transport)
         self.pipeline.connect(self._transport)
         self.reader.connect(self._transport)
 
@@ -157,34 +153,13 @@
         self._transport.abort()
         return True
 
-    def is_end_hidden(self) -> bool:
-        """Return whether the client may have left with its end still on its own machine.
-
-        It can only arrive behind bytes for which the receive buffer has no room while reading is paused.
-        """
-        transport = self._transport
-        if transport is None or self.is_lost or not self.reader.control.is_paused:
-            return False
-        return may_have_closed_window(
-            unread_bytes(transport), receive_buffer_bytes(transport), received_segment_bytes(transport)
-        )
-
-    def may_have_left(self) -> bool:
-        """Return whether the client may have left unseen, and for longer than a request may still begin."""
-        if not self.is_end_hidden():
-            return False
-        now = time.monotonic()
-        seen_s = self.reader.lag.written_after_s()
-        if now >= self.idle_since_s + PROBE_S:
-            seen_s = max(seen_s, self.idle_since_s)  # it took the last response without a reset
-        return now - seen_s > MAX_UNSEEN_S
+    def may_have_disconnected(self) -> bool:
+        """Return whether the client may have disconnected unseen, too long ago for a request to begin."""
+        return self._presence.may_have_disconnected(self.idle_since_s)
 
     def probe_after_response(self, on_probed: Callable[[], None]) -> bool:
         """Call `on_probed` once a reset would have come, if the end may be hidden; return whether it may."""
-        if not self.is_end_hidden():
-            return False
-        self._loop.call_later(PROBE_S, on_probed)
-        return True
+        return self._presence.probe_after_response(on_probed)
 
     def _release_requests(self) -> None:
         """Abandon all requests, as nobody waits for the responses, and accept no more."""
--- a/loadbalancer/net/downstream_listener.py
+++ b/loadbalancer/net/downstream_listener.py
@@ -156,9 +156,11 @@
 
     def shed_heads(self) -> None:
         """Reject long heads that are still coming in, the oldest first, until the buffers have room."""
-        held = [c for c in self._connections if c.reader.held_head_bytes() > MAX_UNSHED_HEAD_BYTES]
-        held.sort(key=lambda connection: connection.reader.receiving_since_s())
-        for connection in held:
+        incomplete = [
+            c for c in self._connections if c.reader.incomplete_head_bytes() > MAX_UNSHED_HEAD_BYTES
+        ]
+        incomplete.sort(key=lambda connection: connection.reader.receiving_since_s())
+        for connection in incomplete:
             if not self.buffers.is_full():
                 return
             connection.reader.shed()
--- a/loadbalancer/net/downstream_parser.py
+++ b/loadbalancer/net/downstream_parser.py
@@ -95,8 +95,8 @@
             self._raw_head_bytes += len(data)
         if self.request is not None:
             self.request.body.flush()
-        is_held = self._is_in_head and not self._is_released
-        self._reservation.resize(self._raw_head_bytes if is_held else 0)
+        is_incomplete = self._is_in_head and not self._is_released
+        self._reservation.resize(self._raw_head_bytes if is_incomplete else 0)
         return parsed_bytes
 
     def head_bytes(self) -> int:
--- a/loadbalancer/net/downstream_reader.py
+++ b/loadbalancer/net/downstream_reader.py
@@ -118,7 +118,7 @@
         self._unparsed = b"" if self.is_stopped else bytes(rest)
         self._unparsed_reservation.resize(len(self._unparsed))
 
-    def held_head_bytes(self) -> int:
+    def incomplete_head_bytes(self) -> int:
         """Return how much of a head is held that is not complete."""
         return 0 if self.is_stopped else self._parser.head_bytes()
 
@@ -131,7 +131,7 @@
         self._reject(503, SHEDDING_REASON)
 
     def _serve_received(self) -> None:
-        if self.held_head_bytes() > MAX_UNSHED_HEAD_BYTES and self._connection.buffers.is_full():
+        if self.incomplete_head_bytes() > MAX_UNSHED_HEAD_BYTES and self._connection.buffers.is_full():
             self._connection.shed_heads()
             if self.is_stopped:
                 return
--- a/loadbalancer/net/downstream_request.py
+++ b/loadbalancer/net/downstream_request.py
@@ -77,7 +77,7 @@
     def is_client_connected(self) -> bool:
         """Return whether the kernel sees the client connected."""
 
-    def may_have_left(self) -> bool:
+    def may_have_disconnected(self) -> bool:
         """Return whether the client may have left without the kernel's seeing it."""
 
 
@@ -195,7 +195,7 @@
         """
         if not (self.is_open and self._connection.is_client_connected()):
             return False
-        return not (self.body.is_complete and self._connection.may_have_left())
+        return not (self.body.is_complete and self._connection.may_have_disconnected())
 
     def unread_bytes(self) -> int:
         """Return how many bytes from its client the kernel has and the loop has not read."""
--- a/loadbalancer/net/hot_restart/executed_exchange.py
+++ b/loadbalancer/net/hot_restart/executed_exchange.py
@@ -42,11 +42,11 @@
         self._connection = connection
         self._source = source
         self._loop = loop
-        self._has_news = asyncio.Event()
+        self._has_unreported = asyncio.Event()
 
     def on_recorded(self) -> None:
         """Report soon what has been recorded."""
-        self._has_news.set()
+        self._has_unreported.set()
 
     async def run(self) -> None:
         """Exchange IDs until the other process has ended, then close the connection."""
@@ -64,8 +64,8 @@
     async def _send(self) -> None:
         await self._loop.sock_sendall(self._connection, encode_executed(self._source.export()))
         while True:
-            await self._has_news.wait()
-            self._has_news.clear()
+            await self._has_unreported.wait()
+            self._has_unreported.clear()
             await self._loop.sock_sendall(self._connection, encode_executed(self._source.take_unreported()))
 
     async def _receive(self) -> None:
--- a/loadbalancer/net/memory_limits.py
+++ b/loadbalancer/net/memory_limits.py
@@ -19,16 +19,16 @@
 
 
 @dataclass(frozen=True, slots=True)
-class MemoryShares:
+class MemoryLimits:
     """The bounds that keep a process within its memory limit."""
 
     buffer_bytes: int
     max_connections_per_side: int
 
 
-def share_memory(
+def divide_memory(
     limit_mb: float, max_sockets: int, resident_bytes: int, *, may_hot_restart: bool = False
-) -> MemoryShares:
+) -> MemoryLimits:
     """Share out a limit, of which the process has `resident_bytes` at its start; 0 if that is unknown.
 
     Where another process may take over, it gets an equal part.
@@ -38,7 +38,7 @@
     headroom_bytes = max(own_bytes - resident_bytes, MIN_HEADROOM_FRACTION * limit_bytes)
     buffer_bytes = min(BUFFER_FRACTION * limit_bytes, BUFFER_HEADROOM_FRACTION * headroom_bytes)
     connections = CONNECTIONS_HEADROOM_FRACTION * headroom_bytes / CONNECTION_BYTES
-    return MemoryShares(int(buffer_bytes), int(max(connections, MIN_DESCRIPTOR_FRACTION * max_sockets)))
+    return MemoryLimits(int(buffer_bytes), int(max(connections, MIN_DESCRIPTOR_FRACTION * max_sockets)))
 
 
 def resident_bytes() -> int:
--- a/loadbalancer/net/proxy.py
+++ b/loadbalancer/net/proxy.py
@@ -24,7 +24,7 @@
 from loadbalancer.net.executed_ids import ExecutedIds
 from loadbalancer.net.hot_restart import Predecessor
 from loadbalancer.net.log import Log, Sink, write_text
-from loadbalancer.net.memory_limits import resident_bytes, share_memory
+from loadbalancer.net.memory_limits import divide_memory, resident_bytes
 from loadbalancer.net.message_body import BufferBudget
 from loadbalancer.net.reports import BalancerStats, EndpointListReport, MembershipReport, ResourceStats
 from loadbalancer.net.request_attempts import RequestAttempts
@@ -77,15 +77,15 @@
         self.balancer = Balancer(config.settings, config.seed)
         self._decisions = DecisionLoop(self.balancer, self.clock, self.log)
         self._counters = RequestCounters(c.name for c in config.settings.classes)
-        shares = share_memory(
+        limits = divide_memory(
             config.memory_mb,
             config.max_sockets,
             process.resident_bytes,
             may_hot_restart=config.console is not None,
         )
-        self.buffers = BufferBudget(shares.buffer_bytes)
+        self.buffers = BufferBudget(limits.buffer_bytes)
         self._max_connections = min(
-            max_connections_per_side(config.max_sockets), shares.max_connections_per_side
+            max_connections_per_side(config.max_sockets), limits.max_connections_per_side
         )
         self.upstreams = UpstreamPools(config, loop, self.buffers, self._max_connections)
         self.executed = ExecutedIds(config.settings.classes, self.clock)
--- a/loadbalancer/net/request_counters.py
+++ b/loadbalancer/net/request_counters.py
@@ -16,7 +16,7 @@
 class CloseReason(enum.Enum):
     """Why a request was closed otherwise than by the end of an attempt or by the decision module."""
 
-    CLIENT_LEFT = "client_left"
+    CLIENT_DISCONNECTED = "client_disconnected"
     DEADLINE = "deadline"
     """Its time was over, and nothing else had answered it."""
     REPEATED_ID = "repeated_id"
--- a/loadbalancer/net/request_intake.py
+++ b/loadbalancer/net/request_intake.py
@@ -67,7 +67,7 @@
         request = self._requests.get_open(downstream.request_id)
         if request is not None:
             self._requests.close(request, None)
-            self._counters.record_close(CloseReason.CLIENT_LEFT)
+            self._counters.record_close(CloseReason.CLIENT_DISCONNECTED)
             if request.streaming_attempt is not None:
                 request.streaming_attempt.cancel()  # nobody is left to receive the response
             self._requests.dispatch(request, interface.ClientDisconnected(request.id))
--- a/loadbalancer/net/start_times.py
+++ b/loadbalancer/net/start_times.py
@@ -35,14 +35,14 @@
 
     def convert(self, update: EndpointList) -> EndpointList:
         """Return a list with the start times of its servers on this process's clock."""
-        self._look_for_step()
+        self._detect_step()
         endpoints = tuple([self._convert(endpoint) for endpoint in update.endpoints])
         if update.is_full_snapshot:
             listed = {endpoint.endpoint.server for endpoint in endpoints}
             self._known = {server: known for server, known in self._known.items() if server in listed}
         return replace(update, endpoints=endpoints)
 
-    def _look_for_step(self) -> None:
+    def _detect_step(self) -> None:
         step_ms = self._system_ms() - self._now_ms()
         if all(abs(step_ms - known_ms) >= MIN_STEP_MS for known_ms in self._steps_ms):
             self._steps_ms = [*self._steps_ms, step_ms][-MAX_REMEMBERED_STEPS:]
--- a/tests/test_memory_shares.py
+++ b/tests/test_memory_limits.py
@@ -6,8 +6,8 @@
 
 import pytest
 
+from loadbalancer.net.memory_limits import divide_memory
 from loadbalancer.net.memory_limits import resident_bytes as own_resident_bytes
-from loadbalancer.net.memory_limits import share_memory
 from loadbalancer.net.message_body import BufferReservation
 from tests.loopback import ProxyHarness, Upstream, run_scenario, status_of, unreleased_resources, wait_until
 
@@ -26,7 +26,7 @@
     ("limit_mb", "resident_mb"), [(32.0, 23.0), (64.0, 23.0), (192.0, 30.0), (32.0, 40.0)]
 )
 def test_the_shares_fit_into_what_the_process_leaves(limit_mb: float, resident_mb: float) -> None:
-    shares = share_memory(limit_mb, 1_024, int(resident_mb * 1_000_000))
+    shares = divide_memory(limit_mb, 1_024, int(resident_mb * 1_000_000))
     assert 0 < shares.buffer_bytes <= 0.1 * limit_mb * 1_000_000
     assert shares.max_connections_per_side >= 341  # a third of the descriptors is for clients' requests
     if limit_mb > resident_mb:
@@ -36,7 +36,7 @@
 
 def test_two_processes_of_a_hot_restart_fit_into_the_limit() -> None:
     resident_bytes = 23_000_000
-    shares = share_memory(64.0, 1_024, resident_bytes, may_hot_restart=True)
+    shares = divide_memory(64.0, 1_024, resident_bytes, may_hot_restart=True)
     own_bytes = 2 * shares.max_connections_per_side * 6_144 + shares.buffer_bytes
     assert 2 * (resident_bytes + own_bytes) < 64_000_000
 
--- a/tests/test_metrics_and_log.py
+++ b/tests/test_metrics_and_log.py
@@ -86,7 +86,7 @@
             for family in text_string_to_metric_families(text)
             for s in family.samples
         }
-        assert values["irondrum_requests_closed_total", "client_left"] == 1
+        assert values["irondrum_requests_closed_total", "client_disconnected"] == 1
         assert values["irondrum_requests_closed_total", "repeated_id"] == 1
         assert values["irondrum_inputs_rejected_total", "404"] == 1
         assert values["irondrum_attempts_ended_total", "cancelled"] == 1
--- a/tests/test_streaming.py
+++ b/tests/test_streaming.py
@@ -9,7 +9,7 @@
 import pytest
 
 from loadbalancer.interface import Outcome
-from loadbalancer.net import downstream_connection, downstream_timeout, message_body, upstream_attempt
+from loadbalancer.net import attempt_timers, downstream_connection, downstream_timeout, message_body
 from tests.http_messages import LONG_BODY, chunked, head, record_outcomes, write_in_parts
 from tests.loopback import (
     HttpClient,
@@ -297,7 +297,7 @@
             await asyncio.sleep(0.5)  # past its deadline
             gate.set()
             assert first + await client.reader.readexactly(len(LONG_BODY) - 100_000) == LONG_BODY
-            monkeypatch.setattr(upstream_attempt, "STALL_TIMEOUT_S", 0.05)
+            monkeypatch.setattr(attempt_timers, "STALL_TIMEOUT_S", 0.05)
             gate.clear()
             stalled = await harness.connect()
             stalled.send_request()
