Treat headers by one look-up, and ask the kernel less often about attempts that are over

Each header was looked up in three sets, a short request was parsed in two pieces, and for each event of a request that was closed the kernel was asked about attempts that were over.

--- a/loadbalancer/net/downstream_listener.py
+++ b/loadbalancer/net/downstream_listener.py
@@ -128,12 +128,12 @@
             self._is_accepting = False
             self.loop.remove_reader(self.listening_socket)
 
-    def _accept(self) -> bool:
+    def _accept(self, max_accepts: int = MAX_ACCEPTS_PER_TURN) -> bool:
         """Accept pending connections up to the limit; return whether the kernel's queue is empty then."""
         accepts = 0
         discards = 0
         while len(self._connections) < self.max_connections:
-            if accepts == MAX_ACCEPTS_PER_TURN or discards == MAX_DISCARDS_PER_TURN:
+            if accepts == max_accepts or discards == MAX_DISCARDS_PER_TURN:
                 return False
             try:
                 accepted, _ = self.listening_socket.accept()
@@ -208,7 +208,7 @@
     async def _accept_last_connections(self, started_s: float, span_s: float) -> None:
         while not self._has_successor and time.monotonic() - started_s < SHUTDOWN_ACCEPT_S:
             await asyncio.sleep(SHUTDOWN_POLL_INTERVAL_S)
-        while not self._has_successor and not self._accept():
+        while not self._has_successor and not self._accept(self.max_connections):
             if time.monotonic() - started_s >= SHUTDOWN_ACCEPT_S + span_s:
                 break
             await asyncio.sleep(SHUTDOWN_POLL_INTERVAL_S)
--- a/loadbalancer/net/downstream_parser.py
+++ b/loadbalancer/net/downstream_parser.py
@@ -71,6 +71,8 @@
         if self.request is not None and self.request.body.length is not None:
             return max(self.request.body.missing_bytes(), 1)
         start = bytes(data[:MAX_PIECE_BYTES])
+        if len(data) <= MAX_SHORT_HEAD_BYTES and start.count(_END_OF_HEAD) == 1:
+            return len(data)  # a short request and its body, in most cases
         end = start.find(_END_OF_HEAD)
         return end + len(_END_OF_HEAD) if end >= 0 else len(start)
 
@@ -132,17 +134,15 @@
     def on_url(self, part: bytes) -> None:
         """Collect the target."""
         self._head.add_target(part)
-        self._check_head_size()
+        if self._head.size_bytes > MAX_HEAD_BYTES:
+            self._reject(431, "headers too large")
 
     def on_header(self, name: bytes, value: bytes) -> None:
         """Collect a header; trailers are dropped."""
         if self._is_in_head:
             self._head.add_header(name, value)
-            self._check_head_size()
-
-    def _check_head_size(self) -> None:
-        if self._head.size_bytes > MAX_HEAD_BYTES:
-            self._reject(431, "headers too large")
+            if self._head.size_bytes > MAX_HEAD_BYTES:
+                self._reject(431, "headers too large")
 
     def _reject(self, status: int, reason: str) -> NoReturn:
         """Stop the parser, which wraps this exception; `feed` raises an error of its own."""
--- a/loadbalancer/net/message_head.py
+++ b/loadbalancer/net/message_head.py
@@ -5,9 +5,34 @@
 
 from __future__ import annotations
 
+from collections.abc import Iterable
+from dataclasses import dataclass
+
 from loadbalancer.net.http_framing import HEADER_OVERHEAD_BYTES, HOP_BY_HOP_HEADERS
 
-_LENGTH_HEADERS = frozenset((b"content-length", b"transfer-encoding"))
+
+@dataclass(frozen=True, slots=True)
+class Treatment:
+    """What is done with a header; one that has no treatment is forwarded."""
+
+    is_read_first: bool
+    """Whether its value is read, and of repeated headers the first counts."""
+    is_read_last: bool
+    """Whether its value is read, and of repeated headers the last counts."""
+    is_forwarded: bool
+
+
+def _treatments(
+    read_first: Iterable[bytes], read_last: Iterable[bytes], not_forwarded: Iterable[bytes]
+) -> dict[bytes, Treatment]:
+    """Return the treatment of each header by its name in lower case."""
+    first, last, hidden = frozenset(read_first), frozenset(read_last), frozenset(not_forwarded)
+    return {
+        name: Treatment(name in first, name in last, name not in hidden) for name in first | last | hidden
+    }
+
+
+_LENGTH_HEADERS = (b"content-length", b"transfer-encoding")
 
 
 class MessageHead:
@@ -15,11 +40,7 @@
 
     __slots__ = ("_lines", "_values", "size_bytes")
 
-    _READ_FIRST: frozenset[bytes] = frozenset()
-    """Headers that are read; of repeated ones the first counts."""
-    _READ_LAST: frozenset[bytes] = _LENGTH_HEADERS
-    """Headers that are read; of repeated ones the last counts."""
-    _NOT_FORWARDED: frozenset[bytes] = HOP_BY_HOP_HEADERS
+    _TREATMENTS = _treatments((), _LENGTH_HEADERS, HOP_BY_HOP_HEADERS)
 
     def __init__(self) -> None:
         self.size_bytes = 0
@@ -31,12 +52,15 @@
         """Add a header; the name may be in any case."""
         self.size_bytes += len(name) + len(value) + HEADER_OVERHEAD_BYTES
         name = name.lower()
-        if name in self._READ_LAST:
-            self._values[name] = value
-        elif name in self._READ_FIRST:
-            self._values.setdefault(name, value)
-        if name not in self._NOT_FORWARDED:
-            self._lines += b"%b: %b\r\n" % (name, value)
+        treatment = self._TREATMENTS.get(name)
+        if treatment is not None:
+            if treatment.is_read_last:
+                self._values[name] = value
+            elif treatment.is_read_first:
+                self._values.setdefault(name, value)
+            if not treatment.is_forwarded:
+                return
+        self._lines += b"%b: %b\r\n" % (name, value)
 
     def value(self, name: bytes) -> bytes | None:
         """Return the value of one of the headers that are read, by its name in lower case."""
@@ -64,12 +88,19 @@
 
     __slots__ = ("target",)
 
-    _READ_FIRST = frozenset(
-        (b"x-class", b"x-request-id", b"x-deadline", b"x-tenant", b"x-retry", b"x-cost-hint")
+    _TREATMENTS = _treatments(
+        read_first=(
+            b"x-class",
+            b"x-request-id",
+            b"x-deadline",
+            b"x-tenant",
+            b"x-retry",
+            b"x-cost-hint",
+        ),
+        read_last=(*_LENGTH_HEADERS, b"expect"),
+        # The last two are written anew for each attempt, or handled by the balancer itself.
+        not_forwarded=(*HOP_BY_HOP_HEADERS, b"x-deadline", b"expect"),
     )
-    _READ_LAST = _LENGTH_HEADERS | {b"expect"}
-    # The last two are written anew for each attempt, or handled by the balancer itself.
-    _NOT_FORWARDED = HOP_BY_HOP_HEADERS | {b"x-deadline", b"expect"}
 
     def __init__(self) -> None:
         super().__init__()
--- a/loadbalancer/net/upstream_attempt.py
+++ b/loadbalancer/net/upstream_attempt.py
@@ -156,6 +156,8 @@
 
         What was written and waits in the kernel is withdrawn, too; it counts as one that may have run.
         """
+        if self._is_over:
+            return
         if not self._is_written():
             self._end(outcome)
         elif self._connection is not None and self._connection.has_unsent_bytes():
