--- a/loadbalancer/net/downstream_listener.py
+++ b/loadbalancer/net/downstream_listener.py
@@ -121,15 +121,22 @@
     def _start_reading(self) -> None:
         if not (self._is_accepting or self._has_successor) and self.listening_socket.fileno() >= 0:
             self._is_accepting = True
-            self.loop.add_reader(self.listening_socket, self._accept)
+            self.loop.add_reader(self.listening_socket, self._accept_in_turn)
 
     def _stop_reading(self) -> None:
         if self._is_accepting:
             self._is_accepting = False
             self.loop.remove_reader(self.listening_socket)
 
-    def _accept(self, max_accepts: int = MAX_ACCEPTS_PER_TURN) -> bool:
+    def _accept_in_turn(self) -> None:
+        """Accept as many pending connections as one turn of the event loop has time for."""
+        self._accept_up_to(MAX_ACCEPTS_PER_TURN)
+
+    def _accept(self) -> bool:
         """Accept pending connections up to the limit; return whether the kernel's queue is empty then."""
+        return self._accept_up_to(self.max_connections)
+
+    def _accept_up_to(self, max_accepts: int) -> bool:
         accepts = 0
         discards = 0
         while len(self._connections) < self.max_connections:
@@ -208,7 +215,7 @@
     async def _accept_last_connections(self, started_s: float, span_s: float) -> None:
         while not self._has_successor and time.monotonic() - started_s < SHUTDOWN_ACCEPT_S:
             await asyncio.sleep(SHUTDOWN_POLL_INTERVAL_S)
-        while not self._has_successor and not self._accept(self.max_connections):
+        while not self._has_successor and not self._accept():
             if time.monotonic() - started_s >= SHUTDOWN_ACCEPT_S + span_s:
                 break
             await asyncio.sleep(SHUTDOWN_POLL_INTERVAL_S)
