--- a/tests/test_departed_clients.py
+++ b/tests/test_departed_clients.py
@@ -175,6 +175,42 @@
     run_scenario(scenario())
 
 
+SLOTS = 120  # more than the upstream of the harness gets at once
+
+
+def test_commands_of_one_id_that_wait_at_the_same_time_run_once() -> None:
+    """Guards against looking at an id only when its request arrives, and not when it is sent."""
+
+    async def scenario() -> None:
+        gate = asyncio.Event()
+
+        async def wait_for_gate(_: HttpMessage, writer: asyncio.StreamWriter) -> None:
+            await gate.wait()
+            writer.write(http_response())
+
+        upstream = Upstream(wait_for_gate)
+        async with ProxyHarness(upstream) as harness:
+            requests = harness.proxy.balancer._requests
+            holders = [await harness.connect() for _ in range(SLOTS)]
+            for number, holder in enumerate(holders):
+                holder.send_request("/pay/x", b"body", x_request_id=f"holder-{number}")
+                await wait_until(lambda: len(upstream.requests) + len(requests.wait_queue) > number)  # noqa: B023
+                if requests.wait_queue:
+                    break
+            repeated = [await harness.connect() for _ in range(2)]
+            for client in repeated:
+                client.send_request("/pay/x", b"body", x_request_id="command-1")
+            await wait_until(lambda: len(requests.wait_queue) == 3)
+            gate.set()
+            statuses = sorted([status_of(await client.read_response()) for client in repeated])
+            sent = [r.headers["x-request-id"] for r in upstream.requests]
+            assert sent.count("command-1") == 1
+            assert statuses[0] == 200
+            assert statuses[1] not in (200, 429, 503)
+
+    run_scenario(scenario())
+
+
 def test_a_command_that_never_ran_may_come_again_under_its_id() -> None:
     """Guards against refusing a repeat of what was rejected with nothing sent."""
 
--- /dev/null
+++ b/tests/test_late_reads.py
@@ -0,0 +1,118 @@
+"""Requests that were written long before the program reads them, as it was held up or had no time to accept.
+
+The program is stopped by a signal while its clients write, as on a machine that gives it no processor.
+"""
+
+from __future__ import annotations
+
+import asyncio
+import signal
+import socket
+import time
+from pathlib import Path
+
+import pytest
+
+from tests.loopback import HttpMessage, http_response
+from tests.real_processes import RunningProgram, run_play, running_balancer
+
+HELD_UP_S = 0.6
+DEADLINE_S = 2.0
+SLACK_S = 0.15  # that the deadline told to a server may exceed what its client has left
+MAX_LATE_START_S = 0.1
+SEND_BUFFER_BYTES = 4_000_000
+PIPELINED = 2_000
+GET = b"GET /read/x HTTP/1.1\r\nHost: h\r\nX-Class: read\r\nX-Request-Id: %d\r\nX-Deadline: %dm\r\n%b\r\n"
+each_connection = pytest.mark.parametrize("connection", ["new", "kept"])
+
+
+def request(number: int, padding: int = 0) -> bytes:
+    """Return a request."""
+    return GET % (number, DEADLINE_S * 1_000, b"X-Pad: %b\r\n" % (b"p" * padding))
+
+
+async def open_connection(program: RunningProgram, connection: str) -> socket.socket:
+    """Return a connected socket, one that has been used before if it is a kept connection."""
+    loop = asyncio.get_running_loop()
+    opened = socket.socket()
+    opened.setsockopt(socket.SOL_SOCKET, socket.SO_SNDBUF, SEND_BUFFER_BYTES)
+    opened.settimeout(0)
+    await loop.sock_connect(opened, ("127.0.0.1", program.port))
+    if connection == "kept":
+        await loop.sock_sendall(opened, request(0))
+        assert b"200 OK" in await loop.sock_recv(opened, 65_536)
+    return opened
+
+
+class Hold:
+    """Stops the program for `HELD_UP_S`."""
+
+    def __init__(self, program: RunningProgram) -> None:
+        self._program = program
+
+    async def __aenter__(self) -> None:
+        self._program.process.send_signal(signal.SIGSTOP)
+
+    async def __aexit__(self, *_: object) -> None:
+        await asyncio.sleep(HELD_UP_S)
+        self._program.process.send_signal(signal.SIGCONT)
+
+
+@each_connection
+def test_the_deadline_told_to_a_server_is_what_a_client_has_left_that_waited_unread(
+    connection: str, tmp_path: Path
+) -> None:
+    """Guards against a deadline that counts from the reading of a request, and not from its writing."""
+    told_ends_s: list[float] = []
+
+    async def record(received: HttpMessage, writer: asyncio.StreamWriter) -> None:
+        told_ends_s.append(time.monotonic() + int(received.headers["x-deadline"][:-1]) / 1_000_000)
+        writer.write(http_response())
+
+    async def play() -> None:
+        loop = asyncio.get_running_loop()
+        async with running_balancer(tmp_path, record) as program:
+            if connection == "kept":
+                opened = await open_connection(program, connection)
+            async with Hold(program):
+                if connection == "new":
+                    opened = await open_connection(program, connection)
+                told_ends_s.clear()
+                await loop.sock_sendall(opened, request(1))
+                written_s = time.monotonic()
+            assert b"200 OK" in await loop.sock_recv(opened, 65_536)
+            opened.close()
+        assert len(told_ends_s) == 1
+        assert told_ends_s[0] <= written_s + DEADLINE_S + SLACK_S
+
+    run_play(play())
+
+
+@each_connection
+@pytest.mark.parametrize("padding", [0, 3_000])
+def test_nothing_begins_for_a_client_that_left_while_the_program_was_held_up(
+    padding: int, connection: str, tmp_path: Path
+) -> None:
+    """Guards against requests whose client's close lies behind more than a receive window holds."""
+    begun_s: list[float] = []
+
+    async def record(_: HttpMessage, writer: asyncio.StreamWriter) -> None:
+        begun_s.append(time.monotonic())
+        writer.write(http_response())
+
+    async def play() -> None:
+        async with running_balancer(tmp_path, record) as program:
+            if connection == "kept":
+                opened = await open_connection(program, connection)
+            async with Hold(program):
+                if connection == "new":
+                    opened = await open_connection(program, connection)
+                begun_s.clear()
+                data = b"".join(request(number, padding) for number in range(PIPELINED))
+                assert opened.send(data) > 150_000
+                opened.close()
+                closed_s = time.monotonic()
+            await asyncio.sleep(HELD_UP_S)
+        assert [t - closed_s for t in begun_s if t > closed_s + MAX_LATE_START_S] == []
+
+    run_play(play())
--- a/tests/test_memory_limit.py
+++ b/tests/test_memory_limit.py
@@ -28,12 +28,21 @@
 DEADLINE_S = 2.0
 FIELDS = b"X: y\r\n"
 HEAD = b"POST /read/x HTTP/1.1\r\nHost: h\r\nX-Class: read\r\nX-Request-Id: %d\r\nX-Deadline: 3000m\r\n"
+ONE_CHUNK = b"Transfer-Encoding: chunked\r\n\r\n1\r\na\r\n0\r\n"  # up to the trailers
+LONG_TRAILER_BYTES = 1_000_000
 LONG_RESPONSE_BYTES = 60_000
 
 Writer = asyncio.StreamWriter
 Client = Callable[[Writer, int], Awaitable[None]]
 
 
+async def write_slowly(writer: Writer, data: bytes) -> None:
+    """Write no faster than the balancer reads."""
+    for start in range(0, len(data), 65_536):
+        writer.write(data[start : start + 65_536])
+        await writer.drain()
+
+
 async def many_fields_unfinished(writer: Writer, number: int) -> None:
     """Send a head of very many short fields without its end."""
     writer.write(HEAD % number + FIELDS * 1_700)
@@ -92,6 +101,22 @@
     writer.write(HEAD % number + b"Transfer-Encoding: chunked\r\n\r\n1;" + b"e" * 200_000)
 
 
+async def long_trailer(writer: Writer, number: int) -> None:
+    """Send one long value in the trailers of a chunked body without its end."""
+    await write_slowly(writer, HEAD % number + ONE_CHUNK + b"X: " + b"y" * LONG_TRAILER_BYTES)
+
+
+async def long_trailer_name(writer: Writer, number: int) -> None:
+    """Send one long name in the trailers of a chunked body without its end."""
+    await write_slowly(writer, HEAD % number + ONE_CHUNK + b"y" * LONG_TRAILER_BYTES)
+
+
+async def long_tenants(writer: Writer, number: int) -> None:
+    """Send many requests with a long tenant each at once."""
+    request = HEAD % number + b"X-Tenant: " + b"t" * 60_000 + b"\r\n\r\n"
+    await write_slowly(writer, request * 20)
+
+
 async def nothing(writer: Writer, number: int) -> None:
     """Send nothing."""
 
@@ -154,6 +179,9 @@
         long_heads,
         endless_trailers,
         endless_extension,
+        long_trailer,
+        long_trailer_name,
+        long_tenants,
         nothing,
         half_a_body,
         half_a_long_body,
@@ -183,6 +211,51 @@
     run_play(scenario())
 
 
+UNFINISHED_RESPONSES = {
+    "head": b"HTTP/1.1 200 OK\r\nX: " + b"y" * 62_000,
+    "fields": b"HTTP/1.1 200 OK\r\n" + FIELDS * 1_700,
+    "trailer": b"HTTP/1.1 200 OK\r\n" + ONE_CHUNK + b"X: " + b"y" * LONG_TRAILER_BYTES,
+    "body": b"HTTP/1.1 200 OK\r\nContent-Length: 65000\r\nX: " + b"y" * 60_000 + b"\r\n\r\n" + bytes(64_000),
+    "chunks": b"HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\nX: "
+    + b"y" * 60_000
+    + b"\r\n\r\n"
+    + b"1\r\na\r\n" * 10_000,
+}
+
+
+async def ask_for_unfinished_response(writer: Writer, number: int) -> None:
+    """Ask for a response that does not end."""
+    writer.write((HEAD % number).replace(b"POST /read/x", b"GET /read/unfinished") + b"\r\n")
+
+
+@pytest.mark.parametrize("part", UNFINISHED_RESPONSES)
+def test_hundreds_of_unfinished_responses_stay_within_the_least_memory(part: str, tmp_path: Path) -> None:
+    """Guards against a kill for memory by long heads, trailers and bodies of responses that do not end."""
+
+    async def script(request: HttpMessage, writer: Writer) -> None:
+        if "/read/unfinished" in request.start_line:
+            await write_slowly(writer, UNFINISHED_RESPONSES[part])
+        else:
+            await respond(request, writer)
+
+    async def scenario() -> None:
+        async with running_balancer(tmp_path, script, upstream_count=40, tier=1) as program:
+            writers: list[Writer] = []
+            client = ask_for_unfinished_response
+            held = [asyncio.create_task(hold(program, client, n, writers)) for n in range(CLIENTS)]
+            await asyncio.sleep(HOLD_S / 4)
+            served = await program.sound_clients(SOUND_CLIENTS, HOLD_S / 2 / SOUND_CLIENTS, DEADLINE_S)
+            for task in held:
+                task.cancel()
+            for writer in writers:
+                writer.transport.abort()
+            peak_mb = program.peak_resident_mb()
+        assert peak_mb < LEAST_MEMORY_MB
+        assert [s for s in served if s.status == 0] == []
+
+    run_play(scenario())
+
+
 async def respond_with_many_fields(_: HttpMessage, writer: Writer) -> None:
     """Answer with a head of very many short fields, and with a body that comes late."""
     head = b"HTTP/1.1 200 OK\r\nContent-Length: 50000\r\n" + FIELDS * 1_700 + b"\r\n"
