--- a/tests/test_executed_exchange.py
+++ b/tests/test_executed_exchange.py
@@ -32,7 +32,7 @@
 
 def command(number: int) -> DownstreamRequest:
     """Return a request of a class that must not run twice, as far as its ID is asked for."""
-    return cast(DownstreamRequest, _command(number))
+    return cast(DownstreamRequest, _Command(b"command-%d" % number))
 
 
 def executed_ids() -> ExecutedIds:
