Bound what a client sends of trailers and chunk extensions, and count it as held

The HTTP parser keeps a trailer until its end, and copies it anew with each read; only heads had a limit, and only they counted as held. Now all that comes without a byte of the body counts like a head: at most 64 KiB, in the budget, and shed when the buffers are full.

--- a/loadbalancer/net/downstream_parser.py
+++ b/loadbalancer/net/downstream_parser.py
@@ -55,7 +55,8 @@
         self._is_in_head = False
         self._head = RequestHead()
         self._raw_head_bytes = 0  # as they were fed
-        self._reservation = BufferReservation(connection.buffers)  # of a head that is not complete
+        self._framing_bytes = 0  # of chunk extensions and trailers, since the last byte of the body
+        self._reservation = BufferReservation(connection.buffers)  # of a head or trailer that is not complete
         self._is_released = False
         self.is_receiving = False  # whether a request has begun and not ended
         self.request: DownstreamRequest | None = None  # whose body is incomplete
@@ -83,8 +84,11 @@
         """
         if self._is_in_head and self._raw_head_bytes > MAX_HEAD_BYTES:
             raise InvalidRequestError(431, "headers too large")
+        if self._framing_bytes > MAX_HEAD_BYTES:
+            raise InvalidRequestError(431, "trailers or chunk extensions too large")
         assert self._parser is not None
         parsed_bytes = len(data)
+        body_bytes = self._body_bytes()
         try:
             self._parser.feed_data(data)
         except httptools.HttpParserUpgrade as upgrade:
@@ -95,14 +99,19 @@
             raise InvalidRequestError(rejection.status, rejection.reason) from error
         if self._is_in_head:
             self._raw_head_bytes += len(data)
+        has_body_part = self._body_bytes() != body_bytes
+        self._framing_bytes = 0 if has_body_part or self.request is None else self._framing_bytes + len(data)
         if self.request is not None:
             self.request.body.flush()
-        is_incomplete = self._is_in_head and not self._is_released
-        self._reservation.resize(self._raw_head_bytes if is_incomplete else 0)
+        held_bytes = self._raw_head_bytes if self._is_in_head else self._framing_bytes
+        self._reservation.resize(0 if self._is_released else held_bytes)
         return parsed_bytes
 
+    def _body_bytes(self) -> int:
+        return 0 if self.request is None else self.request.body.received_bytes
+
     def head_bytes(self) -> int:
-        """Return how much memory a head takes that is not complete."""
+        """Return how much memory a head takes that is not complete, or the trailers of a body."""
         return self._reservation.size_bytes
 
     def take_request(self) -> DownstreamRequest | None:
