--- a/loadbalancer/net/downstream_request.py
+++ b/loadbalancer/net/downstream_request.py
@@ -125,7 +125,6 @@
         "request_id",
         "response_source",
         "target",
-        "tenant",
         "version",
         "written_after_s",
     )
@@ -152,7 +151,6 @@
         self.rejection: RequestRejection | None = None  # decided when its head was complete
         self.is_open = True  # until its response is complete, or nobody waits for one
         self.class_name = ""
-        self.tenant: str | None = None
         self.is_retry = False
         self.cost_hint_ms = 0.0
         self.deadline_ms = 0.0
@@ -233,12 +231,16 @@
             return RequestRejection(400, "X-Deadline must be a number above 0 and a unit, m or u")
         self.class_name = class_name
         self.deadline_ms = min(deadline_ms, MAX_DEADLINE_MS)
-        tenant = head.value(b"x-tenant")
-        self.tenant = tenant.decode("latin-1") if tenant else None
         self.is_retry = head.value(b"x-retry") == b"1"
         self.cost_hint_ms = _parse_cost_hint_ms(head.value(b"x-cost-hint"))
         return None
 
+    @property
+    def tenant(self) -> str | None:
+        """The tenant that its client names; decoded when it is asked for, as it may be long."""
+        tenant = self._head.value(b"x-tenant")
+        return tenant.decode("latin-1") if tenant else None
+
     def client_id(self) -> bytes:
         """Return the ID that its client gave it."""
         return self._head.value(b"x-request-id") or b""
@@ -261,9 +263,10 @@
         self.release()
 
     def release(self) -> None:
-        """Drop its head and its body: nothing more is sent of it."""
+        """Drop its head, its target and its body: nothing more is sent of it, and its ID is not asked for."""
         self.body.discard()
-        self._head.release()
+        self._head.release_all()
+        self.target = b""
         self._reservation.resize(0)
 
 
--- a/loadbalancer/net/message_head.py
+++ b/loadbalancer/net/message_head.py
@@ -82,6 +82,11 @@
         """Drop the lines: they are not forwarded any more."""
         self._lines = bytearray()
 
+    def release_all(self) -> None:
+        """Drop the lines and the values: nothing is asked of them any more."""
+        self.release()
+        self._values = {}
+
 
 class RequestHead(MessageHead):
     """The target and the headers of a request."""
@@ -115,6 +120,11 @@
         """Return about how much memory it takes."""
         return len(self.target) + super().memory_bytes()
 
+    def release_all(self) -> None:
+        """Drop all of it: nothing is asked of it any more."""
+        super().release_all()
+        self.target = b""
+
 
 class ResponseHead(MessageHead):
     """The status and the headers of a response."""
--- a/loadbalancer/net/request_intake.py
+++ b/loadbalancer/net/request_intake.py
@@ -27,13 +27,14 @@
             downstream.release()
             downstream.send_response(503)
             return
-        if self._requests.reject_repeat(downstream):
+        if self._requests.may_be_repeat(downstream):
             self._log.event(
                 "repeated_id",
                 "a request was rejected, as one of its ID may have run",
                 id=downstream.printable_id(),
                 request_class=downstream.class_name,
             )
+            self._requests.reject_repeat(downstream)
             return
         request = self._requests.add(downstream)
         self._requests.start_safety_timer(request)
--- a/loadbalancer/net/request_table.py
+++ b/loadbalancer/net/request_table.py
@@ -92,16 +92,17 @@
         self._counters.record_request()
         return request
 
-    def reject_repeat(self, downstream: DownstreamRequest) -> bool:
-        """Answer a request that must not run if one of its ID may have run before; return whether it was."""
-        if not self._executed.may_have_run(downstream):
-            return False
+    def may_be_repeat(self, downstream: DownstreamRequest) -> bool:
+        """Return whether a request of its ID may have run before, and this one must not run."""
+        return self._executed.may_have_run(downstream)
+
+    def reject_repeat(self, downstream: DownstreamRequest) -> None:
+        """Answer a request that must not run, as one of its ID may have run before."""
         self._counters.record_request()
         self._counters.record_response(downstream.class_name, HTTPStatus.CONFLICT)
         self._counters.record_close(CloseReason.REPEATED_ID)
         downstream.release()
         downstream.send_response(HTTPStatus.CONFLICT, body=REPEATED_ID_TEXT)
-        return True
 
     def record_sent(self, downstream: DownstreamRequest) -> None:
         """Record that an attempt of a request begins."""
