Read one buffer of a connection once a turn is over, and parse responses in pieces

The transport reads up to 32 buffers of each connection in one wake-up of the loop, 2 MB of each; and a read of tiny chunks, interim responses or short fields of a server was parsed to its end. Now a connection that has filled its buffer reads on in a later turn once such reads have taken 2 ms, and responses are parsed like requests: in pieces of 4 KiB where small parts may come, for 0.3 ms in a turn. The class: work bounded by what a peer sends, not by a turn.

The five tests of test_reading_turns fail before this; its reads are slow within their handling now, as the turn is timed from there. test_upstream_attempts passes the new parameter.

--- a/loadbalancer/net/downstream_connection.py
+++ b/loadbalancer/net/downstream_connection.py
@@ -82,7 +82,24 @@
         has_open_request = self.reader.has_open_request() and not self.closes_after_body
         if has_open_request and not self.is_client_connected():
             return  # these bytes may complete a request whose client has disconnected right after them
-        self.reader.feed(self.buffers.received(nbytes), is_drained=nbytes < self._offered_bytes)
+        is_drained = nbytes < self._offered_bytes
+        if not is_drained:
+            self._listener.turns.begin_long_read()
+        self.reader.feed(self.buffers.received(nbytes), is_drained=is_drained)
+        if not is_drained and self._listener.turns.is_turn_over():
+            self._read_on_later()
+
+    def _read_on_later(self) -> None:
+        """Leave what else has arrived to a later turn: the transport would read buffer after buffer."""
+        if self._transport is not None and not self._transport.is_closing():
+            self._transport.pause_reading()
+            self._listener.turns.add(self._read_on)
+
+    def _read_on(self) -> None:
+        if self._transport is None or self.is_lost or self._transport.is_closing():
+            return
+        if not self.reader.control.is_paused:
+            self._transport.resume_reading()
 
     def pause_writing(self) -> None:
         """Pause the upstream: the client reads too slowly."""
--- a/loadbalancer/net/downstream_listener.py
+++ b/loadbalancer/net/downstream_listener.py
@@ -70,6 +70,7 @@
         report_error: Callable[[str], None],
         buffers: BufferBudget,
         max_connections: int,
+        turns: TurnQueue,
         listening_socket: socket.socket | None = None,
     ) -> None:
         """`listening_socket` is the one that the predecessor process listened on."""
@@ -77,7 +78,7 @@
         self.handler = handler
         self.report_error = report_error
         self.buffers = buffers
-        self.turns = TurnQueue(loop)
+        self.turns = turns
         self.class_names = frozenset([c.name for c in config.settings.classes])
         self.is_serving = False
         self.is_shutting_down = False
--- a/loadbalancer/net/proxy.py
+++ b/loadbalancer/net/proxy.py
@@ -33,6 +33,7 @@
 from loadbalancer.net.request_table import RequestTable
 from loadbalancer.net.state_transfer import StateTransfer
 from loadbalancer.net.takeover import Takeover
+from loadbalancer.net.turn_queue import TurnQueue
 from loadbalancer.net.upstream_pool import UpstreamPools
 from loadbalancer.policy import Balancer
 from loadbalancer.policy.zones import ZoneStatus
@@ -87,7 +88,8 @@
         self._max_connections = min(
             max_connections_per_side(config.max_sockets), limits.max_connections_per_side
         )
-        self.upstreams = UpstreamPools(config, loop, self.buffers, self._max_connections)
+        self._turns = TurnQueue(loop)
+        self.upstreams = UpstreamPools(config, loop, self.buffers, self._max_connections, self._turns)
         self.executed = ExecutedIds(config.settings.classes, self.clock)
         self.requests = RequestTable(loop, self._counters, self._decisions.dispatch, self.executed)
         self.intake = RequestIntake(self.requests, self._counters, self.log)
@@ -120,6 +122,7 @@
             self.log.exception,
             self.buffers,
             self._max_connections,
+            self._turns,
             listening_socket,
         )
 
--- a/loadbalancer/net/upstream_connection.py
+++ b/loadbalancer/net/upstream_connection.py
@@ -3,14 +3,17 @@
 from __future__ import annotations
 
 import asyncio
+import time
 from typing import Protocol, cast
 
 from loadbalancer.net.http_framing import LAST_CHUNK, LENGTH_NOT_GIVEN, encode_chunk
 from loadbalancer.net.message_body import MAX_BUFFERED_BODY_BYTES, Body, BufferBudget, BufferReservation
 from loadbalancer.net.sockets import peek_socket, reset_on_close, set_no_delay, unsent_bytes
+from loadbalancer.net.turn_queue import TurnQueue
 from loadbalancer.net.upstream_response import RESPONSE_ERRORS, ResponseReader
 
 SUCCESS_STATUS = 200
+MAX_PARSE_S = 0.0003  # in one turn of the loop, after which only a piece that has begun is finished
 # A response of unknown length is buffered for at most this long before it is streamed.
 MAX_RESPONSE_BUFFERING_S = 0.05
 
@@ -48,6 +51,7 @@
 
     loop: asyncio.AbstractEventLoop
     buffers: BufferBudget
+    turns: TurnQueue
 
     def on_connection_opened(self) -> None:
         """Count a connection."""
@@ -76,7 +80,10 @@
         self._reader: ResponseReader | None = None
         self._streaming_timer: asyncio.TimerHandle | None = None
         self._is_writing_paused = False
-        self._is_reading_paused = False
+        self._offered_bytes = 0  # for the next read
+        self._unparsed = b""  # received, for a later turn of the loop
+        self._is_client_behind = False  # whether the response waits for its client
+        self._is_turn_over = False  # whether reading waits for a later turn
         self._is_body_ended = False
         self._is_written = False
         self._is_closed = False
@@ -167,7 +174,9 @@
 
     def get_buffer(self, sizehint: int) -> memoryview:
         """Return the buffer to read into."""
-        return self._budget.receive_buffer()
+        buffer = self._budget.receive_buffer()
+        self._offered_bytes = len(buffer)
+        return buffer
 
     def buffer_updated(self, nbytes: int) -> None:
         """Parse received bytes; anything but a valid response fails the attempt or closes the connection."""
@@ -176,13 +185,52 @@
             self.close()
             return
         attempt.on_progress()
+        is_long_read = nbytes == self._offered_bytes
+        if is_long_read:
+            self._pool.turns.begin_long_read()
+        self._parse(attempt, reader, self._budget.received(nbytes))
+        # The transport would read buffer after buffer.
+        self._is_turn_over = is_long_read and self._pool.turns.is_turn_over()
+        self._update_reading()
+
+    def _parse(self, attempt: ConnectionUser, reader: ResponseReader, data: memoryview) -> None:
+        """Parse what one turn has time for; the rest waits for a later one."""
+        ends_s = time.monotonic() + MAX_PARSE_S
         try:
-            reader.feed(self._budget.received(nbytes))
+            while data and not reader.is_complete:
+                piece = data[: reader.piece_bytes()]
+                reader.feed(piece)
+                data = data[len(piece) :]
+                if time.monotonic() >= ends_s:
+                    break
         except RESPONSE_ERRORS:
             attempt.on_connection_failed()
             return
+        if reader.is_complete and data:
+            reader.is_reusable = False  # nobody has asked for what follows
+        self._unparsed = b"" if reader.is_complete else bytes(data)
         self._handle_response(attempt, reader)
 
+    def _continue(self) -> None:
+        """Go on in a later turn with what has been received, then read on."""
+        self._is_turn_over = False
+        attempt, reader = self._attempt, self._reader
+        if attempt is not None and reader is not None and self._unparsed and not self._is_client_behind:
+            self._parse(attempt, reader, memoryview(self._unparsed))
+        self._update_reading()
+
+    def _update_reading(self) -> None:
+        """Read unless the client is behind, or bytes or others wait for their turn."""
+        if self._transport is None or self._transport.is_closing():
+            return
+        is_deferred = bool(self._unparsed) or self._is_turn_over
+        if is_deferred or self._is_client_behind:
+            self._transport.pause_reading()
+        else:
+            self._transport.resume_reading()
+        if is_deferred and not self._is_client_behind:
+            self._pool.turns.add(self._continue)
+
     def _handle_response(self, attempt: ConnectionUser, reader: ResponseReader) -> None:
         """Stream, buffer or complete a response, as far as it has arrived."""
         if attempt.is_streaming():
@@ -200,7 +248,7 @@
                     MAX_RESPONSE_BUFFERING_S, self._on_buffering_timeout
                 )
                 attempt.on_response_begun()
-        self._unread.resize(reader.held_bytes())
+        self._unread.resize(reader.held_bytes() + len(self._unparsed))
         if reader.is_complete and self._attempt is attempt:
             attempt.on_response_completed(reader)
 
@@ -209,7 +257,7 @@
         self._streaming_timer = None
         if attempt is not None and reader is not None and reader.buffered_bytes:
             attempt.start_streaming(reader)
-            self._unread.resize(reader.held_bytes())
+            self._unread.resize(reader.held_bytes() + len(self._unparsed))
 
     def start_streaming(self) -> bool:
         """Stream a response that has begun and whose length is not known; return whether there is one."""
@@ -220,20 +268,19 @@
             return False
         if not attempt.is_streaming():
             attempt.start_streaming(reader)
-            self._unread.resize(reader.held_bytes())
+            self._unread.resize(reader.held_bytes() + len(self._unparsed))
         return True
 
     def pause(self) -> None:
         """Read no more for now."""
-        if not self._is_reading_paused and self._transport is not None and not self._transport.is_closing():
-            self._is_reading_paused = True
-            self._transport.pause_reading()
+        self._is_client_behind = True
+        self._update_reading()
 
     def resume(self) -> None:
         """Read again."""
-        if self._is_reading_paused and self._transport is not None and not self._transport.is_closing():
-            self._is_reading_paused = False
-            self._transport.resume_reading()
+        if self._is_client_behind:
+            self._is_client_behind = False
+            self._update_reading()
 
     def eof_received(self) -> None:
         """Handle the upstream's end of file, which may end its response; the transport then closes itself."""
@@ -252,6 +299,7 @@
     def release(self, *, reuse: bool) -> None:
         """Detach the attempt; return the connection to its pool if `reuse` and it is clean, else close it."""
         self._attempt = None
+        self._unparsed = b""
         if self._body is not None and not self._body.is_complete:
             self._body.discard()
             self._body.on_sink_ready()
--- a/loadbalancer/net/upstream_pool.py
+++ b/loadbalancer/net/upstream_pool.py
@@ -11,6 +11,7 @@
 from loadbalancer.net.address import Address
 from loadbalancer.net.config import AddressedEndpoint, Config, EndpointList
 from loadbalancer.net.message_body import BufferBudget
+from loadbalancer.net.turn_queue import TurnQueue
 from loadbalancer.net.upstream_attempt import Attempt, AttemptHandler
 from loadbalancer.net.upstream_connection import UpstreamConnection
 
@@ -28,6 +29,7 @@
     def __init__(self, pools: UpstreamPools, server: str, address: Address, started_at_ms: float) -> None:
         self.loop = pools.loop
         self.buffers = pools.buffers
+        self.turns = pools.turns
         self.connect_timeout_s = pools.config.connect_timeout_ms / 1000
         self._pools = pools
         self.server = server
@@ -112,10 +114,12 @@
         loop: asyncio.AbstractEventLoop,
         buffers: BufferBudget,
         max_connections: int,
+        turns: TurnQueue,
     ) -> None:
         self.config = config
         self.loop = loop
         self.buffers = buffers
+        self.turns = turns
         self.max_idle_s = IDLE_LIMIT_FRACTION * config.idle_timeout_ms / 1000
         self.open_connections = 0
         self.max_connections = max_connections
--- a/loadbalancer/net/upstream_response.py
+++ b/loadbalancer/net/upstream_response.py
@@ -14,6 +14,7 @@
 )
 from loadbalancer.net.message_head import ResponseHead
 
+MAX_PIECE_BYTES = 4_096  # that are parsed at once of heads and chunks
 RESPONSE_ERRORS = (httptools.HttpParserError, httptools.HttpParserUpgrade, FramingError)
 """What a reader raises on an invalid response."""
 
@@ -63,21 +64,33 @@
         self.buffered_bytes = 0  # of the body: received and not taken yet
         self._body = bytearray()  # what has not been taken yet
         self._raw_head_bytes = 0  # as fed to the parser
+        self._framing_bytes = 0  # of chunk extensions and trailers, since the last byte of the body
         self._header_bytes = 0  # of all heads, those of interim responses included
         self._body_bytes = 0
 
+    def piece_bytes(self) -> int:
+        """Return how many bytes to feed at the most at once: few where many small parts may come."""
+        if not self.has_head or self.length is None:
+            return MAX_PIECE_BYTES
+        return MAX_BODY_BYTES if self.length == LENGTH_NOT_GIVEN else max(self.length - self._body_bytes, 1)
+
     def feed(self, data: bytes | memoryview) -> bool:
         """Parse bytes; return whether the response is complete. Raises one of `RESPONSE_ERRORS`."""
         if not self.has_head and self._raw_head_bytes > MAX_HEAD_BYTES:
             raise MessageTooLargeError("headers too large")
+        if self._framing_bytes > MAX_HEAD_BYTES:
+            raise MessageTooLargeError("trailers or chunk extensions too large")
         if self._parser is None:
             raise FramingError("the connection has ended")
+        body_bytes = self._body_bytes
         try:
             self._parser.feed_data(data)
         except httptools.HttpParserCallbackError as error:
             raise error.__context__ or error from None
         if not self.has_head:
             self._raw_head_bytes += len(data)
+        is_framing = self.has_head and not self.is_complete and self._body_bytes == body_bytes
+        self._framing_bytes = self._framing_bytes + len(data) if is_framing else 0
         return self.is_complete
 
     def feed_eof(self) -> bool:
@@ -100,7 +113,7 @@
     def held_bytes(self) -> int:
         """Return about how much memory the response takes as far as it has arrived."""
         head_bytes = self._head.memory_bytes() if self.has_head else self._raw_head_bytes
-        return head_bytes + self.buffered_bytes
+        return head_bytes + self._framing_bytes + self.buffered_bytes
 
     def take_body(self) -> bytes:
         """Return the part of the body that has arrived since the last call."""
--- a/tests/test_reading_turns.py
+++ b/tests/test_reading_turns.py
@@ -12,7 +12,7 @@
 
 from loadbalancer.net import turn_queue
 from loadbalancer.net.downstream_connection import DownstreamConnection
-from loadbalancer.net.message_body import MAX_READ_BYTES
+from loadbalancer.net.message_body import MAX_READ_BYTES, BufferBudget
 from loadbalancer.net.upstream_connection import UpstreamConnection
 from loadbalancer.net.upstream_response import ResponseReader
 from tests.http_messages import LONG_BODY, head
@@ -31,14 +31,20 @@
     order: list[str] = []
     buffer_updated = connections.buffer_updated
 
-    def slow(connection: Any, nbytes: int) -> None:
+    def recorded(connection: Any, nbytes: int) -> None:
         if not order:
             tick(asyncio.get_running_loop(), order)
         order.append(READ)
-        time.sleep(SLOW_READ_S)
         buffer_updated(connection, nbytes)
 
-    monkeypatch.setattr(connections, "buffer_updated", slow)
+    received = BufferBudget.received
+
+    def slow(budget: BufferBudget, count: int) -> memoryview:
+        time.sleep(SLOW_READ_S)
+        return received(budget, count)
+
+    monkeypatch.setattr(connections, "buffer_updated", recorded)
+    monkeypatch.setattr(BufferBudget, "received", slow)
     return order
 
 
--- a/tests/test_upstream_attempts.py
+++ b/tests/test_upstream_attempts.py
@@ -13,6 +13,7 @@
 from loadbalancer.interface import Outcome
 from loadbalancer.net.config_reader import read_config
 from loadbalancer.net.message_body import BufferBudget
+from loadbalancer.net.turn_queue import TurnQueue
 from loadbalancer.net.upstream_attempt import Attempt, AttemptHandler
 from loadbalancer.net.upstream_pool import UpstreamPools
 from loadbalancer.net.upstream_response import UpstreamResponse
@@ -35,9 +36,9 @@
     base = {"attemptsCap": 3, "connIdle": 60_000.0, "connectTimeout": 200.0}
     more: dict[str, Any] = {"contract": contract} if contract else {}
     text = config_text("127.0.0.1:9", [], limits=base | limits, **more)
-    upstreams = UpstreamPools(
-        read_config(text, lambda note: None), asyncio.get_running_loop(), BufferBudget(1_000_000), 500
-    )
+    loop = asyncio.get_running_loop()
+    config = read_config(text, lambda note: None)
+    upstreams = UpstreamPools(config, loop, BufferBudget(1_000_000), 500, TurnQueue(loop))
     upstreams.update_endpoints(endpoint_list(endpoint_entry("s0", address)))
     return upstreams
 
