Bound what responses hold whose head or trailers are long, and drop a head once it is forwarded

Heads of responses were counted and bounded by nothing, a trailer was kept whole, a forwarded head stayed as long as its body came, and a long head without a body was held until its timer. Now long heads and trailers that are incomplete are given up while the buffers are full, the oldest first (such an attempt counts as reset); a response with a long head streams at once then; a head is dropped when it has been forwarded. How many were given up is a metric.

--- a/loadbalancer/net/metrics.py
+++ b/loadbalancer/net/metrics.py
@@ -39,6 +39,9 @@
     "irondrum_client_connections": Metric("gauge", "Connections of clients."),
     "irondrum_buffered_bytes": Metric("gauge", "Bytes held for clients and upstreams."),
     "irondrum_buffer_limit_bytes": Metric("gauge", "From so many bytes on, input is held back or rejected."),
+    "irondrum_response_heads_shed_total": Metric(
+        "counter", "Responses given up for the memory of their head or trailers."
+    ),
     "irondrum_resident_bytes": Metric("gauge", "Resident memory of this process."),
 }
 
@@ -77,6 +80,7 @@
         "irondrum_client_connections": [("", resources.client_connections)],
         "irondrum_buffered_bytes": [("", resources.buffered_bytes)],
         "irondrum_buffer_limit_bytes": [("", resources.buffer_limit_bytes)],
+        "irondrum_response_heads_shed_total": [("", resources.shed_response_heads)],
         "irondrum_resident_bytes": [("", resources.resident_bytes)],
         "irondrum_log_lines_left_out_total": [("", dropped_log_lines)],
     }
--- a/loadbalancer/net/proxy.py
+++ b/loadbalancer/net/proxy.py
@@ -249,6 +249,7 @@
             buffered_bytes=self.buffers.used_bytes,
             buffer_limit_bytes=self.buffers.max_bytes,
             resident_bytes=resident_bytes(),
+            shed_response_heads=self.upstreams.long_heads.shed_count,
         )
 
     def membership_report(self) -> MembershipReport | None:
--- a/loadbalancer/net/reports.py
+++ b/loadbalancer/net/reports.py
@@ -38,6 +38,8 @@
     buffer_limit_bytes: int
     resident_bytes: int
     """0 if the kernel does not tell."""
+    shed_response_heads: int
+    """Responses that were given up for the memory of their head or trailers."""
 
 
 @dataclass(frozen=True, slots=True)
--- a/loadbalancer/net/request_attempts.py
+++ b/loadbalancer/net/request_attempts.py
@@ -146,6 +146,7 @@
         request.streaming_attempt = attempt
         request.cancel_safety_timer()
         request.downstream.start_response(attempt, answer.head.forwarded_lines(), answer.length)
+        answer.head.release()
         if answer.body:  # an empty chunk would end the response
             request.downstream.send_body_part(answer.body)
         self._requests.dispatch(request, interface.ResponseStarted(request.id, index))
--- a/loadbalancer/net/upstream_connection.py
+++ b/loadbalancer/net/upstream_connection.py
@@ -7,6 +7,7 @@
 from typing import Protocol, cast
 
 from loadbalancer.net.http_framing import LAST_CHUNK, LENGTH_NOT_GIVEN, encode_chunk
+from loadbalancer.net.long_heads import LongHeads
 from loadbalancer.net.message_body import MAX_BUFFERED_BODY_BYTES, Body, BufferBudget, BufferReservation
 from loadbalancer.net.sockets import peek_socket, reset_on_close, set_no_delay, unsent_bytes
 from loadbalancer.net.turn_queue import TurnQueue
@@ -52,6 +53,7 @@
     loop: asyncio.AbstractEventLoop
     buffers: BufferBudget
     turns: TurnQueue
+    long_heads: LongHeads
 
     def on_connection_opened(self) -> None:
         """Count a connection."""
@@ -236,12 +238,11 @@
         if attempt.is_streaming():
             attempt.stream(reader.take_body())
         elif not reader.is_complete and reader.has_head:
-            size_bytes = max(reader.buffered_bytes, reader.length or 0)
             if reader.status != SUCCESS_STATUS:
-                if size_bytes > MAX_BUFFERED_BODY_BYTES:
+                if self._is_too_much_to_hold(reader):
                     attempt.on_response_completed(reader)  # the rest of it is not needed
                     return
-            elif size_bytes > MAX_BUFFERED_BODY_BYTES or (reader.buffered_bytes and self._budget.is_full()):
+            elif self._is_too_much_to_hold(reader):
                 attempt.start_streaming(reader)
             elif reader.length in (None, LENGTH_NOT_GIVEN) and self._streaming_timer is None:
                 self._streaming_timer = self._pool.loop.call_later(
@@ -249,9 +250,21 @@
                 )
                 attempt.on_response_begun()
         self._unread.resize(reader.held_bytes() + len(self._unparsed))
+        self._pool.long_heads.update(self, 0 if reader.is_complete else reader.parser_bytes())
         if reader.is_complete and self._attempt is attempt:
             attempt.on_response_completed(reader)
 
+    def _is_too_much_to_hold(self, reader: ResponseReader) -> bool:
+        """Return whether a response should not be buffered until it is complete."""
+        if max(reader.buffered_bytes, reader.length or 0) > MAX_BUFFERED_BODY_BYTES:
+            return True
+        return self._budget.is_full() and (reader.buffered_bytes > 0 or reader.has_long_head())
+
+    def shed(self) -> None:
+        """Fail the attempt: the memory that its response takes is needed."""
+        if self._attempt is not None:
+            self._attempt.on_connection_failed()
+
     def _on_buffering_timeout(self) -> None:
         attempt, reader = self._attempt, self._reader
         self._streaming_timer = None
@@ -300,6 +313,7 @@
         """Detach the attempt; return the connection to its pool if `reuse` and it is clean, else close it."""
         self._attempt = None
         self._unparsed = b""
+        self._pool.long_heads.update(self, 0)
         if self._body is not None and not self._body.is_complete:
             self._body.discard()
             self._body.on_sink_ready()
--- a/loadbalancer/net/upstream_pool.py
+++ b/loadbalancer/net/upstream_pool.py
@@ -10,6 +10,7 @@
 from loadbalancer.interface import Readiness
 from loadbalancer.net.address import Address
 from loadbalancer.net.config import AddressedEndpoint, Config, EndpointList
+from loadbalancer.net.long_heads import LongHeads
 from loadbalancer.net.message_body import BufferBudget
 from loadbalancer.net.turn_queue import TurnQueue
 from loadbalancer.net.upstream_attempt import Attempt, AttemptHandler
@@ -30,6 +31,7 @@
         self.loop = pools.loop
         self.buffers = pools.buffers
         self.turns = pools.turns
+        self.long_heads = pools.long_heads
         self.connect_timeout_s = pools.config.connect_timeout_ms / 1000
         self._pools = pools
         self.server = server
@@ -120,6 +122,7 @@
         self.loop = loop
         self.buffers = buffers
         self.turns = turns
+        self.long_heads = LongHeads(buffers)
         self.max_idle_s = IDLE_LIMIT_FRACTION * config.idle_timeout_ms / 1000
         self.open_connections = 0
         self.max_connections = max_connections
--- a/loadbalancer/net/upstream_response.py
+++ b/loadbalancer/net/upstream_response.py
@@ -12,6 +12,7 @@
     MessageTooLargeError,
     body_length,
 )
+from loadbalancer.net.memory_limits import MAX_UNSHED_HEAD_BYTES
 from loadbalancer.net.message_head import ResponseHead
 
 MAX_PIECE_BYTES = 4_096  # that are parsed at once of heads and chunks
@@ -112,8 +113,16 @@
 
     def held_bytes(self) -> int:
         """Return about how much memory the response takes as far as it has arrived."""
-        head_bytes = self._head.memory_bytes() if self.has_head else self._raw_head_bytes
-        return head_bytes + self._framing_bytes + self.buffered_bytes
+        head_bytes = self._head.memory_bytes() if self.has_head else 0
+        return head_bytes + self.parser_bytes() + self.buffered_bytes
+
+    def parser_bytes(self) -> int:
+        """Return how much memory a head or a trailer takes that is not complete."""
+        return self._framing_bytes if self.has_head else self._raw_head_bytes
+
+    def has_long_head(self) -> bool:
+        """Return whether the complete head takes so much that it should not be held for long."""
+        return self.has_head and self._head.memory_bytes() > MAX_UNSHED_HEAD_BYTES
 
     def take_body(self) -> bytes:
         """Return the part of the body that has arrived since the last call."""
--- a/tests/test_golden_console.py
+++ b/tests/test_golden_console.py
@@ -25,6 +25,7 @@
     "irondrum_buffered_bytes",
     "irondrum_buffer_limit_bytes",
     "irondrum_resident_bytes",
+    "irondrum_response_heads_shed_total",
 )
 
 
--- a/tests/test_metrics_and_log.py
+++ b/tests/test_metrics_and_log.py
@@ -62,7 +62,7 @@
 def test_class_names_are_escaped() -> None:
     name = 'a"b\\c\nd'
     read = samples(
-        metrics.render(RequestCounters([name]).stats(0, 0), 7, {"alive": 2}, ResourceStats(1, 2, 3, 4))
+        metrics.render(RequestCounters([name]).stats(0, 0), 7, {"alive": 2}, ResourceStats(1, 2, 3, 4, 5))
     )
     assert read["irondrum_requests_total", name, "aborted"] == 0
     assert read["irondrum_log_lines_left_out_total", "", ""] == 7
