Let a request whose body still arrives wait for a slot until its own time begins

With full buffers bodies are streamed before they are complete; one without a slot was rejected after a tenth of its objective, counted from its arrival, though a request's time counts from its last byte. Now the wait is limited from that byte on; until then the limits on its client's sending and on its deadline hold.

--- a/loadbalancer/policy/request_lifecycle.py
+++ b/loadbalancer/policy/request_lifecycle.py
@@ -82,6 +82,7 @@
         if was_waiting:
             self.wait_queue.add(request)
             self.release_waiting(now)
+            self._limit_wait(request)
 
     def handle_response_start(self, event: interface.ResponseStarted, now: float) -> None:
         """Count a streamed response as served from here on, however slowly its client reads."""
@@ -172,8 +173,13 @@
         self.release_waiting(now)
         if len(self.wait_queue) > self._limits.max_waiting:
             self._reject_unsent(self.wait_queue.last(), NO_CAPACITY_TEXT, now)
-        if request.is_waiting:
-            self._actions.append(interface.SetTimer(now + request.max_wait_ms, wait_token(request.id)))
+        self._limit_wait(request)
+
+    def _limit_wait(self, request: Request) -> None:
+        """Set the timer of a waiting request; one whose body still arrives waits at no cost to its client."""
+        if request.is_waiting and request.is_complete:
+            at_ms = request.arrived_at_ms + request.max_wait_ms
+            self._actions.append(interface.SetTimer(at_ms, wait_token(request.id)))
 
     def _can_hedge(self, request: Request, now: float) -> bool:
         """Return whether a second attempt is due, and no other request needs the capacity."""
