Exchange IDs between the processes of an upgrade at once, and along a chain of them

Now a process sends an ID before its attempt begins, reads what has come before it admits a request, and passes on what is new. The class: knowledge that arrives later than what it guards. Two tests of ExecutedRequests asked for unreported IDs, which recording and restoring return now: the same assertions hold of these.

--- a/loadbalancer/net/hot_restart/listener.py
+++ b/loadbalancer/net/hot_restart/listener.py
@@ -9,7 +9,8 @@
 from pathlib import Path
 from typing import Any, Protocol
 
-from loadbalancer.net.hot_restart.executed_exchange import ExecutedExchange, ExecutedSource
+from loadbalancer.net.executed_ids import ExecutedIds
+from loadbalancer.net.hot_restart.executed_exchange import ExecutedExchange
 from loadbalancer.net.hot_restart.protocol import (
     EXCHANGE,
     LISTENER_PADDING,
@@ -43,8 +44,8 @@
     def descriptor_counts(self) -> DescriptorCounts:
         """Return how many descriptors to count for this process, by use."""
 
-    def executed_source(self) -> ExecutedSource:
-        """Return what this process knows of requests that may have run."""
+    def executed_ids(self) -> ExecutedIds:
+        """Return the IDs of requests that may have run, as this process knows them."""
 
 
 class HotRestartListener:
@@ -56,12 +57,6 @@
         self._process = process
         self._socket: socket.socket | None = None
         self._tasks: set[asyncio.Task[None]] = set()
-        self._exchange: ExecutedExchange | None = None  # with the latest process that asked for it
-
-    def on_executed(self) -> None:
-        """Report that a request may have run, if the next process wants to know."""
-        if self._exchange is not None:
-            self._exchange.on_recorded()
 
     def start(self) -> str:
         """Listen in the folder, in place of any earlier process; return the error, or an empty string."""
@@ -103,8 +98,7 @@
             await self._loop.sock_sendall(connection, encode_state(self._process.handover_state()))
             command = await self._loop.sock_recv(connection, len(READY))
             if command == EXCHANGE:
-                self._exchange = ExecutedExchange(connection, self._process.executed_source(), self._loop)
-                await self._exchange.run()
+                await ExecutedExchange(connection, self._process.executed_ids(), self._loop).run()
             if command == READY:
                 self._process.stop_accepting()
                 with suppress(OSError):
--- a/loadbalancer/net/takeover.py
+++ b/loadbalancer/net/takeover.py
@@ -13,7 +13,7 @@
 from loadbalancer.net.endpoint_list import EndpointListFollower
 from loadbalancer.net.executed_ids import ExecutedIds
 from loadbalancer.net.hot_restart import DescriptorCounts, HotRestartListener, Predecessor
-from loadbalancer.net.hot_restart.executed_exchange import ExecutedExchange, ExecutedSource
+from loadbalancer.net.hot_restart.executed_exchange import ExecutedExchange
 from loadbalancer.net.log import Log
 from loadbalancer.net.state_transfer import StateTransfer
 from loadbalancer.net.upstream_pool import UpstreamPools
@@ -51,9 +51,7 @@
         self._max_downstream_connections = downstream.max_connections
         self._max_upstream_connections = upstreams.max_connections
         self._listener = HotRestartListener(folder, loop, self) if folder else None
-        self._exchange: ExecutedExchange | None = None  # with the predecessor
-        self._exchange_task: asyncio.Task[None] | None = None
-        executed.on_recorded = self._on_executed
+        self._exchange_task: asyncio.Task[None] | None = None  # with the predecessor
         self._task: asyncio.Task[None] | None = None
 
     def start(self, predecessor: Predecessor | None, endpoint_list: EndpointListFollower) -> None:
@@ -76,21 +74,14 @@
     async def _take_over(self, predecessor: Predecessor, endpoint_list: EndpointListFollower) -> None:
         """Wait for the endpoint list, have the old process stop accepting, then accept in its place."""
         if predecessor.exchange is not None:
-            self._exchange = ExecutedExchange(predecessor.exchange, self._executed, self._loop)
-            self._exchange_task = self._loop.create_task(self._exchange.run())
+            exchange = ExecutedExchange(predecessor.exchange, self._executed, self._loop)
+            self._exchange_task = self._loop.create_task(exchange.run())
         await endpoint_list.wait_for_first_response()
         self._limit_connections(await predecessor.take_over())
         if not self._downstream.is_shutting_down:
             self._start_serving()
         await predecessor.follow_counts(self._limit_connections)
 
-    def _on_executed(self) -> None:
-        """Report to the other process, if there is one, that a request may have run."""
-        if self._exchange is not None:
-            self._exchange.on_recorded()
-        if self._listener is not None:
-            self._listener.on_executed()
-
     def _limit_connections(self, other_process: DescriptorCounts) -> None:
         """Reduce the connection limits by the counts of the other process."""
         downstream = self._max_downstream_connections - other_process.downstream
@@ -126,8 +117,8 @@
         self._upstreams.max_connections = self._max_upstream_connections
         self._dispatch(interface.TakeoverChanged(False))
 
-    def executed_source(self) -> ExecutedSource:
-        """Return what this process knows of requests that may have run."""
+    def executed_ids(self) -> ExecutedIds:
+        """Return the IDs of requests that may have run, as this process knows them."""
         return self._executed
 
     def descriptor_counts(self) -> DescriptorCounts:
--- a/loadbalancer/policy/executed_requests.py
+++ b/loadbalancer/policy/executed_requests.py
@@ -6,6 +6,7 @@
 
 from __future__ import annotations
 
+import math
 from collections.abc import Iterable
 from typing import NamedTuple
 
@@ -29,7 +30,6 @@
 
     def __init__(self) -> None:
         self._sent_at_ms: dict[bytes, float] = {}  # the oldest first
-        self._unreported: list[bytes] = []
 
     def __len__(self) -> int:
         return len(self._sent_at_ms)
@@ -39,12 +39,11 @@
         sent_at_ms = self._sent_at_ms.get(_shortened(client_id))
         return sent_at_ms is not None and now - sent_at_ms < KEPT_MS
 
-    def record_sent(self, client_id: bytes, now: float) -> None:
-        """Remember an ID from its first attempt on."""
+    def record_sent(self, client_id: bytes, now: float) -> list[ExecutedRequest]:
+        """Remember an ID from its first attempt on; return it, for other processes."""
         key = _shortened(client_id)
         self._remember(key, now)
-        self._unreported.append(key)
-        del self._unreported[:-MAX_REMEMBERED]
+        return [ExecutedRequest(key, 0.0)]
 
     def record_not_run(self, client_id: bytes) -> None:
         """Forget an ID: none of its attempts has run, so that its client may send it again."""
@@ -52,18 +51,18 @@
 
     def export(self, now: float) -> list[ExecutedRequest]:
         """Return all IDs, for another process."""
-        self._unreported.clear()
         return [ExecutedRequest(key, now - sent_at_ms) for key, sent_at_ms in self._sent_at_ms.items()]
 
-    def take_unreported(self, now: float) -> list[ExecutedRequest]:
-        """Return the IDs that were recorded since the last call, or since the last export."""
-        keys, self._unreported = self._unreported, []
-        return [ExecutedRequest(key, now - self._sent_at_ms[key]) for key in keys if key in self._sent_at_ms]
-
-    def restore(self, requests: Iterable[ExecutedRequest], now: float) -> None:
-        """Remember IDs that another process has sent."""
+    def restore(self, requests: Iterable[ExecutedRequest], now: float) -> list[ExecutedRequest]:
+        """Remember IDs that another process has sent; return those that were not known, or as older ones."""
+        added: list[ExecutedRequest] = []
         for request in requests:
-            self._remember(_shortened(request.client_id), now - request.age_ms)
+            key = _shortened(request.client_id)
+            sent_at_ms = now - request.age_ms
+            if sent_at_ms > self._sent_at_ms.get(key, -math.inf):
+                self._remember(key, sent_at_ms)
+                added.append(request)
+        return added
 
     def _remember(self, key: bytes, sent_at_ms: float) -> None:
         self._sent_at_ms.pop(key, None)
--- a/tests/test_executed_requests.py
+++ b/tests/test_executed_requests.py
@@ -33,11 +33,12 @@
     """Guards against memory that grows with the names that clients choose."""
     requests = ExecutedRequests()
     for number in range(3 * MAX_REMEMBERED):
-        requests.record_sent(b"%d" % number, float(number) / 1_000)
+        reported = requests.record_sent(b"%d" % number, float(number) / 1_000)
+        assert len(reported) == 1
     assert len(requests) == MAX_REMEMBERED
     assert not requests.may_have_run(b"0", 20.0)
     assert requests.may_have_run(b"%d" % (3 * MAX_REMEMBERED - 1), 20.0)
-    assert len(requests.take_unreported(20.0)) <= MAX_REMEMBERED
+    assert len(requests.export(20.0)) <= MAX_REMEMBERED
 
 
 def test_long_ids_differ_by_their_ends_and_their_length() -> None:
@@ -53,13 +54,14 @@
 def test_another_process_learns_of_ids_with_their_age() -> None:
     first, second = ExecutedRequests(), ExecutedRequests()
     first.record_sent(b'\xe9\n"', 0.0)
-    second.restore(decode_executed(encode_executed(first.export(10_000.0))), 500.0)
-    first.record_sent(b"b", 10_000.0)
-    second.restore(first.take_unreported(10_000.0), 500.0)
+    exported = decode_executed(encode_executed(first.export(10_000.0)))
+    assert second.restore(exported, 500.0) == exported
+    reported = first.record_sent(b"b", 10_000.0)
+    assert second.restore(reported, 500.0) == reported
     assert second.may_have_run(b'\xe9\n"', 500.0 + KEPT_MS - 10_001)
     assert not second.may_have_run(b'\xe9\n"', 500.0 + KEPT_MS - 10_000)
     assert second.may_have_run(b"b", 501.0)
-    assert first.take_unreported(10_000.0) == []
+    assert second.restore(exported, 500.0) == []
 
 
 @pytest.mark.parametrize("line", [b"[]", b"1", b'{"a": "x"}', b"{", b'{"a": null}'])
