Look at a command's ID again when it is sent, and forget only IDs that its own request recorded

Now the first attempt of a request begins only if no other request of its ID may have run by then, else it is answered with 409; and only the request that recorded an ID removes it. The class: checked at one time, used at another.

--- a/loadbalancer/net/request_attempts.py
+++ b/loadbalancer/net/request_attempts.py
@@ -10,7 +10,7 @@
 from loadbalancer.net.downstream_request import DownstreamRequest
 from loadbalancer.net.log import Log
 from loadbalancer.net.request_counters import RequestCounters
-from loadbalancer.net.request_table import RESPONSE_MARGIN_MS, RequestInFlight, RequestTable
+from loadbalancer.net.request_table import RESPONSE_MARGIN_MS, RequestInFlight, RequestTable, log_repeated_id
 from loadbalancer.net.upstream_attempt import Attempt, AttemptHandler
 from loadbalancer.net.upstream_pool import UpstreamPools
 from loadbalancer.net.upstream_response import UpstreamResponse
@@ -99,10 +99,8 @@
         request.attempts_in_flight += 1
         attempt: Attempt | None = None
         outcome = Outcome.NOT_SENT  # for a request that is closed, or whose body is discarded
-        downstream = request.downstream
-        if request.is_open and not downstream.body.is_discarded and downstream.is_client_connected():
+        if self._can_begin(request):
             handler = RequestAttempt(self, request, action, index)
-            self._requests.record_sent(downstream)
             attempt = self._upstreams.start_attempt(
                 action.server,
                 handler.timeout_ms / 1000,
@@ -115,6 +113,17 @@
         if attempt is None:
             self.on_attempt_ended(request, index, action.server, outcome, None)
 
+    def _can_begin(self, request: RequestInFlight) -> bool:
+        """Return whether an attempt may begin; if it may, its ID is recorded as one that may have run."""
+        downstream = request.downstream
+        if not request.is_open or downstream.body.is_discarded or not downstream.is_client_connected():
+            return False
+        if self._requests.begin_attempt(request):
+            return True
+        log_repeated_id(self._log, downstream)
+        self._requests.reject_late_repeat(request)
+        return False
+
     def cancel(self, action: interface.CancelAttempt) -> None:
         """Cancel an attempt, if it is in flight."""
         request = self._requests.by_id.get(action.request_id)
--- a/loadbalancer/net/request_intake.py
+++ b/loadbalancer/net/request_intake.py
@@ -8,7 +8,7 @@
 from loadbalancer.net.downstream_request import DownstreamRequest
 from loadbalancer.net.log import Log
 from loadbalancer.net.request_counters import CloseReason, RequestCounters
-from loadbalancer.net.request_table import RESPONSE_MARGIN_MS, RequestTable
+from loadbalancer.net.request_table import RESPONSE_MARGIN_MS, RequestTable, log_repeated_id
 
 
 class RequestIntake:
@@ -28,12 +28,7 @@
             downstream.send_response(503)
             return
         if self._requests.may_be_repeat(downstream):
-            self._log.event(
-                "repeated_id",
-                "a request was rejected, as one of its ID may have run",
-                id=downstream.printable_id(),
-                request_class=downstream.class_name,
-            )
+            log_repeated_id(self._log, downstream)
             self._requests.reject_repeat(downstream)
             return
         request = self._requests.add(downstream)
--- a/loadbalancer/net/request_table.py
+++ b/loadbalancer/net/request_table.py
@@ -9,6 +9,7 @@
 from loadbalancer import interface
 from loadbalancer.net.downstream_request import DownstreamRequest
 from loadbalancer.net.executed_ids import ExecutedIds
+from loadbalancer.net.log import Log
 from loadbalancer.net.request_counters import CloseReason, RequestCounters
 from loadbalancer.net.upstream_attempt import Attempt
 
@@ -26,6 +27,7 @@
         "downstream",
         "has_run",
         "id",
+        "is_id_recorded",
         "is_open",
         "pending_events",
         "safety_timer",
@@ -37,6 +39,7 @@
         self.id = request_id
         self.downstream = downstream
         self.attempts: list[Attempt | None] = []
+        self.is_id_recorded = False  # whether its ID is that of a request that may have run, this one
         self.is_open = True  # until its final response, or until its client has disconnected
         self.has_run = False  # whether an attempt that has ended may have run
         self.attempts_in_flight = 0
@@ -65,6 +68,16 @@
             self.safety_timer.cancel()
 
 
+def log_repeated_id(log: Log, downstream: DownstreamRequest) -> None:
+    """Log that a request is rejected, as another one of its ID may have run."""
+    log.event(
+        "repeated_id",
+        "a request was rejected, as one of its ID may have run",
+        id=downstream.printable_id(),
+        request_class=downstream.class_name,
+    )
+
+
 class RequestTable:
     """All requests in flight, by ID."""
 
@@ -104,9 +117,18 @@
         downstream.release()
         downstream.send_response(HTTPStatus.CONFLICT, body=REPEATED_ID_TEXT)
 
-    def record_sent(self, downstream: DownstreamRequest) -> None:
-        """Record that an attempt of a request begins."""
-        self._executed.record_sent(downstream)
+    def begin_attempt(self, request: RequestInFlight) -> bool:
+        """Record that an attempt begins; return False if another request of the ID may have run by now."""
+        if not request.is_id_recorded and self._executed.may_have_run(request.downstream):
+            return False
+        request.is_id_recorded = True
+        self._executed.record_sent(request.downstream)
+        return True
+
+    def reject_late_repeat(self, request: RequestInFlight) -> None:
+        """Answer a request that must not run, as another one of its ID was sent while this one waited."""
+        self._counters.record_close(CloseReason.REPEATED_ID)
+        self.respond(request, HTTPStatus.CONFLICT)
 
     def get_open(self, request_id: int | None) -> RequestInFlight | None:
         """Return the request if it still awaits its response."""
@@ -131,7 +153,7 @@
         """Remove a closed request once no attempt or event is pending."""
         if not (request.is_open or request.attempts_in_flight or request.pending_events):
             self.by_id.pop(request.id, None)
-            if not request.has_run:
+            if request.is_id_recorded and not request.has_run:
                 self._executed.record_not_run(request.downstream)
             request.downstream.release()
 
