Count a request's time from its arrival when the process was held up, or had not accepted it

Now a heartbeat tells since when the loop may not have looked at its sockets, and the listener since when connections wait; within these bounds the kernel tells when the last bytes came (TCP_INFO), and nothing else is asked for where neither is late. The class: a clock that starts when the process gets to it.

--- a/loadbalancer/net/downstream_connection.py
+++ b/loadbalancer/net/downstream_connection.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import asyncio
+import math
 import time
 from collections.abc import Callable
 from typing import Protocol, cast
@@ -11,7 +12,9 @@
 from loadbalancer.net.descriptors import NEW_CONNECTION_GRACE_S
 from loadbalancer.net.downstream_pipeline import PipelineListener, RequestPipeline
 from loadbalancer.net.downstream_presence import ClientPresence
+from loadbalancer.net.downstream_read_lag import NOTICEABLE_LAG_S
 from loadbalancer.net.downstream_reader import RequestReader
+from loadbalancer.net.loop_delay import LoopDelay
 from loadbalancer.net.message_body import BufferBudget
 from loadbalancer.net.sockets import (
     has_peer_closed,
@@ -31,6 +34,7 @@
     loop: asyncio.AbstractEventLoop
     buffers: BufferBudget
     turns: TurnQueue
+    delay: LoopDelay
 
     def on_connection_closed(self, connection: DownstreamConnection) -> None:
         """Remove a closed connection."""
@@ -42,8 +46,10 @@
 class DownstreamConnection(asyncio.BufferedProtocol):
     """One client's connection: its reader feeds its pipeline, which answers requests in turn."""
 
-    def __init__(self, listener: ConnectionListener) -> None:
+    def __init__(self, listener: ConnectionListener, queued_since_s: float = math.inf) -> None:
+        """`queued_since_s` is since when it may have waited to be accepted (monotonic clock)."""
         self._listener = listener
+        self._queued_since_s = queued_since_s  # and so may what is read first
         self._loop = listener.loop
         self.buffers = listener.buffers
         self._transport: asyncio.Transport | None = None
@@ -68,6 +74,8 @@
         self._presence.connect(self._transport)
         self.pipeline.connect(self._transport)
         self.reader.connect(self._transport)
+        if time.monotonic() < self._queued_since_s + NOTICEABLE_LAG_S or not unread_bytes(transport):
+            self._queued_since_s = math.inf
 
     def get_buffer(self, sizehint: int) -> memoryview:
         """Return the buffer to read into."""
@@ -86,6 +94,7 @@
         if not is_drained:
             self._listener.turns.begin_long_read()
         self.reader.feed(self.buffers.received(nbytes), is_drained=is_drained)
+        self._queued_since_s = math.inf  # what comes now was sent after it was accepted
         if not is_drained and self._listener.turns.is_turn_over():
             self._read_on_later()
 
@@ -132,6 +141,10 @@
         """Go on in a later turn of the loop with what has been received."""
         self._listener.turns.add(self._continue)
 
+    def unread_since_s(self) -> float:
+        """Return since when what is read now may have been waiting, at the worst (monotonic clock)."""
+        return min(self._listener.delay.unread_since_s(), self._queued_since_s)
+
     def shed_heads(self) -> None:
         """Reject heads that are still coming in, as the buffers are full."""
         self._listener.shed_heads()
--- a/loadbalancer/net/downstream_listener.py
+++ b/loadbalancer/net/downstream_listener.py
@@ -12,6 +12,7 @@
 from loadbalancer.net.descriptors import NEW_CONNECTION_GRACE_S, IdleEviction
 from loadbalancer.net.downstream_connection import DownstreamConnection
 from loadbalancer.net.downstream_request import RequestHandler
+from loadbalancer.net.loop_delay import LoopDelay
 from loadbalancer.net.memory_limits import MAX_UNSHED_HEAD_BYTES
 from loadbalancer.net.message_body import BufferBudget
 from loadbalancer.net.sockets import is_peer_closed
@@ -71,6 +72,7 @@
         buffers: BufferBudget,
         max_connections: int,
         turns: TurnQueue,
+        delay: LoopDelay,
         listening_socket: socket.socket | None = None,
     ) -> None:
         """`listening_socket` is the one that the predecessor process listened on."""
@@ -79,6 +81,7 @@
         self.report_error = report_error
         self.buffers = buffers
         self.turns = turns
+        self.delay = delay
         self.class_names = frozenset([c.name for c in config.settings.classes])
         self.is_serving = False
         self.is_shutting_down = False
@@ -90,6 +93,8 @@
         self._connections: set[DownstreamConnection] = set()
         self._connect_tasks: set[asyncio.Task[None]] = set()
         self._is_accepting = False
+        self._is_queue_waiting = listening_socket is not None  # whether connections may wait to be accepted
+        self._queued_since_s = time.monotonic()  # since when they may, if they do
         self.listening_socket = listening_socket or _bind(config)
         self.listening_socket.setblocking(False)
         self.address = self.listening_socket.getsockname()
@@ -140,12 +145,16 @@
     def _accept_up_to(self, max_accepts: int) -> bool:
         accepts = 0
         discards = 0
+        if not self._is_queue_waiting:
+            self._queued_since_s = self.delay.unread_since_s()
+        self._is_queue_waiting = True
         while len(self._connections) < self.max_connections:
             if accepts == max_accepts or discards == MAX_DISCARDS_PER_TURN:
                 return False
             try:
                 accepted, _ = self.listening_socket.accept()
             except BlockingIOError:
+                self._is_queue_waiting = False
                 self._eviction.reset()
                 return True
             except OSError as error:
@@ -159,7 +168,7 @@
                 continue
             accepts += 1
             accepted.setblocking(False)
-            connection = DownstreamConnection(self)
+            connection = DownstreamConnection(self, self._queued_since_s)
             self._connections.add(connection)
             task = self.loop.create_task(self._connect(connection, accepted))
             self._connect_tasks.add(task)
--- a/loadbalancer/net/downstream_read_lag.py
+++ b/loadbalancer/net/downstream_read_lag.py
@@ -81,6 +81,14 @@
         if may_have_closed_window(unread_bytes, receive_buffer_bytes, segment_bytes):
             self._window_opened_s = time.monotonic()
 
+    def on_held_up(
+        self, since_s: float, unread_bytes: int, receive_buffer_bytes: int, segment_bytes: int
+    ) -> None:
+        """Handle that nothing was read since then, with so many bytes in the kernel's buffer by now."""
+        self._catch_up()
+        self._paused_s = since_s
+        self.on_resumed(unread_bytes, receive_buffer_bytes, segment_bytes)
+
     def on_read(self, *, is_drained: bool) -> None:
         """Handle a read, after which the kernel had nothing more (`is_drained`), or may have."""
         if is_drained and self._behind_since_s is None:
--- a/loadbalancer/net/downstream_reader.py
+++ b/loadbalancer/net/downstream_reader.py
@@ -9,12 +9,18 @@
 from loadbalancer.net.downstream_flow import ReadingControl
 from loadbalancer.net.downstream_parser import InvalidRequestError, RequestParser
 from loadbalancer.net.downstream_pipeline import RequestPipeline
-from loadbalancer.net.downstream_read_lag import ReadLag, is_unwritten
+from loadbalancer.net.downstream_read_lag import NOTICEABLE_LAG_S, ReadLag, is_unwritten
 from loadbalancer.net.downstream_request import SHEDDING_REASON, DownstreamRequest, RequestConnection
 from loadbalancer.net.downstream_timeout import RequestTimer
 from loadbalancer.net.memory_limits import MAX_UNSHED_HEAD_BYTES
 from loadbalancer.net.message_body import BufferReservation
-from loadbalancer.net.sockets import peek_socket, unread_bytes
+from loadbalancer.net.sockets import (
+    peek_socket,
+    receive_buffer_bytes,
+    received_segment_bytes,
+    since_last_received_s,
+    unread_bytes,
+)
 
 MAX_REQUESTS_PER_TURN = 2  # that are parsed of one connection; the rest waits for later turns of the loop
 MAX_PARSE_S = 0.0003  # in one turn, after which only a piece that has begun is finished
@@ -29,6 +35,9 @@
     def continue_later(self) -> None:
         """Go on in a later turn of the loop with what has been received."""
 
+    def unread_since_s(self) -> float:
+        """Return since when what is read now may have been waiting, at the worst (monotonic clock)."""
+
     def shed_heads(self) -> None:
         """Reject heads that are still coming in, as the buffers are full."""
 
@@ -72,12 +81,28 @@
         """Return whether the body of a request is still incomplete."""
         return self._parser.request is not None
 
+    def _note_delay(self, read_bytes: int, *, is_drained: bool) -> None:
+        """Count the time from the arrival of what was read, if nobody could read it before."""
+        since_s = self._connection.unread_since_s()
+        if self._transport is None or time.monotonic() < since_s + NOTICEABLE_LAG_S:
+            return
+        since_received_s = since_last_received_s(self._transport) if is_drained else None
+        if since_received_s is not None:
+            since_s = max(since_s, time.monotonic() - since_received_s)
+        self.lag.on_held_up(
+            since_s,
+            read_bytes + unread_bytes(self._transport),
+            receive_buffer_bytes(self._transport),
+            received_segment_bytes(self._transport),
+        )
+
     def has_unparsed(self) -> bool:
         """Return whether received bytes wait for a later turn."""
         return bool(self._unparsed)
 
     def feed(self, data: memoryview, *, is_drained: bool) -> None:
         """Parse received bytes, and serve what can be served; `is_drained` if the kernel has no more."""
+        self._note_delay(len(data), is_drained=is_drained)
         self._written_after_s = self.lag.written_after_s()
         if self._unparsed or not self._parser.is_quickly_parsed(data):
             self._keep_unparsed(memoryview(self._unparsed + data))
--- a/loadbalancer/net/proxy.py
+++ b/loadbalancer/net/proxy.py
@@ -24,6 +24,7 @@
 from loadbalancer.net.executed_ids import ExecutedIds
 from loadbalancer.net.hot_restart import Predecessor
 from loadbalancer.net.log import Log, Sink, write_text
+from loadbalancer.net.loop_delay import LoopDelay
 from loadbalancer.net.memory_limits import divide_memory, resident_bytes
 from loadbalancer.net.message_body import BufferBudget
 from loadbalancer.net.reports import BalancerStats, EndpointListReport, MembershipReport, ResourceStats
@@ -89,6 +90,7 @@
             max_connections_per_side(config.max_sockets), limits.max_connections_per_side
         )
         self._turns = TurnQueue(loop)
+        self._delay = LoopDelay(loop)
         self.upstreams = UpstreamPools(config, loop, self.buffers, self._max_connections, self._turns)
         self.executed = ExecutedIds(config.settings.classes, self.clock)
         self.requests = RequestTable(loop, self._counters, self._decisions.dispatch, self.executed)
@@ -123,6 +125,7 @@
             self.buffers,
             self._max_connections,
             self._turns,
+            self._delay,
             listening_socket,
         )
 
@@ -204,6 +207,7 @@
         if self._snapshots is not None:
             self._snapshots.start(self._transfer.handover_state)
         self.endpoint_list.start()
+        self._delay.start()
         self._sweep_idle_connections()
         if self.console is not None:
             self.console.start()
--- a/loadbalancer/net/sockets.py
+++ b/loadbalancer/net/sockets.py
@@ -11,7 +11,9 @@
 import termios
 
 _INT = struct.Struct("i")
-_RECEIVED_SEGMENT_END = 24  # of tcpi_rcv_mss in struct tcp_info (linux/tcp.h)
+# The ends of fields of struct tcp_info (linux/tcp.h).
+_RECEIVED_SEGMENT_END = 24  # of tcpi_rcv_mss
+_LAST_RECEIVED_END = 56  # of tcpi_last_data_recv
 _SIOCOUTQNSD = 0x894B  # bytes in the send queue that were never sent (linux/sockios.h); the same everywhere
 
 
@@ -74,13 +76,24 @@
 
 def received_segment_bytes(transport: asyncio.BaseTransport) -> int:
     """Return the size of the segments that the peer sends (tcpi_rcv_mss of TCP_INFO); 0 if unknown."""
+    return _tcp_info_field(transport, _RECEIVED_SEGMENT_END) or 0
+
+
+def since_last_received_s(transport: asyncio.BaseTransport) -> float | None:
+    """Return how long ago the kernel received the peer's last bytes; None if unknown (TCP_INFO)."""
+    since_ms = _tcp_info_field(transport, _LAST_RECEIVED_END)
+    return None if since_ms is None else since_ms / 1000
+
+
+def _tcp_info_field(transport: asyncio.BaseTransport, end: int) -> int | None:
+    """Return the field of struct tcp_info that ends there; None if the kernel does not tell."""
     try:
         wrapped = transport.get_extra_info("socket")
-        info = wrapped.getsockopt(socket.IPPROTO_TCP, socket.TCP_INFO, _RECEIVED_SEGMENT_END)
-        (size,) = _INT.unpack(info[-_INT.size :])
+        info = wrapped.getsockopt(socket.IPPROTO_TCP, socket.TCP_INFO, end)
+        (value,) = _INT.unpack(info[end - _INT.size : end])
     except (OSError, struct.error):
-        return 0
-    return int(size)
+        return None
+    return int(value)
 
 
 def peek_socket(transport: asyncio.BaseTransport) -> bytes | None:
--- a/tests/test_late_reads.py
+++ b/tests/test_late_reads.py
@@ -13,7 +13,15 @@
 
 import pytest
 
-from tests.loopback import HttpMessage, http_response
+from tests.loopback import (
+    HttpMessage,
+    ProxyHarness,
+    Upstream,
+    http_response,
+    run_scenario,
+    status_of,
+    wait_until,
+)
 from tests.real_processes import RunningProgram, run_play, running_balancer
 
 HELD_UP_S = 0.6
@@ -88,6 +96,33 @@
     run_play(play())
 
 
+def test_the_deadline_told_to_a_server_counts_the_wait_for_a_place_among_the_connections() -> None:
+    """Guards against a deadline that counts from the accepting of a connection."""
+    told_ends_s: list[float] = []
+
+    async def record(received: HttpMessage, writer: asyncio.StreamWriter) -> None:
+        told_ends_s.append(time.monotonic() + int(received.headers["x-deadline"][:-1]) / 1_000_000)
+        await asyncio.sleep(HELD_UP_S)
+        writer.write(http_response())
+
+    async def scenario() -> None:
+        async with ProxyHarness(Upstream(record)) as harness:
+            harness.proxy.downstream.max_connections = 1
+            deadline = f"{DEADLINE_S * 1_000:.0f}m"
+            first = await harness.connect()
+            first.send_request(deadline=deadline, connection="close")
+            await wait_until(lambda: bool(told_ends_s))
+            second = await harness.connect()
+            second.send_request(deadline=deadline)
+            written_s = time.monotonic()
+            assert status_of(await first.read_response()) == 200
+            first.writer.close()
+            assert status_of(await second.read_response()) == 200
+            assert told_ends_s[1] <= written_s + DEADLINE_S + SLACK_S
+
+    run_scenario(scenario())
+
+
 @each_connection
 @pytest.mark.parametrize("padding", [0, 3_000])
 def test_nothing_begins_for_a_client_that_left_while_the_program_was_held_up(
