Begin nothing for a client whose close may lie behind a window that opens only now

Its close was looked for behind a closed window only while reading was paused; the read that opens the window served what it had read before the close could arrive. Now the window counts as closed for 0.1 s after it has opened late. The class: silence taken for presence.

--- a/loadbalancer/net/downstream_presence.py
+++ b/loadbalancer/net/downstream_presence.py
@@ -35,8 +35,10 @@
     def is_end_hidden(self) -> bool:
         """Return whether the end of the client's stream may lie behind unread bytes."""
         transport = self._transport
-        if transport is None or transport.is_closing() or not self._reader.control.is_paused:
+        if transport is None or transport.is_closing():
             return False
+        if not self._reader.control.is_paused:
+            return self._reader.lag.may_hide_end()
         return may_have_closed_window(
             unread_bytes(transport), receive_buffer_bytes(transport), received_segment_bytes(transport)
         )
--- a/loadbalancer/net/downstream_read_lag.py
+++ b/loadbalancer/net/downstream_read_lag.py
@@ -89,6 +89,10 @@
         self._paused_s = since_s
         self.on_resumed(unread_bytes, receive_buffer_bytes, segment_bytes)
 
+    def may_hide_end(self) -> bool:
+        """Return whether the end of the client's stream may still follow, as the window opened just now."""
+        return time.monotonic() < self._window_opened_s + WINDOW_UPDATE_S
+
     def on_read(self, *, is_drained: bool) -> None:
         """Handle a read, after which the kernel had nothing more (`is_drained`), or may have."""
         if is_drained and self._behind_since_s is None:
