--- a/tests/test_late_reads.py
+++ b/tests/test_late_reads.py
@@ -136,11 +136,11 @@
         writer.write(http_response())
 
     async def play() -> None:
-        async with running_balancer(tmp_path, record) as program:
-            if connection == "kept":
-                opened = await open_connection(program, connection)
+        async with running_balancer(tmp_path, record, upstream_count=1) as program:
+            opened = await open_connection(program, "kept")  # there is a connection to the upstream then
             async with Hold(program):
                 if connection == "new":
+                    opened.close()
                     opened = await open_connection(program, connection)
                 begun_s.clear()
                 data = b"".join(request(number, padding) for number in range(PIPELINED))
