Show that timers end what came in time and waits to be read

A process that is held up for 0.6 s answers 503 or 502 although the server's answer is there (objective 0.3 s, deadline 2 s), and after 3.2 s 408 although the rest of the request is.

--- a/tests/test_late_reads.py
+++ b/tests/test_late_reads.py
@@ -13,11 +13,13 @@
 
 import pytest
 
+from loadbalancer.net.downstream_timeout import REQUEST_TIMEOUT_S
 from tests.loopback import (
     HttpMessage,
     ProxyHarness,
     Upstream,
     http_response,
+    read_message,
     run_scenario,
     status_of,
     wait_until,
@@ -53,16 +55,17 @@
 
 
 class Hold:
-    """Stops the program for `HELD_UP_S`."""
+    """Stops the program for some time."""
 
-    def __init__(self, program: RunningProgram) -> None:
+    def __init__(self, program: RunningProgram, span_s: float = HELD_UP_S) -> None:
         self._program = program
+        self._span_s = span_s
 
     async def __aenter__(self) -> None:
         self._program.process.send_signal(signal.SIGSTOP)
 
     async def __aexit__(self, *_: object) -> None:
-        await asyncio.sleep(HELD_UP_S)
+        await asyncio.sleep(self._span_s)
         self._program.process.send_signal(signal.SIGCONT)
 
 
@@ -151,3 +154,51 @@
         assert [t - closed_s for t in begun_s if t > closed_s + MAX_LATE_START_S] == []
 
     run_play(play())
+
+
+@pytest.mark.parametrize("class_name", ["read", "pay"])
+def test_an_answer_that_came_while_the_program_was_held_up_is_forwarded(
+    class_name: str, tmp_path: Path
+) -> None:
+    """Guards against a timer that is late and fires before what came in time has been read."""
+
+    async def play() -> None:
+        received = asyncio.Event()
+
+        async def script(_: HttpMessage, writer: asyncio.StreamWriter) -> None:
+            received.set()
+            await asyncio.sleep(HELD_UP_S / 4)
+            writer.write(http_response())
+
+        classes = [
+            {"name": name, "target": HELD_UP_S / 2 * 1_000, "deadline": DEADLINE_S * 1_000, "effect": effect}
+            for name, effect in (("read", "retryable"), ("pay", "fragile"))
+        ]
+        async with running_balancer(tmp_path, script, classes=classes) as program:
+            reader, writer = await program.connect()
+            writer.write(request(1).replace(b"read", class_name.encode()))
+            await received.wait()
+            async with Hold(program):
+                pass
+            assert status_of(await read_message(reader)) == 200
+
+    run_play(play())
+
+
+@pytest.mark.parametrize("part", ["head", "body"])
+def test_a_request_whose_rest_came_while_the_program_was_held_up_is_served(part: str, tmp_path: Path) -> None:
+    """Guards against ending a request by the time for its arrival while its rest waits to be read."""
+    head = GET % (1, 2_000 * REQUEST_TIMEOUT_S, b"Content-Length: 10\r\n")
+    split = {"head": len(head) - 10, "body": len(head) + 5}[part]
+    data = head + b"0123456789"
+
+    async def play() -> None:
+        async with running_balancer(tmp_path) as program:
+            reader, writer = await program.connect()
+            writer.write(data[:split])
+            await asyncio.sleep(HELD_UP_S / 4)
+            async with Hold(program, REQUEST_TIMEOUT_S + HELD_UP_S):
+                writer.write(data[split:])
+            assert status_of(await read_message(reader)) == 200
+
+    run_play(play())
