Read what has come before a timer ends it: answers of servers, and rests of requests

Now an attempt or a request whose time is over waits up to 20 ms, once, if bytes of its response are there, and the time for a request's arrival looks at the socket in every case, not only before its first byte; sizes bound how long that can go on. The class: a timer over what nobody has looked at yet.

--- a/loadbalancer/net/downstream_reader.py
+++ b/loadbalancer/net/downstream_reader.py
@@ -287,9 +287,9 @@
         received_bytes = 0 if request is None else request.body.received_bytes
         if not self._timer.is_due(received_bytes):
             self._update_timer()
+        elif self._transport is not None and peek_socket(self._transport):
+            self._update_timer()  # more has arrived, and is read next
         elif self._parser.is_receiving and not self._connection.closes_after_body:
             self._reject(408, "the request is not whole")
-        elif self._transport is not None and peek_socket(self._transport):
-            self._update_timer()  # its first request has just arrived, and is read next
         else:
             self._connection.half_close()
--- a/loadbalancer/net/request_table.py
+++ b/loadbalancer/net/request_table.py
@@ -11,7 +11,7 @@
 from loadbalancer.net.executed_ids import ExecutedIds
 from loadbalancer.net.log import Log
 from loadbalancer.net.request_counters import CloseReason, RequestCounters
-from loadbalancer.net.upstream_attempt import Attempt
+from loadbalancer.net.upstream_attempt import UNREAD_RESPONSE_GRACE_S, Attempt
 
 RESPONSE_MARGIN_MS = 10.0  # the module gets this much less than the deadline: the response must still travel
 SAFETY_MARGIN_MS = 5.0  # the safety timer answers open requests this long before the deadline
@@ -26,6 +26,7 @@
         "attempts_in_flight",
         "downstream",
         "has_run",
+        "has_waited_for_read",
         "id",
         "is_id_recorded",
         "is_open",
@@ -41,6 +42,7 @@
         self.attempts: list[Attempt | None] = []
         self.is_id_recorded = False  # whether its ID is that of a request that may have run, this one
         self.is_open = True  # until its final response, or until its client has disconnected
+        self.has_waited_for_read = False  # once its time was over, as a response was there
         self.has_run = False  # whether an attempt that has ended may have run
         self.attempts_in_flight = 0
         self.pending_events = 0  # not yet handled by the decision module
@@ -58,6 +60,10 @@
             if attempt is not None:
                 attempt.cancel_if_unwritten()
 
+    def has_unread_response(self) -> bool:
+        """Return whether there are bytes of a response that nobody has had the time to read."""
+        return any(attempt.has_unread_response() for attempt in self.attempts if attempt is not None)
+
     def stream_if_begun(self) -> bool:
         """Stream a response that has begun and whose length is not known; return whether there is one."""
         return any(attempt.stream_if_begun() for attempt in self.attempts if attempt is not None)
@@ -166,6 +172,10 @@
         """Answer the request, unless its deadline has moved, as it does while the client still sends."""
         if request.downstream.remaining_ms() > SAFETY_MARGIN_MS:
             self.start_safety_timer(request)
+        elif request.has_unread_response() and not request.has_waited_for_read:
+            request.has_waited_for_read = True
+            grace_s = UNREAD_RESPONSE_GRACE_S
+            request.safety_timer = self._loop.call_later(grace_s, self._on_safety_timer, request)
         else:
             self._counters.record_close(CloseReason.DEADLINE)
             self.respond_with_error(request.id)
--- a/loadbalancer/net/upstream_attempt.py
+++ b/loadbalancer/net/upstream_attempt.py
@@ -22,6 +22,8 @@
 IMPOSSIBLE_IF_UNWRITTEN = (Outcome.RESET, Outcome.TIMED_OUT, Outcome.ERROR)
 # A response that has begun is streamed so long before the attempt's timeout: its head must arrive in time.
 STREAMING_MARGIN_S = 0.02
+# A response that is there when its time is over is read within this time: the process was held up.
+UNREAD_RESPONSE_GRACE_S = 0.02
 
 
 class AttemptPool(Protocol):
@@ -94,6 +96,7 @@
         "_connect_task",
         "_connection",
         "_handler",
+        "_has_waited_for_read",
         "_is_body_incomplete",
         "_is_over",
         "_new_connection",
@@ -109,6 +112,7 @@
         self._pool = pool
         self._handler = handler
         self._is_over = False
+        self._has_waited_for_read = False
         self._is_body_incomplete = handler.body is not None  # at the start
         self._connection: UpstreamConnection | None = None
         self._new_connection: UpstreamConnection | None = None  # being established
@@ -191,6 +195,10 @@
         """Stream the response if it has begun and its length is not known; return whether it is streamed."""
         return not self._is_over and self._connection is not None and self._connection.start_streaming()
 
+    def has_unread_response(self) -> bool:
+        """Return whether there are bytes of a response that nobody has had the time to read."""
+        return not self._is_over and self._connection is not None and self._connection.has_unread_bytes()
+
     def start_streaming(self, reader: ResponseReader) -> None:
         """Stream a long response to the client."""
         if not self._is_written():
@@ -275,6 +283,10 @@
     def _on_timeout(self) -> None:
         if self.stream_if_begun():
             return
+        if self.has_unread_response() and not self._has_waited_for_read:
+            self._has_waited_for_read = True
+            self._set_timer(UNREAD_RESPONSE_GRACE_S, self._on_timeout)
+            return
         # A request that was not written never ran, for whatever reason.
         self._end(Outcome.TIMED_OUT if self._connection else Outcome.CONNECT_FAILED)
 
--- a/loadbalancer/net/upstream_connection.py
+++ b/loadbalancer/net/upstream_connection.py
@@ -9,7 +9,7 @@
 from loadbalancer.net.http_framing import LAST_CHUNK, LENGTH_NOT_GIVEN, encode_chunk
 from loadbalancer.net.long_heads import LongHeads
 from loadbalancer.net.message_body import MAX_BUFFERED_BODY_BYTES, Body, BufferBudget, BufferReservation
-from loadbalancer.net.sockets import peek_socket, reset_on_close, set_no_delay, unsent_bytes
+from loadbalancer.net.sockets import peek_socket, reset_on_close, set_no_delay, unread_bytes, unsent_bytes
 from loadbalancer.net.turn_queue import TurnQueue
 from loadbalancer.net.upstream_response import RESPONSE_ERRORS, ResponseReader
 
@@ -166,6 +166,12 @@
             return False
         return unsent_bytes(self._transport) > 0
 
+    def has_unread_bytes(self) -> bool:
+        """Return whether bytes of the upstream wait to be read or parsed."""
+        if self._transport is None or self._transport.is_closing():
+            return False
+        return bool(self._unparsed) or unread_bytes(self._transport) > 0
+
     def is_alive(self) -> bool:
         """Return whether the socket is open and has nothing to read; the loop may not know of its end yet."""
         if self._is_closed or self._transport is None or self._transport.is_closing():
