Tell a server with a streamed body what is left when its head is written

A server was told the time that was left when its attempt began to connect, 0.5 s too much after 0.6 s of connecting (deadline 4 s), if a body had been written whole meanwhile. The time told is computed from what is left when the head is written now.

--- a/loadbalancer/net/request_attempts.py
+++ b/loadbalancer/net/request_attempts.py
@@ -45,11 +45,12 @@
     def build_request(self) -> bytes:
         """Return the head with the remaining time, and the body if it is complete."""
         downstream = self._request.downstream
-        remaining_s = self._ends_at_s - time.monotonic()
-        if self.body is not None:
-            remaining_s = self.timeout_ms / 1000  # counted from the body's last byte
-            if downstream.body.is_complete:
-                self.body = None  # the rest arrived while connecting
+        if self.body is not None and downstream.body.is_complete:
+            self.body = None  # the rest arrived while connecting
+        if self.body is None:
+            remaining_s = min(self._ends_at_s - time.monotonic(), self.remaining_s())
+        else:
+            remaining_s = min(self.timeout_ms / 1000, self.remaining_s())  # from the body's last byte on
         data = downstream.body.data() if self.body is None else b""
         length: int | None = len(data) if self.body is None else downstream.body.length
         if length is None:
--- a/tests/test_late_reads.py
+++ b/tests/test_late_reads.py
@@ -14,13 +14,16 @@
 import pytest
 
 from loadbalancer.net.downstream_timeout import REQUEST_TIMEOUT_S
+from tests.http_messages import chunked, head
 from tests.loopback import (
     HttpMessage,
+    PausedConnects,
     ProxyHarness,
     Upstream,
     http_response,
     read_message,
     run_scenario,
+    send_now,
     status_of,
     wait_until,
 )
@@ -28,6 +31,7 @@
 
 HELD_UP_S = 0.6
 DEADLINE_S = 2.0
+HEAD_DEADLINE_S = 4.0  # of `http_messages.head`
 SLACK_S = 0.15  # that the deadline told to a server may exceed what its client has left
 MAX_LATE_START_S = 0.1
 SEND_BUFFER_BYTES = 4_000_000
@@ -126,6 +130,42 @@
     run_scenario(scenario())
 
 
+@pytest.mark.parametrize("framing", ["length", "chunked"])
+def test_the_deadline_told_with_a_streamed_body_counts_the_wait_for_its_connection(
+    framing: str, monkeypatch: pytest.MonkeyPatch
+) -> None:
+    """Guards against telling a server the time that was left when its attempt began to connect."""
+    body = bytes(300_000)
+    told_ends_s: list[float] = []
+
+    async def record(received: HttpMessage, writer: asyncio.StreamWriter) -> None:
+        told_ends_s.append(time.monotonic() + int(received.headers["x-deadline"][:-1]) / 1_000_000)
+        writer.write(http_response())
+
+    async def scenario() -> None:
+        connects = PausedConnects(monkeypatch)
+        limits = {"attemptsCap": 1, "connectTimeout": DEADLINE_S * 1_000, "mayCancel": True}
+        times = {"target": HEAD_DEADLINE_S * 1_000, "deadline": HEAD_DEADLINE_S * 1_000}
+        classes = [{"name": "pay", "effect": "fragile"} | times]
+        async with ProxyHarness(Upstream(record), limits=limits, classes=classes) as harness:
+            client = await harness.connect()
+            sending = client.writer.get_extra_info("socket")
+            sending.setsockopt(socket.SOL_SOCKET, socket.SO_SNDBUF, SEND_BUFFER_BYTES)
+            if framing == "length":
+                data = head(more=f"Content-Length: {len(body)}\r\n") + body
+            else:
+                data = head(more="Transfer-Encoding: chunked\r\n") + chunked(body, 50_000)
+            send_now(client, data)
+            written_s = time.monotonic()
+            await connects.started.wait()
+            await asyncio.sleep(HELD_UP_S)
+            connects.release()
+            assert status_of(await client.read_response()) == 200
+            assert told_ends_s[0] <= written_s + HEAD_DEADLINE_S + SLACK_S
+
+    run_scenario(scenario())
+
+
 @each_connection
 @pytest.mark.parametrize("padding", [0, 3_000])
 def test_nothing_begins_for_a_client_that_left_while_the_program_was_held_up(
@@ -188,9 +228,9 @@
 @pytest.mark.parametrize("part", ["head", "body"])
 def test_a_request_whose_rest_came_while_the_program_was_held_up_is_served(part: str, tmp_path: Path) -> None:
     """Guards against ending a request by the time for its arrival while its rest waits to be read."""
-    head = GET % (1, 2_000 * REQUEST_TIMEOUT_S, b"Content-Length: 10\r\n")
-    split = {"head": len(head) - 10, "body": len(head) + 5}[part]
-    data = head + b"0123456789"
+    request_head = GET % (1, 2_000 * REQUEST_TIMEOUT_S, b"Content-Length: 10\r\n")
+    split = {"head": len(request_head) - 10, "body": len(request_head) + 5}[part]
+    data = request_head + b"0123456789"
 
     async def play() -> None:
         async with running_balancer(tmp_path) as program:
