Leave the parsing of small parts to a later turn once this one is over

Now what is neither the end of a short head nor a body of known length is parsed at once only until the turn is over. The limits of pieces stand once, in http_framing.

--- a/loadbalancer/net/downstream_parser.py
+++ b/loadbalancer/net/downstream_parser.py
@@ -8,9 +8,12 @@
 
 from loadbalancer.net.downstream_request import DownstreamRequest, RequestConnection, RequestRejection
 from loadbalancer.net.http_framing import (
+    END_OF_HEAD,
     LENGTH_NOT_GIVEN,
     MAX_BODY_BYTES,
     MAX_HEAD_BYTES,
+    MAX_PIECE_BYTES,
+    MAX_SHORT_HEAD_BYTES,
     AmbiguousLengthError,
     FramingError,
     MessageTooLargeError,
@@ -19,10 +22,6 @@
 from loadbalancer.net.message_body import BufferReservation
 from loadbalancer.net.message_head import RequestHead
 
-MAX_PIECE_BYTES = 4_096  # that are parsed at once where a request may end anywhere
-MAX_SHORT_HEAD_BYTES = 2_048
-_END_OF_HEAD = b"\n\r\n"
-
 
 class InvalidRequestError(FramingError):
     """Input that is not an acceptable request; nothing after it can be parsed as one."""
@@ -65,17 +64,17 @@
         """Return whether these bytes are a body of known length, or begin with the end of a short head."""
         if self.request is not None:
             return self.request.body.length is not None
-        return self._raw_head_bytes == 0 and _END_OF_HEAD in bytes(data[:MAX_SHORT_HEAD_BYTES])
+        return self._raw_head_bytes == 0 and END_OF_HEAD in bytes(data[:MAX_SHORT_HEAD_BYTES])
 
     def piece_bytes(self, data: memoryview) -> int:
         """Return how many of these bytes to feed at once, so that they end no more than one request or so."""
         if self.request is not None and self.request.body.length is not None:
             return max(self.request.body.missing_bytes(), 1)
         start = bytes(data[:MAX_PIECE_BYTES])
-        if len(data) <= MAX_SHORT_HEAD_BYTES and start.count(_END_OF_HEAD) == 1:
+        if len(data) <= MAX_SHORT_HEAD_BYTES and start.count(END_OF_HEAD) == 1:
             return len(data)  # a short request and its body, in most cases
-        end = start.find(_END_OF_HEAD)
-        return end + len(_END_OF_HEAD) if end >= 0 else len(start)
+        end = start.find(END_OF_HEAD)
+        return end + len(END_OF_HEAD) if end >= 0 else len(start)
 
     def feed(self, data: memoryview) -> int:
         """Parse bytes; return how many were parsed: not all, after a request to upgrade the protocol.
--- a/loadbalancer/net/http_framing.py
+++ b/loadbalancer/net/http_framing.py
@@ -8,6 +8,9 @@
 MAX_HEAD_BYTES = 65_536  # of a request line, or status line, and headers with their overhead
 HEADER_OVERHEAD_BYTES = 32  # that each header counts beside its name and value, as in RFC 9113, 6.5.2
 MAX_BODY_BYTES = 32 * 1024 * 1024
+MAX_PIECE_BYTES = 4_096  # that are parsed at once where a message may end anywhere, or parts may be small
+MAX_SHORT_HEAD_BYTES = 2_048  # of a message that is parsed as soon as it is read
+END_OF_HEAD = b"\n\r\n"
 LENGTH_NOT_GIVEN = -1  # in the head: a request then has no body, a response ends with its connection
 LAST_CHUNK = b"0\r\n\r\n"
 HOP_BY_HOP_HEADERS = frozenset(
--- a/loadbalancer/net/upstream_connection.py
+++ b/loadbalancer/net/upstream_connection.py
@@ -193,14 +193,28 @@
             self.close()
             return
         attempt.on_progress()
+        turns = self._pool.turns
         is_long_read = nbytes == self._offered_bytes
         if is_long_read:
-            self._pool.turns.begin_long_read()
-        self._parse(attempt, reader, self._budget.received(nbytes))
+            turns.begin_long_read()
+        data = self._budget.received(nbytes)
+        if reader.is_quickly_parsed(data):
+            self._parse(attempt, reader, data)
+        else:
+            turns.begin_long_read()
+            self._parse_in_turn(attempt, reader, data)
         # The transport would read buffer after buffer.
-        self._is_turn_over = is_long_read and self._pool.turns.is_turn_over()
+        self._is_turn_over = is_long_read and turns.is_turn_over()
         self._update_reading()
 
+    def _parse_in_turn(self, attempt: ConnectionUser, reader: ResponseReader, data: memoryview) -> None:
+        """Parse what may be many small parts, or leave it to a later turn if this one is over."""
+        if not self._pool.turns.is_turn_over():
+            self._parse(attempt, reader, data)
+            return
+        self._unparsed = bytes(data)
+        self._unread.resize(reader.held_bytes() + len(self._unparsed))
+
     def _parse(self, attempt: ConnectionUser, reader: ResponseReader, data: memoryview) -> None:
         """Parse what one turn has time for; the rest waits for a later one."""
         ends_s = time.monotonic() + MAX_PARSE_S
--- a/loadbalancer/net/upstream_response.py
+++ b/loadbalancer/net/upstream_response.py
@@ -5,9 +5,12 @@
 import httptools
 
 from loadbalancer.net.http_framing import (
+    END_OF_HEAD,
     LENGTH_NOT_GIVEN,
     MAX_BODY_BYTES,
     MAX_HEAD_BYTES,
+    MAX_PIECE_BYTES,
+    MAX_SHORT_HEAD_BYTES,
     FramingError,
     MessageTooLargeError,
     body_length,
@@ -15,7 +18,6 @@
 from loadbalancer.net.memory_limits import MAX_UNSHED_HEAD_BYTES
 from loadbalancer.net.message_head import ResponseHead
 
-MAX_PIECE_BYTES = 4_096  # that are parsed at once of heads and chunks
 RESPONSE_ERRORS = (httptools.HttpParserError, httptools.HttpParserUpgrade, FramingError)
 """What a reader raises on an invalid response."""
 
@@ -75,6 +77,12 @@
             return MAX_PIECE_BYTES
         return MAX_BODY_BYTES if self.length == LENGTH_NOT_GIVEN else max(self.length - self._body_bytes, 1)
 
+    def is_quickly_parsed(self, data: memoryview) -> bool:
+        """Return whether these bytes are a body of known length, or begin with the end of a short head."""
+        if self.has_head:
+            return self.length is not None
+        return self._raw_head_bytes == 0 and END_OF_HEAD in bytes(data[:MAX_SHORT_HEAD_BYTES])
+
     def feed(self, data: bytes | memoryview) -> bool:
         """Parse bytes; return whether the response is complete. Raises one of `RESPONSE_ERRORS`."""
         if not self.has_head and self._raw_head_bytes > MAX_HEAD_BYTES:
