Drop log lines that nobody reads instead of waiting for their reader

A log is written to a pipe; once that is full and its reader stands still, the write held up the event loop and with it all clients. Found on the way, by looking for calls that may wait (system calls fail in all ways that Linux documents). Now a line is dropped and counted where the pipe takes nothing, and texts end after 3,000 characters, so that a line fits into what a writable pipe takes at once. The new test is ended by its alarm before, and passes now.

--- a/loadbalancer/net/log.py
+++ b/loadbalancer/net/log.py
@@ -9,15 +9,18 @@
 
 from __future__ import annotations
 
-import contextlib
+import errno
 import json
+import select
 import sys
 import time
 import traceback
 from collections.abc import Callable
+from typing import TextIO
 
 INTERVAL_S = 10.0
 MAX_LINES_PER_INTERVAL = 50  # a recurring fault must not fill the disk
+MAX_TEXT_CHARACTERS = 3_000  # a pipe that can be written takes a line of 4,096 bytes at once
 Fields = dict[str, object]
 Sink = Callable[[str, str, str, Fields], None]
 """Takes the balancer's name, the event's name, its text and its fields."""
@@ -26,13 +29,31 @@
 def write_text(name: str, event: str, text: str, fields: Fields) -> None:
     """Write a line of text to standard error: the event's text, then its fields."""
     suffix = "".join(f" {key}={value}" for key, value in fields.items())
-    print(f"{name}: {text}{suffix}", file=sys.stderr, flush=True)
+    _write_line(f"{name}: {text}{suffix}")
 
 
 def write_json(name: str, event: str, text: str, fields: Fields) -> None:
     """Write a line of JSON to standard error: `time` (Unix s), `balancer`, `event`, `text` and the fields."""
     line = {"time": round(time.time(), 3), "balancer": name, "event": event, "text": text} | fields
-    print(json.dumps(line, default=str), file=sys.stderr, flush=True)
+    _write_line(json.dumps(line, default=str))
+
+
+def _write_line(line: str) -> None:
+    """Write a line to standard error; BlockingIOError if it is a pipe that nobody reads."""
+    if not _can_write(sys.stderr):
+        raise BlockingIOError(errno.EAGAIN, "standard error is full")
+    print(line, file=sys.stderr, flush=True)
+
+
+def _can_write(stream: TextIO) -> bool:
+    """Return whether a line can be written without waiting."""
+    try:
+        descriptor = stream.fileno()
+    except OSError:
+        return True  # it is no file of the system
+    poller = select.poll()
+    poller.register(descriptor, select.POLLOUT)
+    return bool(poller.poll(0))
 
 
 SINKS: dict[str, Sink] = {"text": write_text, "json": write_json}
@@ -75,5 +96,7 @@
         self._interval_dropped_lines = 0
 
     def _write(self, event: str, text: str, fields: Fields) -> None:
-        with contextlib.suppress(OSError):  # a log that can't be written must not end the balancer
-            self._sink(self._name, event, text, fields)
+        try:
+            self._sink(self._name, event, text[:MAX_TEXT_CHARACTERS], fields)
+        except OSError:  # a log that can't be written must neither end nor hold up the balancer
+            self.dropped_lines += 1
--- a/tests/test_metrics_and_log.py
+++ b/tests/test_metrics_and_log.py
@@ -3,7 +3,10 @@
 from __future__ import annotations
 
 import json
+import os
 import re
+import signal
+import sys
 from dataclasses import replace
 from pathlib import Path
 
@@ -132,6 +135,22 @@
     }
 
 
+def test_a_log_that_nobody_reads_does_not_hold_up_the_balancer(monkeypatch: pytest.MonkeyPatch) -> None:
+    """Guards against waiting for the reader of a full pipe, with all clients waiting behind."""
+    reading, writing = os.pipe()
+    with os.fdopen(reading, "rb") as reader, os.fdopen(writing, "w") as stderr:
+        monkeypatch.setattr(sys, "stderr", stderr)
+        full_log = log.Log("n1")
+        monkeypatch.setattr(log, "MAX_LINES_PER_INTERVAL", 1_000)
+        signal.alarm(10)  # a write that waits is ended by it
+        for _ in range(60):
+            full_log.event("noise", "x" * 100_000)
+        signal.alarm(0)
+        assert 0 < full_log.dropped_lines < 60
+        os.set_blocking(reading, False)
+        assert {len(line) for line in reader.read().splitlines()} == {len("n1: ") + log.MAX_TEXT_CHARACTERS}
+
+
 def test_reload_reports_what_was_applied_and_what_needs_a_restart() -> None:
     async def scenario() -> None:
         async with ProxyHarness(Upstream()) as harness:
