Save in the next process the cordons that its predecessor could not write

A cordon that was answered with yes while the folder could not be written went to the process that took over in memory only, and was lost with that one. Now what the file lacks of the predecessor's cordons and evacuations is saved by the new process, too, as soon as the folder takes it. Both cases of the new test fail before (nothing to save) and pass now, one run each.

--- a/loadbalancer/net/cordon_file.py
+++ b/loadbalancer/net/cordon_file.py
@@ -12,6 +12,7 @@
 import time
 from collections.abc import Callable, Iterator
 from contextlib import contextmanager
+from functools import partial
 from pathlib import Path
 
 from loadbalancer.interface import ZoneEvacuation
@@ -82,9 +83,23 @@
         """Replace the cordons by the predecessor's: the file may be outdated, for example on a full disk.
 
         Raises ValueError and keeps the file's cordons if they are malformed. Later changes of the file still
-        apply.
+        apply. What the file lacks is saved as soon as it can be.
         """
-        self.cordons = decode_cordons(raw)
+        adopted = decode_cordons(raw)
+        if self._path is not None:
+            self._unsaved += self._changes_to(adopted)
+        self.cordons = adopted
+
+    def _changes_to(self, adopted: Cordons) -> Iterator[Callable[[Cordons], Cordons]]:
+        """Yield the changes that lead from the file's cordons to others."""
+        for server in sorted(adopted.servers ^ self.cordons.servers):
+            now_ms = adopted.returned_at_ms.get(server, self._clock.now())
+            yield partial(
+                Cordons.with_cordon, server=server, is_cordoned=server in adopted.servers, now_ms=now_ms
+            )
+        for zone, evacuation in adopted.evacuations.items():
+            if self.cordons.evacuations.get(zone) != evacuation:
+                yield partial(Cordons.with_evacuation, evacuation=evacuation)
 
     def encode(self) -> dict[str, object]:
         """Return the cordons as they are stored in the file and sent to the next process."""
--- a/tests/test_cordon_file_faults.py
+++ b/tests/test_cordon_file_faults.py
@@ -8,6 +8,7 @@
 
 import pytest
 
+from loadbalancer.interface import ZoneEvacuation
 from loadbalancer.net.cordon_file import CordonFile
 
 
@@ -69,6 +70,33 @@
     assert other.cordons.servers == {"s0", "s1"}
 
 
+@pytest.mark.parametrize("order", ["cordon", "uncordon"])
+def test_the_next_process_saves_what_its_predecessor_could_not(
+    order: str, tmp_path: Path, monkeypatch: pytest.MonkeyPatch
+) -> None:
+    """Guards against a cordon, or its end, that is lost when the process that took over is killed."""
+    is_cordoned = order == "cordon"
+    disk = FailingDisk(monkeypatch, "write", errno.ENOSPC)
+    disk.is_broken = False
+    file = CordonFile(tmp_path)
+    file.set_cordon("s0", is_cordoned=not is_cordoned)
+    file.set_cordon("s1", is_cordoned=True)
+    disk.is_broken = True
+    file.set_cordon("s0", is_cordoned=is_cordoned)
+    file.set_evacuation(
+        ZoneEvacuation("z1", is_evacuating=True, started_at_ms=1_000.0, duration_ms=0.0, initial_fraction=1.0)
+    )
+    successor = CordonFile(tmp_path)
+    successor.refresh()
+    successor.adopt(file.encode())
+    assert not successor.save_pending()
+    disk.is_broken = False
+    assert successor.save_pending()
+    later = CordonFile(tmp_path)
+    assert later.refresh()
+    assert later.cordons == file.cordons == successor.cordons
+
+
 def test_a_file_that_can_not_be_read_for_a_moment_is_read_again(
     tmp_path: Path, monkeypatch: pytest.MonkeyPatch
 ) -> None:
