--- a/loadbalancer/net/upstream_attempt.py
+++ b/loadbalancer/net/upstream_attempt.py
@@ -13,6 +13,7 @@
 
 from loadbalancer.interface import Outcome
 from loadbalancer.net.attempt_timers import AttemptTimers
+from loadbalancer.net.http_framing import LENGTH_NOT_GIVEN
 from loadbalancer.net.message_body import Body
 from loadbalancer.net.message_head import ResponseHead
 from loadbalancer.net.upstream_connection import UpstreamConnection
@@ -22,6 +23,9 @@
 IMPOSSIBLE_IF_UNWRITTEN = (Outcome.RESET, Outcome.TIMED_OUT, Outcome.ERROR)
 # A response that has begun is streamed so long before the attempt's timeout: its head must arrive in time.
 STREAMING_MARGIN_S = 0.02
+# The first byte of a body of unknown length may come so long after the deadline, if its head came in time; a
+# client gets its answer, or the end of it, within half a second of its time.
+LATE_BODY_GRACE_S = 0.25
 # A response that is there when its time is over is read within this time: the process was held up.
 UNREAD_RESPONSE_GRACE_S = 0.02
 
@@ -121,7 +125,8 @@
         self._write_by_s = math.inf
         self.connect_duration_s: float | None = None  # if it opened a connection
         self._sink: ResponseSink | None = None
-        self._awaits_body = False  # whether a streamed response has no byte of its body yet
+        # Whether a streamed response of unknown length, perhaps a short one, has no byte of its body yet.
+        self._awaits_body = False
 
     def start(self, timeout_s: float, write_within_s: float, connect_within_s: float) -> None:
         """Begin on an idle connection, or open one; the handler is not notified before this returns.
@@ -204,7 +209,8 @@
         if not self._is_written():
             self.on_connection_failed()
             return
-        self._awaits_body = not reader.buffered_bytes
+        has_length = reader.length not in (None, LENGTH_NOT_GIVEN)
+        self._awaits_body = not (has_length or reader.buffered_bytes)
         self._sink = self._handler.on_response_started(self, reader.response())
         if self._sink is None:
             self.cancel()
@@ -274,8 +280,9 @@
 
     def _remaining_s(self) -> float:
         """Return the time until the request has to be written, or the first byte of the body be there."""
-        is_limited = self._awaits_body or not self._is_written()
-        return self._handler.remaining_s() if is_limited else math.inf
+        if not self._is_written():
+            return self._handler.remaining_s()
+        return self._handler.remaining_s() + LATE_BODY_GRACE_S if self._awaits_body else math.inf
 
     def _on_stall(self) -> None:
         self._end(Outcome.TIMED_OUT)
--- a/tests/test_late_response_bodies.py
+++ b/tests/test_late_response_bodies.py
@@ -18,6 +18,7 @@
     {"name": "read", "target": OBJECTIVE_S * 1_000, "deadline": DEADLINE_S * 1_000, "effect": "retryable"},
     {"name": "pay", "target": OBJECTIVE_S * 1_000, "deadline": DEADLINE_S * 1_000, "effect": "fragile"},
 ]
+LATE_BODY_S = 0.1  # after a deadline; a body of unknown length may come so late
 BODY = bytes(range(256)) * 800  # 200 KiB
 FRAMINGS = {
     "length": f"Content-Length: {len(BODY)}\r\n",
@@ -85,6 +86,28 @@
     run_scenario(scenario())
 
 
+@pytest.mark.parametrize("path", ["/read/x", "/pay/x"])
+@pytest.mark.parametrize(
+    ("framing", "wait_s"),
+    [
+        ("length", DEADLINE_S + ANSWER_GRACE_S),
+        ("chunked", DEADLINE_S + LATE_BODY_S),
+        ("close", DEADLINE_S + LATE_BODY_S),
+    ],
+)
+def test_a_long_response_that_has_begun_is_not_cut_off_at_its_deadline(
+    framing: str, wait_s: float, path: str
+) -> None:
+    """Guards against closing an upstream that has sent its head in time and is still writing slowly."""
+
+    async def scenario() -> None:
+        script = late_body(framing, wait_s)
+        async with ProxyHarness(Upstream(script), Upstream(script), classes=CLASSES) as harness:
+            assert await body_of_response(harness, path) == BODY
+
+    run_scenario(scenario())
+
+
 @pytest.mark.parametrize("framing", ["chunked", "close"])
 def test_a_response_whose_body_never_comes_is_seen_to_be_incomplete_at_its_deadline(framing: str) -> None:
     """Guards against a client that waits for the body of a spoilt response for longer than it may."""
