Let a process that takes over go on with the clock of its predecessor

After a step of the system's clock a new process of an upgrade read the times of its predecessor an hour off: calls to a cold server counted as an hour old, so that the slow-start budget began anew, or as yet to come, so that the server got nothing until it counted as warm; returns of cordoned servers alike. The old process tells the offset of its clock on the connection for IDs now (the recorded messages stay as they are), and the new one, its list and its cordons use it. The class: times of two clocks compared. The new test can't run before (there is no offset to take); with the process's own clock in its place both cases fail by 3,600,000 ms.

--- a/loadbalancer/net/cordon_file.py
+++ b/loadbalancer/net/cordon_file.py
@@ -28,9 +28,9 @@
 class CordonFile:
     """The cordons, kept in a file; only in memory without a folder, or until writing succeeds."""
 
-    def __init__(self, folder: Path | None) -> None:
+    def __init__(self, folder: Path | None, clock: Clock | None = None) -> None:
         self._path = folder / "cordons.json" if folder else None
-        self._clock = Clock()
+        self._clock = clock or Clock()
         self._last_stat: tuple[int, int, int] | None = None
         self._unsaved: list[Callable[[Cordons], Cordons]] = []  # changes that could not be written, in order
         self.cordons = Cordons()
--- a/loadbalancer/net/endpoint_list.py
+++ b/loadbalancer/net/endpoint_list.py
@@ -37,6 +37,7 @@
         log: Log,
         dispatch: Callable[[interface.Event], None],
         *,
+        clock: Clock,
         needs_full_list: bool,
         snapshot_written_ms: float | None,
     ) -> None:
@@ -54,7 +55,7 @@
         self.endpoints: dict[str, AddressedEndpoint] = {}
         self.revision = 0
         self._remembered_servers: dict[str, None] = {}  # servers ever listed, most recent last
-        self._start_times = StartTimes(Clock().now, _system_ms)
+        self._start_times = StartTimes(clock.now, _system_ms)
         self._first_response = asyncio.Event()  # set after the first response or failure of the watch
         self.discovery = DiscoveryClient(
             config,
--- a/loadbalancer/net/hot_restart/listener.py
+++ b/loadbalancer/net/hot_restart/listener.py
@@ -16,6 +16,7 @@
     LISTENER_PADDING,
     READY,
     DescriptorCounts,
+    encode_clock,
     encode_counts,
     encode_state,
     socket_path,
@@ -44,6 +45,9 @@
     def descriptor_counts(self) -> DescriptorCounts:
         """Return how many descriptors to count for this process, by use."""
 
+    def clock_offset_ms(self) -> float:
+        """Return the offset of the clock that the times in the state are of."""
+
     def executed_ids(self) -> ExecutedIds:
         """Return the IDs of requests that may have run, as this process knows them."""
 
@@ -98,6 +102,7 @@
             await self._loop.sock_sendall(connection, encode_state(self._process.handover_state()))
             command = await self._loop.sock_recv(connection, len(READY))
             if command == EXCHANGE:
+                await self._loop.sock_sendall(connection, encode_clock(self._process.clock_offset_ms()))
                 await ExecutedExchange(connection, self._process.executed_ids(), self._loop).run()
             if command == READY:
                 self._process.stop_accepting()
--- a/loadbalancer/net/hot_restart/predecessor.py
+++ b/loadbalancer/net/hot_restart/predecessor.py
@@ -7,13 +7,15 @@
 from collections.abc import Callable
 from contextlib import ExitStack, suppress
 from pathlib import Path
-from typing import Any
+from typing import Any, NamedTuple
 
 from loadbalancer.net.hot_restart.protocol import (
+    CLOCK_MESSAGE_BYTES,
     END_OF_MESSAGE,
     EXCHANGE,
     READY,
     DescriptorCounts,
+    decode_clock,
     decode_counts,
     decode_state,
     socket_path,
@@ -25,6 +27,13 @@
 COUNTS_RECEIVE_BYTES = 4_096  # a line of counts takes less than a hundred
 
 
+class Exchange(NamedTuple):
+    """The second connection to the old process, and what that said first."""
+
+    connection: socket.socket
+    clock_offset_ms: float
+
+
 class Predecessor:
     """The connection to the old process, with the listening socket and the state that it has sent."""
 
@@ -33,10 +42,13 @@
         connection: socket.socket,
         listener: socket.socket,
         state: dict[str, Any],
-        exchange: socket.socket | None = None,
+        exchange: Exchange | None = None,
     ) -> None:
-        """`exchange` is the connection for the IDs of requests that may have run; None if there is none."""
-        self.exchange = exchange
+        """`exchange` is None if the old process is of a version without it."""
+        self.exchange = exchange.connection if exchange else None
+        """The connection for the IDs of requests that may have run."""
+        self.clock_offset_ms = exchange.clock_offset_ms if exchange else None
+        """The offset of the clock that the times in the state are of, if it is known."""
         self.listener = listener
         self.state = state
         self._connection = connection
@@ -100,15 +112,30 @@
     return connection, listener, state
 
 
-def _connect_exchange(folder: Path) -> socket.socket | None:
+def _connect_exchange(folder: Path) -> Exchange | None:
     """Return a second connection, on which IDs are exchanged; None if that is not possible."""
     try:
-        connection, listener, _ = _connect(folder)
-        listener.close()
-        connection.sendall(EXCHANGE)
+        with ExitStack() as opened:
+            connection, listener, _ = _connect(folder)
+            opened.enter_context(connection)
+            listener.close()
+            connection.sendall(EXCHANGE)
+            offset_ms = decode_clock(_receive_exactly(connection, CLOCK_MESSAGE_BYTES))
+            opened.pop_all()
     except (OSError, ValueError):
         return None
-    return connection
+    return Exchange(connection, offset_ms)
+
+
+def _receive_exactly(connection: socket.socket, size_bytes: int) -> bytes:
+    """Return so many bytes, as those after them are of another message; ValueError at the end."""
+    data = b""
+    while len(data) < size_bytes:
+        more = connection.recv(size_bytes - len(data))
+        if not more:
+            raise ValueError("the predecessor has closed the connection")
+        data += more
+    return data
 
 
 def _receive_listener(connection: socket.socket) -> tuple[socket.socket, bytes]:
--- a/loadbalancer/net/hot_restart/protocol.py
+++ b/loadbalancer/net/hot_restart/protocol.py
@@ -4,8 +4,8 @@
 one answers with `READY`; from then on the old one sends a line of descriptor counts whenever they change.
 Older and newer versions read the keys too: they are fixed, and differ from the fields' names.
 
-On a second connection the new process answers the state with `EXCHANGE`, see `executed_exchange`; older
-versions close it.
+On a second connection the new process answers the state with `EXCHANGE`, and gets the offset of the clock
+that the times in the state are of; then IDs are exchanged, see `executed_exchange`. Older versions close it.
 """
 
 from __future__ import annotations
@@ -20,6 +20,7 @@
 
 READY = b"ready\n"
 EXCHANGE = b"ids  \n"  # as long as READY, which older versions expect
+CLOCK_MESSAGE_BYTES = 32
 END_OF_MESSAGE = b"\n"
 LISTENER_PADDING = b" "  # descriptors need at least one byte of data; JSON ignores leading spaces
 
@@ -43,6 +44,16 @@
     return DescriptorCounts(downstream=counts.get("callers", 0), upstream=counts.get("upstreams", 0))
 
 
+def encode_clock(offset_ms: float) -> bytes:
+    """Encode the offset of a process's clock as a message of a fixed length."""
+    return b"%*.3f\n" % (CLOCK_MESSAGE_BYTES - 1, offset_ms)
+
+
+def decode_clock(message: bytes) -> float:
+    """Decode the offset of a process's clock; ValueError if it is malformed."""
+    return float(message)
+
+
 def encode_state(state: dict[str, Any]) -> bytes:
     """Encode the state as a message."""
     return json.dumps(state).encode() + END_OF_MESSAGE
--- a/loadbalancer/net/proxy.py
+++ b/loadbalancer/net/proxy.py
@@ -75,7 +75,7 @@
         self._loop = loop
         self._predecessor = predecessor
         self.log = Log(config.name or "balancer", process.sink)
-        self.clock = Clock()
+        self.clock = Clock(predecessor.clock_offset_ms if predecessor else None)
         self.balancer = Balancer(config.settings, config.seed)
         self._decisions = DecisionLoop(self.balancer, self.clock, self.log)
         self._counters = RequestCounters(c.name for c in config.settings.classes)
@@ -154,6 +154,7 @@
             self.upstreams,
             self.log,
             self._decisions.dispatch,
+            clock=self.clock,
             needs_full_list=self._predecessor is not None or self._snapshot is not None,
             snapshot_written_ms=self._snapshot.written_at_ms if self._snapshot is not None else None,
         )
@@ -165,7 +166,7 @@
             self.balancer,
             self.upstreams,
             self.endpoint_list,
-            CordonFile(folder),
+            CordonFile(folder, self.clock),
             self.log,
             self._decisions.dispatch,
         )
@@ -179,6 +180,7 @@
             self.membership,
             self._transfer,
             self.executed,
+            self.clock,
             self.log,
             self._decisions.dispatch,
         )
--- a/loadbalancer/net/takeover.py
+++ b/loadbalancer/net/takeover.py
@@ -9,6 +9,7 @@
 from typing import TYPE_CHECKING
 
 from loadbalancer import interface
+from loadbalancer.net.clock import Clock
 from loadbalancer.net.downstream_listener import DownstreamListener
 from loadbalancer.net.endpoint_list import EndpointListFollower
 from loadbalancer.net.executed_ids import ExecutedIds
@@ -36,6 +37,7 @@
         membership: MembershipHost | None,
         transfer: StateTransfer,
         executed: ExecutedIds,
+        clock: Clock,
         log: Log,
         dispatch: Callable[[interface.Event], None],
     ) -> None:
@@ -46,6 +48,7 @@
         self._membership = membership
         self._transfer = transfer
         self._executed = executed
+        self._clock = clock
         self._log = log
         self._dispatch = dispatch
         self._max_downstream_connections = downstream.max_connections
@@ -117,6 +120,10 @@
         self._upstreams.max_connections = self._max_upstream_connections
         self._dispatch(interface.TakeoverChanged(False))
 
+    def clock_offset_ms(self) -> float:
+        """Return the offset of this process's clock."""
+        return self._clock.offset_ms
+
     def executed_ids(self) -> ExecutedIds:
         """Return the IDs of requests that may have run, as this process knows them."""
         return self._executed
--- a/tests/test_clock_steps.py
+++ b/tests/test_clock_steps.py
@@ -2,12 +2,15 @@
 
 from __future__ import annotations
 
+import asyncio
 import time
+from pathlib import Path
 
 import pytest
 
 from loadbalancer.net.clock import Clock
 from loadbalancer.net.cordon_file import CordonFile
+from loadbalancer.net.hot_restart import connect_to_predecessor
 from loadbalancer.net.start_times import StartTimes
 from loadbalancer.registry.catalog import Catalog
 from loadbalancer.registry.clock import unix_ms
@@ -100,6 +103,28 @@
     assert abs(file.cordons.returned_at_ms["s0"] - clock.now()) < HOUR_MS / 60
 
 
+@each_direction
+def test_a_process_that_takes_over_goes_on_with_the_clock_of_its_predecessor(
+    step_ms: float, tmp_path: Path, monkeypatch: pytest.MonkeyPatch
+) -> None:
+    """Guards against calls to a cold server that count as an hour old or as yet to come after an upgrade."""
+
+    async def scenario() -> None:
+        async with ProxyHarness(Upstream(), folder=tmp_path) as harness:
+            system_s = time.time
+            monkeypatch.setattr(time, "time", lambda: system_s() + step_ms / 1_000)
+            connect = asyncio.get_running_loop().run_in_executor(None, connect_to_predecessor, tmp_path)
+            predecessor = await connect
+            assert predecessor is not None
+            assert predecessor.exchange is not None
+            successor = Clock(predecessor.clock_offset_ms)
+            assert abs(successor.now() - harness.proxy.clock.now()) < 1_000
+            predecessor.exchange.close()
+            predecessor.listener.close()
+
+    run_scenario(scenario())
+
+
 @each_direction
 def test_a_lease_runs_in_real_time(step_ms: float, monkeypatch: pytest.MonkeyPatch) -> None:
     catalog = Catalog(Rules(), 1)
