--- a/tests/test_departed_clients.py
+++ b/tests/test_departed_clients.py
@@ -105,6 +105,39 @@
     run_scenario(scenario())
 
 
+@pytest.mark.parametrize("framing", ["length", "chunked"])
+def test_a_long_request_is_not_completed_after_a_close_that_lies_behind_further_ones(framing: str) -> None:
+    """Guards against forwarding the end of a body whose client left, with more requests unread behind it."""
+
+    async def scenario() -> None:
+        read_on = asyncio.Event()
+        received: list[HttpMessage] = []
+        upstream = SlowUpstream(read_on, received)
+        async with ProxyHarness(Upstream()) as harness:
+            pool = next(iter(harness.proxy.upstreams._pools.values()))
+            pool.address = await upstream.start()
+            connection = client_socket(harness)
+            length = (
+                f"Content-Length: {len(LARGE_BODY)}" if framing == "length" else "Transfer-Encoding: chunked"
+            )
+            more = f"X-Class: pay\r\nX-Request-Id: 1\r\nX-Deadline: 4000m\r\n{length}\r\n\r\n"
+            body = LARGE_BODY
+            if framing == "chunked":
+                body = b"%x\r\n%b\r\n0\r\n\r\n" % (len(body), body)
+            behind = b"".join(REQUEST % (number, b"p" * 8_000) for number in range(100))
+            loop = asyncio.get_running_loop()
+            data = b"POST /pay/x HTTP/1.1\r\n" + more.encode() + body + behind
+            await loop.sock_sendall(connection, data)
+            await wait_at_least(0.05)
+            connection.close()
+            await wait_at_least(2 * MAX_LATE_START_S)
+            read_on.set()
+            await upstream.ended.wait()
+            assert received == []
+
+    run_scenario(scenario())
+
+
 class SlowUpstream:
     """An upstream that takes little into its kernel's buffer, and reads nothing until it is told to."""
 
--- a/tests/test_late_reads.py
+++ b/tests/test_late_reads.py
@@ -225,6 +225,27 @@
     run_play(play())
 
 
+@each_connection
+@pytest.mark.parametrize("size_bytes", [30_000, 60_000, 300_000])
+def test_a_request_that_came_while_the_program_was_held_up_is_served(
+    size_bytes: int, connection: str, tmp_path: Path
+) -> None:
+    """Guards against taking a client for gone whose request has filled much of the receive window."""
+    data = GET % (1, DEADLINE_S * 1_000, b"Content-Length: %d\r\n" % size_bytes) + bytes(size_bytes)
+
+    async def play() -> None:
+        loop = asyncio.get_running_loop()
+        async with running_balancer(tmp_path) as program:
+            opened = await open_connection(program, "kept")  # there is a connection to an upstream then
+            async with Hold(program):
+                if connection == "new":
+                    opened = await open_connection(program, connection)
+                await loop.sock_sendall(opened, data)
+            assert b"200 OK" in await loop.sock_recv(opened, 65_536)
+
+    run_play(play())
+
+
 @pytest.mark.parametrize("part", ["head", "body"])
 def test_a_request_whose_rest_came_while_the_program_was_held_up_is_served(part: str, tmp_path: Path) -> None:
     """Guards against ending a request by the time for its arrival while its rest waits to be read."""
