Send no end of a request whose client may have left with more requests behind it

Now the end of a body is withheld, and what no server has got in full is given up, if the client was not seen for 50 ms (80 before) and more lies behind that its kernel may hold back; whether that is so is asked at each time, also while reading is not paused. A request that came whole while the process was held up waits up to 0.1 s for what may follow it, in place of a 503.

--- a/loadbalancer/net/downstream_connection.py
+++ b/loadbalancer/net/downstream_connection.py
@@ -186,10 +186,22 @@
         self._transport.abort()
         return True
 
+    def check_presence(self) -> bool:
+        """Close and return True if the client has disconnected; begin nothing more if it may have."""
+        if self.close_if_disconnected():
+            return True
+        if self.pipeline.is_serving() and self.may_have_disconnected():
+            self.pipeline.give_up_untaken()
+        return False
+
     def may_have_disconnected(self) -> bool:
         """Return whether the client may have disconnected unseen, too long ago for a request to begin."""
         return self._presence.may_have_disconnected(self.idle_since_s)
 
+    def wait_for_end(self, on_known: Callable[[], None]) -> bool:
+        """Call `on_known` once the client's end would have come, if it may follow; return whether it may."""
+        return self._presence.wait_for_end(on_known)
+
     def probe_after_response(self, on_probed: Callable[[], None]) -> bool:
         """Call `on_probed` once a reset would have come, if the end may be hidden; return whether it may."""
         return self._presence.probe_after_response(on_probed)
--- a/loadbalancer/net/downstream_flow.py
+++ b/loadbalancer/net/downstream_flow.py
@@ -10,7 +10,7 @@
 from loadbalancer.net.sockets import receive_buffer_bytes, received_segment_bytes, unread_bytes
 
 # Between disconnect checks while reading is paused: no attempt may begin 0.1 s after a disconnect.
-DISCONNECT_POLL_INTERVAL_S = 0.03
+DISCONNECT_POLL_INTERVAL_S = 0.02
 # A pause that holds no client up: most end as soon as the kernel has taken a part of a body.
 SHORT_PAUSE_S = 0.001
 
--- a/loadbalancer/net/downstream_pipeline.py
+++ b/loadbalancer/net/downstream_pipeline.py
@@ -40,6 +40,9 @@
     def has_unparsed(self) -> bool:
         """Return whether received bytes wait for a later turn."""
 
+    def wait_for_end(self, on_known: Callable[[], None]) -> bool:
+        """Call `on_known` once the client's end would have come, if it may follow; return whether it may."""
+
     def probe_after_response(self, on_probed: Callable[[], None]) -> bool:
         """Call `on_probed` once it is known whether a client has left whose end can't be seen."""
 
@@ -121,6 +124,18 @@
         elif request not in self._waiting:
             self.append(request)
 
+    def reject_unfinished(self, request: DownstreamRequest, status: int) -> None:
+        """End the request that is being served, whose server has not got its end."""
+        self._listener.handler.on_request_failed(request, status)
+
+    def give_up_untaken(self) -> None:
+        """End the request that is served if no server has got all of it, as its client may have left.
+
+        While its body still arrives, a closed window says nothing: its client writes on.
+        """
+        if self._current is not None and self._current.body.is_complete:
+            self._listener.handler.on_client_unseen(self._current)
+
     def reject(self, request: DownstreamRequest | None, status: int, reason: str) -> None:
         """End with this response, for invalid input or a request whose rest will not arrive."""
         if request is not None and request is self._current:
@@ -154,7 +169,7 @@
             return
         self._is_advancing = True
         try:
-            if self._can_serve():
+            if self._can_serve() and not self._must_wait_for_end():
                 self._current = self._waiting.pop(0)
                 self._count_queued()
                 self._serve(self._current)
@@ -175,6 +190,12 @@
             return False
         return not self._transport.is_closing() and self._transport.get_write_buffer_size() == 0
 
+    def _must_wait_for_end(self) -> bool:
+        """Return whether the next request, which is complete, waits to see whether its client has left."""
+        if self._waiting[0].body.is_complete and self._connection.wait_for_end(self._on_probed):
+            self._is_probing = True
+        return self._is_probing
+
     def _serve(self, request: DownstreamRequest) -> None:
         # Requests for no class of service close the connection: such clients are many, and would stay.
         if request.target == b"/healthz" and request.method == b"GET":
--- a/loadbalancer/net/downstream_presence.py
+++ b/loadbalancer/net/downstream_presence.py
@@ -7,6 +7,7 @@
 from __future__ import annotations
 
 import asyncio
+import math
 import time
 from collections.abc import Callable
 
@@ -17,7 +18,7 @@
 # After a response, the machine of a client that has closed answers with a reset within this time.
 PROBE_S = 0.02
 # No request begins for a client that was not known to be there for so long: it may have left in between.
-MAX_UNSEEN_S = 0.08
+MAX_UNSEEN_S = 0.05
 
 
 class ClientPresence:
@@ -27,6 +28,7 @@
         self._loop = loop
         self._reader = reader
         self._transport: asyncio.Transport | None = None
+        self._seen_s = -math.inf  # when the end was last known not to be hidden
 
     def connect(self, transport: asyncio.Transport) -> None:
         """Ask the kernel about this connection from now on."""
@@ -37,10 +39,23 @@
         transport = self._transport
         if transport is None or transport.is_closing():
             return False
-        if not self._reader.control.is_paused:
-            return self._reader.lag.may_hide_end()
+        is_hidden = self._may_hide_end(transport)
+        if not is_hidden:
+            self._seen_s = time.monotonic()
+        return is_hidden
+
+    def _may_hide_end(self, transport: asyncio.Transport) -> bool:
+        reader = self._reader
+        if reader.control.is_paused:
+            unread = unread_bytes(transport)
+        elif reader.has_more_behind():
+            if reader.lag.may_hide_end():
+                return True
+            unread = unread_bytes(transport) + reader.last_read_bytes  # it was as full before that read
+        else:
+            return False
         return may_have_closed_window(
-            unread_bytes(transport), receive_buffer_bytes(transport), received_segment_bytes(transport)
+            unread, receive_buffer_bytes(transport), received_segment_bytes(transport)
         )
 
     def may_have_disconnected(self, responded_s: float) -> bool:
@@ -51,11 +66,24 @@
         if not self.is_end_hidden():
             return False
         now = time.monotonic()
-        seen_s = self._reader.lag.written_after_s()
+        seen_s = max(self._reader.lag.written_after_s(), self._seen_s)
         if now >= responded_s + PROBE_S:
             seen_s = max(seen_s, responded_s)  # it took the last response without a reset
         return now - seen_s > MAX_UNSEEN_S
 
+    def wait_for_end(self, on_known: Callable[[], None]) -> bool:
+        """Call `on_known` once the end would have come behind a window that opened just now, if it may.
+
+        Return whether it may: nothing more has come yet, and the client was not seen for too long.
+        """
+        lag = self._reader.lag
+        if self._reader.control.is_paused or not lag.may_hide_end() or self._reader.has_more_behind():
+            return False
+        if time.monotonic() - max(lag.written_after_s(), self._seen_s) <= MAX_UNSEEN_S:
+            return False
+        self._loop.call_later(lag.until_end_is_known_s(), on_known)
+        return True
+
     def probe_after_response(self, on_probed: Callable[[], None]) -> bool:
         """Call `on_probed` once a reset would have come, if the end may be hidden; return whether it may."""
         if not self.is_end_hidden():
--- a/loadbalancer/net/downstream_read_lag.py
+++ b/loadbalancer/net/downstream_read_lag.py
@@ -41,11 +41,11 @@
 class ReadLag:
     """Since when bytes that a client has written may have been waiting to be read, on one connection."""
 
-    __slots__ = ("_behind_since_s", "_is_drained", "_paused_s", "_window_opened_s")
+    __slots__ = ("_behind_since_s", "_paused_s", "_window_opened_s", "is_drained")
 
     def __init__(self) -> None:
         self._behind_since_s: float | None = None
-        self._is_drained = True  # whether the kernel had nothing to read at the last look
+        self.is_drained = True  # whether the kernel had nothing to read at the last look
         self._paused_s: float | None = None  # since when reading is paused
         self._window_opened_s = -math.inf  # it may have been closed until then
 
@@ -77,7 +77,7 @@
         if self._behind_since_s is None:
             self._behind_since_s = self._paused_s
         self._paused_s = None
-        self._is_drained = unread_bytes == 0
+        self.is_drained = unread_bytes == 0
         if may_have_closed_window(unread_bytes, receive_buffer_bytes, segment_bytes):
             self._window_opened_s = time.monotonic()
 
@@ -91,14 +91,18 @@
 
     def may_hide_end(self) -> bool:
         """Return whether the end of the client's stream may still follow, as the window opened just now."""
-        return time.monotonic() < self._window_opened_s + WINDOW_UPDATE_S
+        return self.until_end_is_known_s() > 0
+
+    def until_end_is_known_s(self) -> float:
+        """Return for how long the end may still follow."""
+        return max(self._window_opened_s + WINDOW_UPDATE_S - time.monotonic(), 0.0)
 
     def on_read(self, *, is_drained: bool) -> None:
         """Handle a read, after which the kernel had nothing more (`is_drained`), or may have."""
         if is_drained and self._behind_since_s is None:
             return
         self._catch_up()
-        self._is_drained = is_drained
+        self.is_drained = is_drained
         if not is_drained and self._behind_since_s is None:
             self._behind_since_s = time.monotonic()
 
@@ -109,7 +113,7 @@
 
     def _catch_up(self) -> None:
         """Forget the lag once everything is read, and the client had the time to send what it held back."""
-        if self._paused_s is not None or not self._is_drained:
+        if self._paused_s is not None or not self.is_drained:
             return
         if time.monotonic() >= self._window_opened_s + WINDOW_UPDATE_S:
             self._behind_since_s = None
--- a/loadbalancer/net/downstream_reader.py
+++ b/loadbalancer/net/downstream_reader.py
@@ -22,6 +22,7 @@
     unread_bytes,
 )
 
+MIN_WINDOW_BYTES = 16_384  # a closed receive window has at least so much before it
 MAX_REQUESTS_PER_TURN = 2  # that are parsed of one connection; the rest waits for later turns of the loop
 MAX_PARSE_S = 0.0003  # in one turn, after which only a piece that has begun is finished
 
@@ -38,11 +39,14 @@
     def unread_since_s(self) -> float:
         """Return since when what is read now may have been waiting, at the worst (monotonic clock)."""
 
+    def may_have_disconnected(self) -> bool:
+        """Return whether the client may have left without the kernel's seeing it."""
+
     def shed_heads(self) -> None:
         """Reject heads that are still coming in, as the buffers are full."""
 
-    def close_if_disconnected(self) -> bool:
-        """Close and return True if the client has disconnected."""
+    def check_presence(self) -> bool:
+        """Close and return True if the client has disconnected; begin nothing more if it may have."""
 
     def half_close(self) -> None:
         """Shut down our sending side, and read on for a moment."""
@@ -60,8 +64,10 @@
         self._parser = RequestParser(connection, self)
         self._timer = RequestTimer(loop, self._on_timeout)
         self.lag = ReadLag()
-        self.control = ReadingControl(loop, self.lag, connection.close_if_disconnected)
+        self.control = ReadingControl(loop, self.lag, connection.check_presence)
         self._unparsed = b""  # received, for a later turn
+        self._behind_bytes = 0  # of what has been read, behind what is being parsed
+        self.last_read_bytes = 0
         self._unparsed_reservation = BufferReservation(connection.buffers)
         self._written_after_s = 0.0  # when what is being parsed can have been written at the earliest
         self._requests_in_turn = 0
@@ -100,8 +106,17 @@
         """Return whether received bytes wait for a later turn."""
         return bool(self._unparsed)
 
+    def has_more_behind(self) -> bool:
+        """Return whether the client has sent more than what has been parsed: its end comes after that."""
+        if self._behind_bytes or self._transport is None:
+            return self._behind_bytes > 0
+        if self.lag.is_drained and self.last_read_bytes < MIN_WINDOW_BYTES:
+            return False  # the window was open, so that the kernel has seen the end, if there is one
+        return unread_bytes(self._transport) > 0
+
     def feed(self, data: memoryview, *, is_drained: bool) -> None:
         """Parse received bytes, and serve what can be served; `is_drained` if the kernel has no more."""
+        self.last_read_bytes = len(data)
         self._note_delay(len(data), is_drained=is_drained)
         self._written_after_s = self.lag.written_after_s()
         if self._unparsed or not self._parser.is_quickly_parsed(data):
@@ -131,7 +146,9 @@
         self._requests_in_turn = 0
         while data and not self.is_stopped:
             try:
-                data = data[self._parser.feed(data[: self._parser.piece_bytes(data)]) :]
+                piece = data[: self._parser.piece_bytes(data)]
+                self._behind_bytes = len(data) - len(piece)
+                data = data[self._parser.feed(piece) :]
             except InvalidRequestError as error:
                 if not self.is_stopped:
                     self._reject(error.status, error.reason)
@@ -141,6 +158,7 @@
 
     def _keep_unparsed(self, rest: memoryview) -> None:
         self._unparsed = b"" if self.is_stopped else bytes(rest)
+        self._behind_bytes = len(self._unparsed)
         self._unparsed_reservation.resize(len(self._unparsed))
 
     def incomplete_head_bytes(self) -> int:
@@ -223,6 +241,11 @@
         self.has_received_request = True
         self._requests_in_turn += 1
         request.written_after_s = self._written_after_s
+        if request.body.is_streamed() and self._connection.may_have_disconnected():
+            request.body.discard()  # its end is not sent, so that it does not begin
+            request.body.complete()
+            self._pipeline.reject_unfinished(request, 503)
+            return
         request.body.complete()
         if self._connection.closes_after_body:
             self._connection.half_close()
--- a/loadbalancer/net/downstream_request.py
+++ b/loadbalancer/net/downstream_request.py
@@ -96,6 +96,9 @@
     def on_client_disconnected(self, request: DownstreamRequest) -> None:
         """Handle the disconnect of a request's client."""
 
+    def on_client_unseen(self, request: DownstreamRequest) -> None:
+        """Handle that a request's client may have left unseen: no server may begin it from now on."""
+
     def on_input_rejected(self, status: int) -> None:
         """Handle that input was rejected with this status before it was a request of any class."""
 
--- a/loadbalancer/net/message_body.py
+++ b/loadbalancer/net/message_body.py
@@ -101,6 +101,10 @@
         size_bytes = max(self._reservation.size_bytes, self.length or 0)
         return size_bytes > MAX_BUFFERED_BODY_BYTES or (self.received_bytes > 0 and self._budget.is_full())
 
+    def is_streamed(self) -> bool:
+        """Return whether it is streamed to an attempt."""
+        return self._sink is not None
+
     def missing_bytes(self) -> int:
         """Return how many bytes are still to come; 0 if that is unknown."""
         return 0 if self.length is None else self.length - self.received_bytes
--- a/loadbalancer/net/request_counters.py
+++ b/loadbalancer/net/request_counters.py
@@ -17,6 +17,8 @@
     """Why a request was closed otherwise than by the end of an attempt or by the decision module."""
 
     CLIENT_DISCONNECTED = "client_disconnected"
+    CLIENT_UNSEEN = "client_unseen"
+    """Its client may have left unseen, and no server had got all of it."""
     DEADLINE = "deadline"
     """Its time was over, and nothing else had answered it."""
     REPEATED_ID = "repeated_id"
--- a/loadbalancer/net/request_intake.py
+++ b/loadbalancer/net/request_intake.py
@@ -68,6 +68,13 @@
                 request.streaming_attempt.cancel()  # nobody is left to receive the response
             self._requests.dispatch(request, interface.ClientDisconnected(request.id))
 
+    def on_client_unseen(self, downstream: DownstreamRequest) -> None:
+        """End a request that no server has got in full, as its client may have left unseen."""
+        request = self._requests.get_open(downstream.request_id)
+        if request is not None and request.is_untaken():
+            self._counters.record_close(CloseReason.CLIENT_UNSEEN)
+            self._requests.respond_with_error(request.id)
+
     def on_input_rejected(self, status: int) -> None:
         """Count input that is no acceptable request, or that there is no memory for."""
         self._counters.record_rejected_input(status)
--- a/loadbalancer/net/request_table.py
+++ b/loadbalancer/net/request_table.py
@@ -54,6 +54,11 @@
         unwritten = sum(attempt.is_unwritten() for attempt in self.attempts if attempt is not None)
         return self.has_run or self.attempts_in_flight > unwritten
 
+    def is_untaken(self) -> bool:
+        """Return whether there are attempts in flight, and no server has got all of its request."""
+        in_flight = [attempt for attempt in self.attempts if attempt is not None and attempt.is_in_flight()]
+        return bool(in_flight) and all(attempt.is_untaken() for attempt in in_flight)
+
     def cancel_unwritten_attempts(self) -> None:
         """Cancel the attempts that have not been written: nobody waits for their responses."""
         for attempt in self.attempts:
--- a/loadbalancer/net/upstream_attempt.py
+++ b/loadbalancer/net/upstream_attempt.py
@@ -172,6 +172,14 @@
         elif self._connection is not None and self._connection.has_unsent_bytes():
             self._end(Outcome.CANCELLED)
 
+    def is_in_flight(self) -> bool:
+        """Return whether the attempt is in progress."""
+        return not self._is_over
+
+    def is_untaken(self) -> bool:
+        """Return whether the kernel has yet to send a part of the request, or the attempt to write it."""
+        return self._connection is None or not self._is_written() or self._connection.has_unsent_bytes()
+
     def is_unwritten(self) -> bool:
         """Return whether the attempt is in progress and its last byte is not sent yet."""
         return not (self._is_over or self._is_written())
