--- a/loadbalancer/net/upstream_connection.py
+++ b/loadbalancer/net/upstream_connection.py
@@ -9,6 +9,7 @@
 from loadbalancer.net.http_framing import LAST_CHUNK, LENGTH_NOT_GIVEN, encode_chunk
 from loadbalancer.net.long_heads import LongHeads
 from loadbalancer.net.message_body import MAX_BUFFERED_BODY_BYTES, Body, BufferBudget, BufferReservation
+from loadbalancer.net.paced_reading import PacedReading
 from loadbalancer.net.sockets import peek_socket, reset_on_close, set_no_delay, unread_bytes, unsent_bytes
 from loadbalancer.net.turn_queue import TurnQueue
 from loadbalancer.net.upstream_response import RESPONSE_ERRORS, ResponseReader
@@ -83,9 +84,7 @@
         self._streaming_timer: asyncio.TimerHandle | None = None
         self._is_writing_paused = False
         self._offered_bytes = 0  # for the next read
-        self._unparsed = b""  # received, for a later turn of the loop
-        self._is_client_behind = False  # whether the response waits for its client
-        self._is_turn_over = False  # whether reading waits for a later turn
+        self._reading = PacedReading(pool.turns, self._parse)
         self._is_body_ended = False
         self._is_written = False
         self._is_closed = False
@@ -93,6 +92,7 @@
     def connection_made(self, transport: asyncio.BaseTransport) -> None:
         """Set the buffer limits to 0, so that any byte left in our buffer pauses writing."""
         self._transport = cast(asyncio.Transport, transport)
+        self._reading.connect(self._transport)
         set_no_delay(transport)
         self._transport.set_write_buffer_limits(high=0, low=0)
 
@@ -170,7 +170,7 @@
         """Return whether bytes of the upstream wait to be read or parsed."""
         if self._transport is None or self._transport.is_closing():
             return False
-        return bool(self._unparsed) or unread_bytes(self._transport) > 0
+        return bool(self._reading.unparsed) or unread_bytes(self._transport) > 0
 
     def is_alive(self) -> bool:
         """Return whether the socket is open and has nothing to read; the loop may not know of its end yet."""
@@ -193,30 +193,20 @@
             self.close()
             return
         attempt.on_progress()
-        turns = self._pool.turns
-        is_long_read = nbytes == self._offered_bytes
-        if is_long_read:
-            turns.begin_long_read()
+        is_buffer_full = nbytes == self._offered_bytes
+        if is_buffer_full:
+            self._pool.turns.begin_long_read()
         data = self._budget.received(nbytes)
-        if reader.is_quickly_parsed(data):
-            self._parse(attempt, reader, data)
-        else:
-            turns.begin_long_read()
-            self._parse_in_turn(attempt, reader, data)
-        # The transport would read buffer after buffer.
-        self._is_turn_over = is_long_read and turns.is_turn_over()
-        self._update_reading()
-
-    def _parse_in_turn(self, attempt: ConnectionUser, reader: ResponseReader, data: memoryview) -> None:
-        """Parse what may be many small parts, or leave it to a later turn if this one is over."""
-        if not self._pool.turns.is_turn_over():
-            self._parse(attempt, reader, data)
-            return
-        self._unparsed = bytes(data)
-        self._unread.resize(reader.held_bytes() + len(self._unparsed))
+        is_quickly_parsed = reader.is_quickly_parsed(data)
+        self._reading.on_read(data, is_quickly_parsed=is_quickly_parsed, is_buffer_full=is_buffer_full)
+        if self._attempt is attempt:
+            self._unread.resize(reader.held_bytes() + len(self._reading.unparsed))
 
-    def _parse(self, attempt: ConnectionUser, reader: ResponseReader, data: memoryview) -> None:
+    def _parse(self, data: memoryview) -> None:
         """Parse what one turn has time for; the rest waits for a later one."""
+        attempt, reader = self._attempt, self._reader
+        if attempt is None or reader is None:
+            return
         ends_s = time.monotonic() + MAX_PARSE_S
         try:
             while data and not reader.is_complete:
@@ -230,29 +220,9 @@
             return
         if reader.is_complete and data:
             reader.is_reusable = False  # nobody has asked for what follows
-        self._unparsed = b"" if reader.is_complete else bytes(data)
+        self._reading.keep(b"" if reader.is_complete else data)
         self._handle_response(attempt, reader)
 
-    def _continue(self) -> None:
-        """Go on in a later turn with what has been received, then read on."""
-        self._is_turn_over = False
-        attempt, reader = self._attempt, self._reader
-        if attempt is not None and reader is not None and self._unparsed and not self._is_client_behind:
-            self._parse(attempt, reader, memoryview(self._unparsed))
-        self._update_reading()
-
-    def _update_reading(self) -> None:
-        """Read unless the client is behind, or bytes or others wait for their turn."""
-        if self._transport is None or self._transport.is_closing():
-            return
-        is_deferred = bool(self._unparsed) or self._is_turn_over
-        if is_deferred or self._is_client_behind:
-            self._transport.pause_reading()
-        else:
-            self._transport.resume_reading()
-        if is_deferred and not self._is_client_behind:
-            self._pool.turns.add(self._continue)
-
     def _handle_response(self, attempt: ConnectionUser, reader: ResponseReader) -> None:
         """Stream, buffer or complete a response, as far as it has arrived."""
         if attempt.is_streaming():
@@ -269,7 +239,7 @@
                     MAX_RESPONSE_BUFFERING_S, self._on_buffering_timeout
                 )
                 attempt.on_response_begun()
-        self._unread.resize(reader.held_bytes() + len(self._unparsed))
+        self._unread.resize(reader.held_bytes() + len(self._reading.unparsed))
         self._pool.long_heads.update(self, 0 if reader.is_complete else reader.parser_bytes())
         if reader.is_complete and self._attempt is attempt:
             attempt.on_response_completed(reader)
@@ -290,7 +260,7 @@
         self._streaming_timer = None
         if attempt is not None and reader is not None and reader.buffered_bytes:
             attempt.start_streaming(reader)
-            self._unread.resize(reader.held_bytes() + len(self._unparsed))
+            self._unread.resize(reader.held_bytes() + len(self._reading.unparsed))
 
     def start_streaming(self) -> bool:
         """Stream a response that has begun and whose length is not known; return whether there is one."""
@@ -301,19 +271,16 @@
             return False
         if not attempt.is_streaming():
             attempt.start_streaming(reader)
-            self._unread.resize(reader.held_bytes() + len(self._unparsed))
+            self._unread.resize(reader.held_bytes() + len(self._reading.unparsed))
         return True
 
     def pause(self) -> None:
-        """Read no more for now."""
-        self._is_client_behind = True
-        self._update_reading()
+        """Read no more for now: the client is behind."""
+        self._reading.pause()
 
     def resume(self) -> None:
         """Read again."""
-        if self._is_client_behind:
-            self._is_client_behind = False
-            self._update_reading()
+        self._reading.resume()
 
     def eof_received(self) -> None:
         """Handle the upstream's end of file, which may end its response; the transport then closes itself."""
@@ -332,7 +299,7 @@
     def release(self, *, reuse: bool) -> None:
         """Detach the attempt; return the connection to its pool if `reuse` and it is clean, else close it."""
         self._attempt = None
-        self._unparsed = b""
+        self._reading.keep(b"")
         self._pool.long_heads.update(self, 0)
         if self._body is not None and not self._body.is_complete:
             self._body.discard()
