--- a/review/second/servers.py
+++ b/review/second/servers.py
@@ -156,7 +156,7 @@
             request_id = f"{prefix}-{number:05d}"
             connection = connection or http.client.HTTPConnection(self.address, timeout=5.0)
             try:
-                connection.request("GET", "/map", headers=self._headers(request_id))
+                connection.request("GET", "/karta", headers=self._headers(request_id))
                 answer = connection.getresponse()
                 answer.read()
                 self.answers.append((self.case.now(), request_id, answer.status))
@@ -171,7 +171,7 @@
             connection.close()
 
     def _headers(self, request_id: str) -> dict[str, str]:
-        return {"X-Request-Id": request_id, "X-Class": "map", "X-Deadline": "2000m"}
+        return {"X-Request-Id": request_id, "X-Class": "karta", "X-Deadline": "2000m"}
 
     def stop(self) -> None:
         """End all clients after their requests."""
--- a/review/second/spoiling.py
+++ b/review/second/spoiling.py
@@ -125,9 +125,9 @@
                 connection = None
 
     def _send(self, connection: http.client.HTTPConnection, request_id: str) -> tuple[int, bytes, bool]:
-        headers = {"X-Request-Id": request_id, "X-Class": "map", "X-Deadline": f"{self._deadline_ms}m"}
+        headers = {"X-Request-Id": request_id, "X-Class": "karta", "X-Deadline": f"{self._deadline_ms}m"}
         try:
-            connection.request("GET", "/map", headers=headers)
+            connection.request("GET", "/karta", headers=headers)
             answer = connection.getresponse()
             return answer.status, answer.read(), answer.will_close
         except (OSError, http.client.HTTPException) as error:
--- a/review/second/tools.py
+++ b/review/second/tools.py
@@ -144,22 +144,22 @@
 
 
 def settings(classes: list[dict[str, Any]], balancers: int = 1) -> dict[str, Any]:
-    """Return the settings of a small deployment, with the contract of the site's page."""
+    """Return the settings of a small deployment, with the limits and the contract that WIRE shows."""
     return {
         "classes": classes,
         "balancers": balancers,
         "myNumber": 0,
         "tier": 0,
-        "stages": ["first"],
+        "stages": ["ulaz"],
         "discovery": "ask",
         "zone": "a",
-        "azs": ["a", "b"],
+        "azs": ["a"],
         "tick": 2.0,
         "weights": "rough",
         "limits": {
-            "attemptsCap": 4,
+            "attemptsCap": 5,
             "connIdle": 15_000.0,
-            "connectTimeout": 250.0,
+            "connectTimeout": 120.0,
             "mayCancel": True,
             "mayDuplicate": True,
             "probes": False,
@@ -170,8 +170,8 @@
             "drainGrace": 3_000.0,
             "askWithin": 10_000.0,
             "graceToAnswer": 8.0,
-            "cold": 5_000.0,
-            "coldFrom": 0.4,
+            "cold": 8_700.0,
+            "coldFrom": 0.32,
             "overloadFactor": 2.5,
             "tipAfter": 2_000.0,
         },
@@ -179,7 +179,7 @@
     }
 
 
-READ_CLASS = {"name": "map", "target": 400.0, "deadline": 2_000.0, "effect": "retryable", "worth": 1.0}
+READ_CLASS = {"name": "karta", "target": 400.0, "deadline": 2_000.0, "effect": "retryable", "worth": 1.0}
 
 
 def start_balancer(case: Case, name: str, config: dict[str, Any], tmpdir: Path) -> subprocess.Popen[bytes]:
