--- a/review/6/case.py
+++ b/review/6/case.py
@@ -7,11 +7,11 @@
 import time
 from pathlib import Path
 
-sys.path.insert(0, str(Path(__file__).resolve().parents[1] / "second"))
+sys.path.insert(0, str(Path(__file__).resolve().parents[1]))
 
-from servers import Discovery
-from spoiling import CheckingClients, SpoilingUpstream
-from tools import (
+from case_servers import Discovery
+from case_spoiling import CheckingClients, SpoilingUpstream
+from case_tools import (
     BROKEN,
     HELD,
     HOST,
@@ -74,6 +74,8 @@
     case.note(f"{clients.summary()}; {spoilt} answers never ended; {late} requests ended after {LIMIT_S} s")
     if not any(status == HTTP_OK for _, status, _, _ in clients.answers):
         raise CannotRunError("nothing was served")
+    if SPOILT_OF and not spoilt:
+        raise CannotRunError("no answer was spoilt")
     return BROKEN if late else HELD
 
 
--- a/review/7/case.py
+++ b/review/7/case.py
@@ -8,16 +8,17 @@
 import time
 from pathlib import Path
 
-sys.path.insert(0, str(Path(__file__).resolve().parents[1] / "second"))
+sys.path.insert(0, str(Path(__file__).resolve().parents[1]))
 
-from servers import Clients, Discovery, Upstream
-from tools import (
+from case_servers import Clients, Discovery, Upstream
+from case_tools import (
     BROKEN,
     HELD,
     HOST,
     HTTP_OK,
     IS_TROUBLE,
     READ_CLASS,
+    CannotRunError,
     Case,
     call,
     free_port,
@@ -79,7 +80,8 @@
         thread.start()
     for thread in threads:
         thread.join()
-    consoles = [old_console]
+    if not cordoned_s:
+        raise CannotRunError("no cordon was accepted")
     if IS_TROUBLE:
         wait_until(
             "the new process says yes",
@@ -88,13 +90,11 @@
         )
         case.note("the new process says yes; SIGTERM to the old one")
         old.terminate()
-        consoles = [new_console]
     time.sleep(WATCHED_S)
     clients.stop()
-    for console in consoles:
-        status, body = call(console, "GET", "/admin/stats")
-        stats = json.loads(body) if status == HTTP_OK else {}
-        case.note(f"figures: discovered {stats.get('discovered')}, ejected {stats.get('ejected')}")
+    status, body = call(new_console if IS_TROUBLE else old_console, "GET", "/admin/stats")
+    stats = json.loads(body) if status == HTTP_OK else {}
+    case.note(f"figures: discovered {stats.get('discovered')}, ejected {stats.get('ejected')}")
     late = 0
     for upstream in upstreams[:CORDONED]:
         yes_s = cordoned_s.get(upstream.name)
--- a/review/second/registries.py
+++ b/review/case_registries.py
@@ -9,7 +9,7 @@
 from pathlib import Path
 from typing import Any
 
-from tools import HOST, HTTP_OK, ROOT, CannotRunError, Case, call, call_json, free_port, wait_until
+from case_tools import HOST, HTTP_OK, ROOT, CannotRunError, Case, call, call_json, free_port, wait_until
 
 PROGRAM = ROOT / ".venv-review-2" / "bin" / "loadbalancer"
 RECEIVE_BYTES = 65_536
@@ -112,8 +112,3 @@
         """Return whether it gives a list with so many endpoints; a new instance may answer 503."""
         status, answer = call_json(self.address, "GET", "/v1/servers")
         return status == HTTP_OK and len(answer["endpoints"]) == count
-
-    def state(self) -> dict[str, Any]:
-        """Return what operators see, by name."""
-        _, answer = call_json(self.address, "GET", "/v1/state")
-        return {each["name"]: each for each in answer["entries"]}
--- a/review/second/servers.py
+++ b/review/case_servers.py
@@ -6,12 +6,11 @@
 import json
 import threading
 import time
-from collections.abc import Callable
 from http.server import BaseHTTPRequestHandler, ThreadingHTTPServer
 from typing import Any
 from urllib.parse import parse_qs, urlsplit
 
-from tools import HOST, HTTP_OK, Case
+from case_tools import HOST, HTTP_OK, Case
 
 MAX_WAIT_S = 60.0
 
@@ -178,15 +177,3 @@
         self.is_stopped.set()
         for thread in self._threads:
             thread.join(timeout=6.0)
-
-
-def every(interval_s: float, body: Callable[[], None], stop: threading.Event) -> threading.Thread:
-    """Call `body` in a thread, again and again, until `stop`."""
-
-    def run() -> None:
-        while not stop.wait(interval_s):
-            body()
-
-    thread = threading.Thread(target=run, daemon=True)
-    thread.start()
-    return thread
--- a/review/second/spoiling.py
+++ b/review/case_spoiling.py
@@ -10,7 +10,7 @@
 from collections.abc import Callable
 from typing import Any
 
-from tools import HOST, HTTP_OK, Case
+from case_tools import HOST, HTTP_OK, Case
 
 RECEIVE_BYTES = 65_536
 END_OF_HEAD = b"\r\n\r\n"
--- a/review/second/tools.py
+++ b/review/case_tools.py
@@ -10,16 +10,16 @@
 import signal
 import socket
 import subprocess
-import sys
 import tempfile
 import threading
 import time
 import tomllib
+import traceback
 from collections.abc import Callable
 from pathlib import Path
 from typing import Any
 
-ROOT = Path(__file__).resolve().parents[2]
+ROOT = Path(__file__).resolve().parents[1]
 HOST = "127.0.0.1"
 HELD, BROKEN, COULD_NOT_RUN = 0, 1, 2
 HTTP_OK = 200
@@ -85,19 +85,26 @@
 def play(path: str, body: Callable[[Case], int]) -> None:
     """Play a case in the folder of `path`; exit with what `body` returns, or 2 if it could not run."""
     case = Case(Path(path).resolve().parent)
-    signal.signal(signal.SIGTERM, lambda *_: sys.exit(COULD_NOT_RUN))
+    for number in (signal.SIGTERM, signal.SIGINT, signal.SIGHUP):
+        signal.signal(number, _stop)
     status = COULD_NOT_RUN
     try:
         case.note(f"trouble: {'on' if IS_TROUBLE else 'off'}")
         status = body(case)
-    except (CannotRunError, OSError) as error:
-        case.note(f"the case could not run: {error}")
-    finally:
+    except BaseException:  # whatever else happens is no answer to whether the rule held
+        case.note(f"the case could not run: {traceback.format_exc()}")
+    try:
         case.note(
             f"exit status {status}: {['the rule held', 'the rule was broken', 'could not run'][status]}"
         )
         case.close()
-    os._exit(status)
+    finally:
+        os._exit(status)
+
+
+def _stop(*_: object) -> None:
+    """End the case, which then ends its processes."""
+    raise CannotRunError("told to end")
 
 
 def free_port() -> int:
