Keep the review's cases apart where they run side by side

Cause: ports were those that the system had just given out, so that another case could take one in between; its balancer then answered in place of the one that could not listen. Change: ports are drawn at random below the system's own, and a process that has ended is no process that answers.

--- a/review/7/case.py
+++ b/review/7/case.py
@@ -22,17 +22,16 @@
     Case,
     call,
     free_port,
-    is_ready,
     play,
     settings,
     start_balancer,
-    wait_until,
+    wait_until_serving,
 )
 
 UPSTREAMS = 300
 CORDONED = 280
 OPERATORS = 4  # that call at the same time
-CALLS_SPAN = 1.3  # of the time that a process takes from its start to its yes
+CALLS_SPAN = 1.0  # of the time that a process takes from its start to its yes
 DRAIN_GRACE_S = 3.05  # `drainGrace`, and the 50 ms of PROTOCOL
 WATCHED_S = 8.0
 
@@ -54,13 +53,13 @@
     folder = case.folder / "tmp"
     start_s = case.now()
     old = start_balancer(case, "old", config, folder)
-    wait_until("the first process is ready", 10.0, lambda: is_ready(listen))
+    wait_until_serving(old, listen)
     start_s = case.now() - start_s
     case.note(f"it took {start_s:.3f} s from its start to its yes")
     clients = Clients(case, listen, "c", 8, 0.02)
     time.sleep(1.0)
     if IS_TROUBLE:
-        start_balancer(case, "new", config | {"console": new_console}, folder)
+        new = start_balancer(case, "new", config | {"console": new_console}, folder)
     interval_s = CALLS_SPAN * start_s / CORDONED
     begin_s = case.now()
     cordoned_s: dict[str, float] = {}
@@ -83,11 +82,7 @@
     if not cordoned_s:
         raise CannotRunError("no cordon was accepted")
     if IS_TROUBLE:
-        wait_until(
-            "the new process says yes",
-            6.0,
-            lambda: call(new_console, "GET", "/admin/health")[0] == HTTP_OK,
-        )
+        wait_until_serving(new, new_console, "/admin/health")
         case.note("the new process says yes; SIGTERM to the old one")
         old.terminate()
     time.sleep(WATCHED_S)
--- a/review/case_registries.py
+++ b/review/case_registries.py
@@ -9,7 +9,7 @@
 from pathlib import Path
 from typing import Any
 
-from case_tools import HOST, HTTP_OK, ROOT, CannotRunError, Case, call, call_json, free_port, wait_until
+from case_tools import HOST, HTTP_OK, ROOT, CannotRunError, Case, call_json, free_port, wait_until_serving
 
 PROGRAM = ROOT / ".venv-review-2" / "bin" / "loadbalancer"
 RECEIVE_BYTES = 65_536
@@ -84,7 +84,7 @@
     def start(self) -> None:
         """Start the process, and wait until it answers."""
         self.process = self._case.start(self.name, [str(PROGRAM), "directory", "serve", str(self.file)], {})
-        wait_until(f"{self.name} answers", 15.0, lambda: call(self.address, "GET", "/healthz")[0] == HTTP_OK)
+        wait_until_serving(self.process, self.address)
 
     def kill(self) -> None:
         """End the process at once, as a crash of its machine would."""
--- a/review/case_tools.py
+++ b/review/case_tools.py
@@ -6,6 +6,7 @@
 import http.client
 import json
 import os
+import random
 import shutil
 import signal
 import socket
@@ -21,6 +22,7 @@
 
 ROOT = Path(__file__).resolve().parents[1]
 HOST = "127.0.0.1"
+PORTS = (20_000, 32_000)
 HELD, BROKEN, COULD_NOT_RUN = 0, 1, 2
 HTTP_OK = 200
 IS_TROUBLE = os.environ.get("TROUBLE", "1") != "0"
@@ -108,10 +110,29 @@
 
 
 def free_port() -> int:
-    """Return a port that nobody listens on."""
-    with socket.socket() as probe:
-        probe.bind((HOST, 0))
-        return int(probe.getsockname()[1])
+    """Return a port that nobody uses, below those that systems give to outgoing connections.
+
+    Each is drawn at random, so that cases that run side by side don't draw the same.
+    """
+    for _ in range(100):
+        port = random.SystemRandom().randrange(*PORTS)
+        with socket.socket() as probe, contextlib.suppress(OSError):
+            probe.bind((HOST, port))
+            return port
+    raise CannotRunError("no free port")
+
+
+def wait_until_serving(process: subprocess.Popen[bytes], address: str, path: str = "/healthz") -> None:
+    """Wait until a process that was just started answers; CannotRunError if it has ended, or does not."""
+
+    def is_serving() -> bool:
+        if process.poll() is not None:
+            raise CannotRunError(f"a process that should serve {address} has ended")
+        return call(address, "GET", path)[0] == HTTP_OK
+
+    wait_until(f"{address} answers", 15.0, is_serving)
+    time.sleep(0.1)  # one that can't listen there ends by then
+    is_serving()
 
 
 def wait_until(what: str, timeout_s: float, condition: Callable[[], bool]) -> None:
@@ -205,8 +226,3 @@
     if config.get("console"):
         environment["LB_CONSOLE"] = config["console"]
     return case.start(name, ["/bin/sh", "-c", deploy["run"]], environment)
-
-
-def is_ready(address: str) -> bool:
-    """Return whether a balancer answers its front's check."""
-    return call(address, "GET", "/healthz")[0] == HTTP_OK
