Tell of a response that breaks off what had come of it, and who was silent

The log named server, outcome and ID: a server that has stopped, a client that reads too slowly and a balancer that was held up looked alike. The line now has received_bytes, expected_bytes, silent_ms, overdue_ms and client_behind.

--- a/loadbalancer/net/request_attempts.py
+++ b/loadbalancer/net/request_attempts.py
@@ -192,16 +192,22 @@
 
     def _log_if_cut_off(self, request: RequestInFlight, index: int, server: str, outcome: Outcome) -> None:
         """Log that a response that had begun is not finished, if a client still waits for it."""
-        is_streaming = request.is_open and request.streaming_attempt is not None
-        if not is_streaming or request.streaming_attempt is not request.attempts[index]:
+        attempt = request.streaming_attempt
+        if not request.is_open or attempt is None or attempt is not request.attempts[index]:
             return
-        if outcome is not Outcome.SERVED:
+        progress = attempt.response_progress()
+        if outcome is not Outcome.SERVED and progress is not None:
             self._log.event(
                 "response_cut_off",
                 "a response that had begun was not finished by its server",
                 server=server,
                 outcome=outcome.value,
                 id=request.downstream.printable_id(),
+                received_bytes=progress.received_bytes,
+                expected_bytes="unknown" if progress.length is None else progress.length,
+                silent_ms=round((time.monotonic() - progress.last_received_s) * 1000),
+                overdue_ms=round(-request.downstream.remaining_ms()),
+                client_behind=attempt.is_paused(),
             )
 
     def _respond(
--- a/loadbalancer/net/upstream_attempt.py
+++ b/loadbalancer/net/upstream_attempt.py
@@ -16,6 +16,7 @@
 from loadbalancer.net.http_framing import LENGTH_NOT_GIVEN
 from loadbalancer.net.message_body import Body
 from loadbalancer.net.message_head import ResponseHead
+from loadbalancer.net.response_progress import ResponseProgress
 from loadbalancer.net.upstream_connection import UpstreamConnection
 from loadbalancer.net.upstream_response import ResponseReader, UpstreamResponse
 
@@ -103,8 +104,10 @@
         "_has_waited_for_read",
         "_is_body_incomplete",
         "_is_over",
+        "_is_paused",
         "_new_connection",
         "_pool",
+        "_progress",
         "_sink",
         "_timeout_s",
         "_write_by_s",
@@ -116,6 +119,7 @@
         self._pool = pool
         self._handler = handler
         self._is_over = False
+        self._is_paused = False  # while the client reads too slowly
         self._has_waited_for_read = False
         self._is_body_incomplete = handler.body is not None  # at the start
         self._connection: UpstreamConnection | None = None
@@ -125,6 +129,7 @@
         self._write_by_s = math.inf
         self.connect_duration_s: float | None = None  # if it opened a connection
         self._sink: ResponseSink | None = None
+        self._progress: ResponseProgress | None = None  # of a streamed response
         # Whether a streamed response of unknown length, perhaps a short one, has no byte of its body yet.
         self._awaits_body = False
 
@@ -198,6 +203,14 @@
         """Return whether the response is being streamed to the client: it can't be replaced any more."""
         return self._sink is not None
 
+    def response_progress(self) -> ResponseProgress | None:
+        """Return how far the response has come, if it is being streamed."""
+        return self._progress
+
+    def is_paused(self) -> bool:
+        """Return whether the client holds the response up."""
+        return self._is_paused
+
     def on_response_begun(self) -> None:
         """Leave time to stream a response of unknown length: it is long, perhaps, and must not be cut off."""
         if self._is_written():
@@ -217,8 +230,9 @@
         if not self._is_written():
             self.on_connection_failed()
             return
-        has_length = reader.length not in (None, LENGTH_NOT_GIVEN)
-        self._awaits_body = not (has_length or reader.buffered_bytes)
+        length = None if reader.length == LENGTH_NOT_GIVEN else reader.length
+        self._awaits_body = length is None and not reader.buffered_bytes
+        self._progress = ResponseProgress(length, reader.buffered_bytes, self._last_progress_s)
         self._sink = self._handler.on_response_started(self, reader.response())
         if self._sink is None:
             self.cancel()
@@ -227,8 +241,9 @@
 
     def stream(self, data: bytes) -> None:
         """Forward a part of the response."""
-        if self._sink is not None and data:
+        if self._sink is not None and self._progress is not None and data:
             self._awaits_body = False
+            self._progress.record(len(data), self._last_progress_s)
             self._sink.send_body_part(data)
 
     def on_response_completed(self, reader: ResponseReader) -> None:
@@ -251,11 +266,13 @@
     def pause(self) -> None:
         """Stop reading from the upstream: the client reads too slowly."""
         if self._connection is not None:
+            self._is_paused = True
             self._connection.pause()
 
     def resume(self) -> None:
         """Read from the upstream again: the client has caught up."""
         if self._connection is not None:
+            self._is_paused = False
             self.on_progress()
             self._connection.resume()
 
