End a response that has begun and does not go on by its request's deadline

Cause: a response of unknown length is streamed 50 ms after its first byte; from then on neither the safety timer nor the attempt's deadline held, only the 20 s in which a connection may bring no byte. So it was with each form that has a byte of its body, with short bodies that are streamed for lack of memory, with drops, with long responses that stop, and at the shutdown deadline.

ResponseProgress now says until when the rest is waited for: 0.25 s after the deadline, and longer only for a response over 64 KiB, or one of unknown length that may become so, while its server sends. Why it works: the limit follows the body's bytes and the request's deadline, not any byte on the connection; the client's own pauses and bytes not read yet don't count as the server's.

--- a/loadbalancer/net/request_intake.py
+++ b/loadbalancer/net/request_intake.py
@@ -82,6 +82,6 @@
             self._log.event("heads_shed", "too much is being received: rejecting requests with long heads")
 
     def on_shutdown_deadline(self) -> None:
-        """Answer all requests but those whose response is being streamed, and reject later ones."""
+        """Answer all requests but those whose response still arrives, and reject later ones."""
         self.is_closed = True
-        self._requests.respond_with_error_to_all()
+        self._requests.end_all()
--- a/loadbalancer/net/request_table.py
+++ b/loadbalancer/net/request_table.py
@@ -197,11 +197,13 @@
         # On this event the decision module cancels the attempts in flight.
         self.dispatch(request, interface.ClientDisconnected(request.id))
 
-    def respond_with_error_to_all(self) -> None:
-        """Answer all open requests with an error, except those whose response is being streamed."""
+    def end_all(self) -> None:
+        """Answer all open requests with an error; of streamed responses, end those that make no progress."""
         for request_id, request in list(self.by_id.items()):
             if request.streaming_attempt is None:
                 self.respond_with_error(request_id)
+            if request.streaming_attempt is not None:
+                request.streaming_attempt.end_at_shutdown()
 
     def close(self, request: RequestInFlight, status: int | None) -> None:
         """Close a request; `status` is that of its final response, None if its client has disconnected."""
--- a/loadbalancer/net/upstream_attempt.py
+++ b/loadbalancer/net/upstream_attempt.py
@@ -16,7 +16,7 @@
 from loadbalancer.net.http_framing import LENGTH_NOT_GIVEN
 from loadbalancer.net.message_body import Body
 from loadbalancer.net.message_head import ResponseHead
-from loadbalancer.net.response_progress import ResponseProgress
+from loadbalancer.net.response_progress import MAX_LONG_RESPONSE_PAUSE_S, ResponseProgress
 from loadbalancer.net.upstream_connection import UpstreamConnection
 from loadbalancer.net.upstream_response import ResponseReader, UpstreamResponse
 
@@ -24,9 +24,6 @@
 IMPOSSIBLE_IF_UNWRITTEN = (Outcome.RESET, Outcome.TIMED_OUT, Outcome.ERROR)
 # A response that has begun is streamed so long before the attempt's timeout: its head must arrive in time.
 STREAMING_MARGIN_S = 0.02
-# The first byte of a body of unknown length may come so long after the deadline, if its head came in time; a
-# client gets its answer, or the end of it, within half a second of its time.
-LATE_BODY_GRACE_S = 0.25
 # A response that is there when its time is over is read within this time: the process was held up.
 UNREAD_RESPONSE_GRACE_S = 0.02
 
@@ -97,7 +94,6 @@
     """One attempt at a server; its handler is notified of its end exactly once, whatever events race."""
 
     __slots__ = (
-        "_awaits_body",
         "_connect_task",
         "_connection",
         "_handler",
@@ -130,8 +126,6 @@
         self.connect_duration_s: float | None = None  # if it opened a connection
         self._sink: ResponseSink | None = None
         self._progress: ResponseProgress | None = None  # of a streamed response
-        # Whether a streamed response of unknown length, perhaps a short one, has no byte of its body yet.
-        self._awaits_body = False
 
     def start(self, timeout_s: float, write_within_s: float, connect_within_s: float) -> None:
         """Begin on an idle connection, or open one; the handler is not notified before this returns.
@@ -211,6 +205,12 @@
         """Return whether the client holds the response up."""
         return self._is_paused
 
+    def end_at_shutdown(self) -> None:
+        """End a streamed response that makes no progress, as the time for the shutdown is over."""
+        if self._progress is not None and not self._is_over:
+            self._progress.end_at_shutdown(time.monotonic())
+            self._set_timer(self._until_check_s(), self._check_progress)
+
     def on_response_begun(self) -> None:
         """Leave time to stream a response of unknown length: it is long, perhaps, and must not be cut off."""
         if self._is_written():
@@ -231,8 +231,8 @@
             self.on_connection_failed()
             return
         length = None if reader.length == LENGTH_NOT_GIVEN else reader.length
-        self._awaits_body = length is None and not reader.buffered_bytes
         self._progress = ResponseProgress(length, reader.buffered_bytes, self._last_progress_s)
+        self._has_waited_for_read = False
         self._sink = self._handler.on_response_started(self, reader.response())
         if self._sink is None:
             self.cancel()
@@ -242,7 +242,6 @@
     def stream(self, data: bytes) -> None:
         """Forward a part of the response."""
         if self._sink is not None and self._progress is not None and data:
-            self._awaits_body = False
             self._progress.record(len(data), self._last_progress_s)
             self._sink.send_body_part(data)
 
@@ -274,6 +273,10 @@
         if self._connection is not None:
             self._is_paused = False
             self.on_progress()
+            if self._progress is not None:
+                self._progress.resume(self._last_progress_s)
+                if self._due_s > self._last_progress_s + MAX_LONG_RESPONSE_PAUSE_S:
+                    self._watch_progress()  # the timer was set while the client was behind
             self._connection.resume()
 
     async def _connect(self, connection: UpstreamConnection, within_s: float) -> None:
@@ -304,13 +307,27 @@
         connection.send_request(self, self._handler.build_request(), self._handler.body)
 
     def _remaining_s(self) -> float:
-        """Return the time until the request has to be written, or the first byte of the body be there."""
+        """Return the time until the request has to be written, or more of the response be there."""
         if not self._is_written():
             return self._handler.remaining_s()
-        return self._handler.remaining_s() + LATE_BODY_GRACE_S if self._awaits_body else math.inf
+        if self._progress is None or self._is_paused:
+            return math.inf
+        now_s = time.monotonic()
+        return self._progress.due_s(now_s + self._handler.remaining_s()) - now_s
 
     def _on_stall(self) -> None:
-        self._end(Outcome.TIMED_OUT)
+        if self._is_held_up():
+            self._set_timer(UNREAD_RESPONSE_GRACE_S, self._check_progress)
+        else:
+            self._end(Outcome.TIMED_OUT)
+
+    def _is_held_up(self) -> bool:
+        """Return whether more of a streamed response is there, and is given the time to be read."""
+        if self._progress is None or self._is_paused or not self.has_unread_response():
+            return False
+        had_grace = self._has_waited_for_read
+        self._has_waited_for_read = True
+        return self._progress.is_long() or not had_grace
 
     def _on_timeout(self) -> None:
         if self.stream_if_begun():
