Merge operators' orders one by one, each with a version, and not state by state

Cause: the new process takes the predecessor's state, which was sent first, for newer than the file, which it reads some 10 ms later, and writes the difference back. Behind it, states were compared as wholes: so an order that waited for a full disk undid a later one, a repeated order lost against an earlier one, and a process that could not read the file overwrote it.

Each order now has a version (hybrid logical clock) in cordons.versions, beside cordons.json, whose form stays; the later one wins wherever two states meet. The file is read before the predecessor is asked: what has been saved since is newer than what it sent. Why it works: no state replaces another as a whole, so that an older one can't undo a newer order, whichever comes first.

--- a/loadbalancer/net/cordon_controller.py
+++ b/loadbalancer/net/cordon_controller.py
@@ -11,6 +11,7 @@
 from loadbalancer.net.endpoint_list import EndpointListFollower
 from loadbalancer.net.log import Log
 from loadbalancer.net.upstream_pool import UpstreamPools
+from loadbalancer.net.versioned_cordons import VersionedCordons
 from loadbalancer.policy import Balancer
 from loadbalancer.policy.zones import ZoneStatus
 
@@ -57,18 +58,29 @@
 
     def start(self) -> None:
         """Apply the cordons in the file, now and whenever it has changed."""
-        if self._file.save_pending():
+        is_saved = self._file.save_pending()
+        if is_saved:
             self._log.event("cordons_saved", "cordons that could not be saved before are saved now")
-        if self._file.refresh():
+        if self._file.refresh() or is_saved:
             self._apply()
         self._loop.call_later(CORDON_FILE_POLL_INTERVAL_S, self.start)
 
-    def restore_cordons(self, cordons: object) -> None:
-        """Apply the predecessor's cordons; if they are malformed, apply the file's and raise ValueError."""
+    def restore_cordons(self, cordons: object, saved_before: VersionedCordons) -> None:
+        """Apply the predecessor's cordons; if they are malformed, apply the file's and raise ValueError.
+
+        `saved_before` is what was in the file before the predecessor sent them.
+        """
         try:
-            self._file.adopt(cordons)
+            adoption = self._file.adopt(cordons, saved_before)
         finally:
             self._apply()
+        if adoption.adopted or adoption.outdated:
+            self._log.event(
+                "cordons_merged",
+                "the predecessor's cordons differ from those in the file",
+                adopted=adoption.adopted,
+                outdated=adoption.outdated,
+            )
 
     def handover_state(self) -> dict[str, object]:
         """Return the cordons as the next process reads them."""
--- a/loadbalancer/net/cordon_file.py
+++ b/loadbalancer/net/cordon_file.py
@@ -1,146 +1,238 @@
-"""The file that keeps cordons across restarts; both processes of a hot restart may write it.
+"""The cordons of this process, kept in step with the files that keep them across restarts.
 
-It is changed under a lock and replaced atomically, so that two processes can serve operators at once and a
-reader never sees a partial file. Malformed content is ignored.
+Both processes of a hot restart may write the files. What one of them could not write or read is merged order
+by order, so that no state as a whole takes the place of a newer one.
 """
 
 from __future__ import annotations
 
-import fcntl
-import json
-import os
-import time
 from collections.abc import Callable, Iterator
 from contextlib import contextmanager
-from functools import partial
+from dataclasses import dataclass
 from pathlib import Path
 
 from loadbalancer.interface import ZoneEvacuation
 from loadbalancer.net.clock import Clock
+from loadbalancer.net.cordon_storage import CordonStorage, FileIdentity, StoredCordons
 from loadbalancer.net.cordons import Cordons, decode_cordons, encode_cordons
+from loadbalancer.net.versioned_cordons import VERSION_STEP_MS, VersionedCordons
 
-# The lock is held for one small write; a process that hangs while holding it must not block this one.
-MAX_LOCK_ATTEMPTS = 20
-LOCK_RETRY_INTERVAL_S = 0.005
-MAX_CORDON_FILE_BYTES = 1_000_000
+Order = Callable[[VersionedCordons, float], VersionedCordons]
+"""Returns the state after an order, given the state before and the version of the order."""
+
+
+@dataclass(frozen=True)
+class Adoption:
+    """What came of the cordons that a predecessor has sent: the numbers of orders."""
+
+    adopted: int
+    """Those that the files lacked."""
+    outdated: int
+    """Those that were older than what has been saved since they were sent."""
 
 
 class CordonFile:
-    """The cordons, kept in a file; only in memory without a folder, or until writing succeeds."""
+    """The cordons, kept in files; only in memory without a folder, or until writing succeeds."""
 
     def __init__(self, folder: Path | None, clock: Clock | None = None) -> None:
-        self._path = folder / "cordons.json" if folder else None
+        self._storage = CordonStorage(folder) if folder else None
         self._clock = clock or Clock()
-        self._last_stat: tuple[int, int, int] | None = None
-        self._unsaved: list[Callable[[Cordons], Cordons]] = []  # changes that could not be written, in order
-        self.cordons = Cordons()
+        self._identity: FileIdentity | None = None  # of the content that was read or written last
+        self._saved = VersionedCordons()  # that content
+        self._is_unsaved = False  # whether there may be orders that the files lack
+        self.state = VersionedCordons()
+
+    @property
+    def cordons(self) -> Cordons:
+        """The cordons and evacuations in force."""
+        return self.state.cordons
+
+    def encode(self) -> dict[str, object]:
+        """Return the cordons as they are stored in the file and sent to the next process."""
+        return encode_cordons(self.cordons)
+
+    # ---- the files --------------------------------------------------------------------------
 
     def refresh(self) -> bool:
-        """Read the file if it has changed; return whether the cordons may have changed."""
-        if self._path is None:
+        """Read the files if they have changed; return whether the cordons may have changed."""
+        try:
+            if self._storage is None or self._storage.identity() == self._identity:
+                return False
+            return self._read()
+        except OSError:
             return False
+
+    def _read(self) -> bool:
+        """Read files that have changed; raises OSError if that is not possible."""
+        assert self._storage is not None
         try:
-            stat = os.stat(self._path)
-            identity = stat.st_ino, stat.st_mtime_ns, stat.st_size
-            if identity == self._last_stat or stat.st_size > MAX_CORDON_FILE_BYTES:
+            with self._storage.locked(max_attempts=1):
+                return self._merge_stored(is_locked=True)
+        except BlockingIOError:
+            raise  # another process is writing: its content is read when it has done so
+        except OSError:
+            return self._merge_stored(is_locked=False)
+
+    def _merge_stored(self, *, is_locked: bool) -> bool:
+        """Merge the content of the files, if it has changed; return whether it has and is valid.
+
+        Raises OSError if it can't be read, except if there is none.
+        """
+        assert self._storage is not None
+        try:
+            if self._storage.identity() == self._identity:
                 return False
-            self.cordons = self._with_unsaved(decode_cordons(json.loads(self._path.read_bytes())))
-            self._last_stat = identity
-        except (OSError, ValueError):
+            stored = self._storage.read()
+        except (FileNotFoundError, ValueError):
             return False
+        is_first = self._identity is None
+        if not (stored.is_versioned or is_locked or is_first):
+            return False  # it may be half written
+        saved = stored.state if stored.is_versioned or is_first else self._with_versions(stored)
+        self._identity = stored.identity
+        self._saved = saved
+        self.state = self.state.merged(saved, self._clock.now())
+        self._is_unsaved = self._is_unsaved or self.state.has_later_orders_than(saved)
         return True
 
-    def _with_unsaved(self, cordons: Cordons) -> Cordons:
-        for change in self._unsaved:
-            cordons = change(cordons)
-        return cordons
+    def _with_versions(self, stored: StoredCordons) -> VersionedCordons:
+        """Return what a process without versions has stored: what it has changed is later than before.
+
+        The versions depend on the content alone, so that all processes that read it agree on them.
+        """
+        cordons = stored.state.cordons
+        before = self._saved
+        state = VersionedCordons(cordons, before.versions)
+        for server in before.cordons.servers ^ cordons.servers:
+            version = before.server_version(server) + VERSION_STEP_MS
+            version = max(version, cordons.returned_at_ms.get(server, 0.0))
+            state = state.with_server_version(server, version)
+        for zone, evacuation in cordons.evacuations.items():
+            if before.cordons.evacuations.get(zone) != evacuation:
+                version = before.zone_version(zone) + VERSION_STEP_MS
+                state = state.with_zone_version(zone, max(version, evacuation.started_at_ms))
+        return state
 
     def save_pending(self) -> bool:
         """Write what could not be written before, if there is any; return whether that succeeded."""
-        if not self._unsaved:
+        if self._storage is None or not self._is_unsaved:
             return False
         try:
-            with self._locked():
-                self.refresh()
+            with self._storage.locked(max_attempts=1):
+                self._merge_stored(is_locked=True)
                 self._write()
         except OSError:
             return False
-        self._unsaved.clear()
         return True
 
+    def _write(self) -> None:
+        if self._storage is not None:
+            state = self.state.without_old_versions(self._clock.now())
+            self._storage.write(state)
+            self._identity = self._storage.identity()
+            self._saved = state
+            self.state = state
+        self._is_unsaved = False
+
+    # ---- orders -----------------------------------------------------------------------------
+
     def set_cordon(self, server: str, *, is_cordoned: bool) -> str:
-        """Cordon or uncordon a server; return the error of writing the file, or an empty string."""
+        """Cordon or uncordon a server; return the error of writing the files, or an empty string."""
         now_ms = self._clock.now()
         return self._change(
-            lambda cordons: cordons.with_cordon(server, is_cordoned=is_cordoned, now_ms=now_ms)
+            lambda state, version: state.with_cordon(
+                server, is_cordoned=is_cordoned, now_ms=now_ms, version=version
+            )
         )
 
     def set_evacuation(self, evacuation: ZoneEvacuation) -> str:
-        """Evacuate a zone or return to it; return the error of writing the file, or an empty string."""
-        return self._change(lambda cordons: cordons.with_evacuation(evacuation))
-
-    def adopt(self, raw: object) -> None:
-        """Replace the cordons by the predecessor's: the file may be outdated, for example on a full disk.
-
-        Raises ValueError and keeps the file's cordons if they are malformed. Later changes of the file still
-        apply. What the file lacks is saved as soon as it can be.
-        """
-        adopted = decode_cordons(raw)
-        if self._path is not None:
-            self._unsaved += self._changes_to(adopted)
-        self.cordons = adopted
-
-    def _changes_to(self, adopted: Cordons) -> Iterator[Callable[[Cordons], Cordons]]:
-        """Yield the changes that lead from the file's cordons to others."""
-        for server in sorted(adopted.servers ^ self.cordons.servers):
-            now_ms = adopted.returned_at_ms.get(server, self._clock.now())
-            yield partial(
-                Cordons.with_cordon, server=server, is_cordoned=server in adopted.servers, now_ms=now_ms
-            )
-        for zone, evacuation in adopted.evacuations.items():
-            if self.cordons.evacuations.get(zone) != evacuation:
-                yield partial(Cordons.with_evacuation, evacuation=evacuation)
-
-    def encode(self) -> dict[str, object]:
-        """Return the cordons as they are stored in the file and sent to the next process."""
-        return encode_cordons(self.cordons)
+        """Evacuate a zone or return to it; return the error of writing the files, or an empty string."""
+        return self._change(lambda state, version: state.with_evacuation(evacuation, version))
 
-    def _change(self, change: Callable[[Cordons], Cordons]) -> str:
+    def _change(self, order: Order) -> str:
+        is_given = False
         try:
             with self._locked():
-                self.refresh()
-                self.cordons = change(self.cordons)
+                self._apply(order)
+                is_given = True
                 self._write()
         except OSError as error:
-            self.cordons = change(self.cordons)
-            self._unsaved.append(change)
+            if not is_given:
+                self.refresh()
+                self._apply(order)
+            self._is_unsaved = True
             return f"cordons could not be saved and are kept only in memory until they can: {error}"
-        self._unsaved.clear()
         return ""
 
     @contextmanager
     def _locked(self) -> Iterator[None]:
-        if self._path is None:
+        """Hold the lock, with the files read; raises OSError if that is not possible."""
+        if self._storage is None:
             yield
             return
-        with open(self._path.with_suffix(".lock"), "wb") as lock:
-            for attempt in range(MAX_LOCK_ATTEMPTS):
-                try:
-                    fcntl.flock(lock, fcntl.LOCK_EX | fcntl.LOCK_NB)
-                    break
-                except BlockingIOError:
-                    if attempt == MAX_LOCK_ATTEMPTS - 1:
-                        raise
-                    time.sleep(LOCK_RETRY_INTERVAL_S)
+        with self._storage.locked():
+            self._merge_stored(is_locked=True)
             yield
 
-    def _write(self) -> None:
-        if self._path is None:
-            return
-        temporary_path = self._path.with_suffix(f".{os.getpid()}")
-        try:
-            temporary_path.write_text(json.dumps(self.encode()))
-            os.replace(temporary_path, self._path)
-        except OSError:
-            temporary_path.unlink(missing_ok=True)
-            raise
+    def _apply(self, order: Order) -> None:
+        self.state = order(self.state, self._next_version())
+
+    def _next_version(self) -> float:
+        last_version = max(self.state.last_version(), self._saved.last_version())
+        return max(self._clock.now(), last_version + VERSION_STEP_MS)
+
+    # ---- the predecessor --------------------------------------------------------------------
+
+    def adopt(self, raw: object, saved_before: VersionedCordons | None = None) -> Adoption:
+        """Take over the orders that the predecessor could not save, for example on a full disk.
+
+        `saved_before` is what was in the files before the predecessor sent its cordons; by default, what was
+        read last. What has been saved since then is newer than what it sent. Raises ValueError, and changes
+        nothing, if what it sent is malformed.
+        """
+        sent = decode_cordons(raw)
+        before = self._saved if saved_before is None else saved_before
+        self.refresh()
+        if self._identity is None:  # there is no content, or it can't be read now
+            before = self._saved
+        adopted = 0
+        outdated = 0
+        for server in sorted(sent.servers ^ self.cordons.servers):
+            if self._is_server_saved_since(server, before):
+                outdated += 1
+            elif server in sent.servers or server in sent.returned_at_ms:
+                adopted += 1
+                self._adopt_server(server, sent)
+        for zone, evacuation in sent.evacuations.items():
+            if self.cordons.evacuations.get(zone) == evacuation:
+                continue
+            if self._is_zone_saved_since(zone, before):
+                outdated += 1
+            else:
+                adopted += 1
+                self._adopt_evacuation(evacuation)
+        self.state = self.state.with_returns(sent.returned_at_ms)
+        return Adoption(adopted, outdated)
+
+    def _adopt_server(self, server: str, sent: Cordons) -> None:
+        """Take over an order with the least version that it may have: what came after it has a higher one."""
+        self.state = self.state.with_cordon(
+            server,
+            is_cordoned=server in sent.servers,
+            now_ms=sent.returned_at_ms.get(server, self._clock.now()),
+            version=self.state.server_version(server) + VERSION_STEP_MS,
+        )
+        self._is_unsaved = True
+
+    def _adopt_evacuation(self, evacuation: ZoneEvacuation) -> None:
+        """Take over an order for a zone, likewise."""
+        version = self.state.zone_version(evacuation.zone) + VERSION_STEP_MS
+        self.state = self.state.with_evacuation(evacuation, version)
+        self._is_unsaved = True
+
+    def _is_server_saved_since(self, server: str, before: VersionedCordons) -> bool:
+        is_changed = (server in self._saved.cordons.servers) != (server in before.cordons.servers)
+        return is_changed or self._saved.server_version(server) != before.server_version(server)
+
+    def _is_zone_saved_since(self, zone: str, before: VersionedCordons) -> bool:
+        return self._saved.cordons.evacuations.get(zone) != before.cordons.evacuations.get(zone)
--- a/loadbalancer/net/hot_restart/predecessor.py
+++ b/loadbalancer/net/hot_restart/predecessor.py
@@ -9,6 +9,7 @@
 from pathlib import Path
 from typing import Any, NamedTuple
 
+from loadbalancer.net.cordon_storage import read_saved_cordons
 from loadbalancer.net.hot_restart.protocol import (
     CLOCK_MESSAGE_BYTES,
     END_OF_MESSAGE,
@@ -20,6 +21,7 @@
     decode_state,
     socket_path,
 )
+from loadbalancer.net.versioned_cordons import VersionedCordons
 
 ANSWER_TIMEOUT_S = 1.0  # the old process answers at once or not at all
 MAX_STATE_BYTES = 16_000_000
@@ -43,8 +45,11 @@
         listener: socket.socket,
         state: dict[str, Any],
         exchange: Exchange | None = None,
+        saved_cordons: VersionedCordons | None = None,
     ) -> None:
         """`exchange` is None if the old process is of a version without it."""
+        self.saved_cordons = saved_cordons or VersionedCordons()
+        """The cordons that were in the folder before the state was sent."""
         self.exchange = exchange.connection if exchange else None
         """The connection for the IDs of requests that may have run."""
         self.clock_offset_ms = exchange.clock_offset_ms if exchange else None
@@ -91,11 +96,12 @@
     """
     if folder is None:
         return None
+    saved_cordons = read_saved_cordons(folder)  # before the state: what is saved from now on is newer
     try:
         connection, listener, state = _connect(folder)
     except (OSError, ValueError):
         return None
-    return Predecessor(connection, listener, state, _connect_exchange(folder))
+    return Predecessor(connection, listener, state, _connect_exchange(folder), saved_cordons)
 
 
 def _connect(folder: Path) -> tuple[socket.socket, socket.socket, dict[str, Any]]:
--- a/loadbalancer/net/proxy.py
+++ b/loadbalancer/net/proxy.py
@@ -202,7 +202,7 @@
         self.endpoint_list.apply(UpdateKind.CACHED, self.config.initial_list)
         self.cordons.start()
         if self._predecessor is not None:
-            self._transfer.restore_predecessor(self._predecessor.state)
+            self._transfer.restore_predecessor(self._predecessor.state, self._predecessor.saved_cordons)
         elif self._snapshot is not None:
             age_ms = max(self.clock.now() - self._snapshot.written_at_ms, 0.0)
             self._transfer.restore(self._snapshot.state, age_ms)
--- a/loadbalancer/net/state_transfer.py
+++ b/loadbalancer/net/state_transfer.py
@@ -11,6 +11,7 @@
 from loadbalancer.net.endpoint_list_codec import decode_endpoint_list, encode_endpoint_list
 from loadbalancer.net.learned_state import decode_learned_state, encode_learned_state
 from loadbalancer.net.log import Log
+from loadbalancer.net.versioned_cordons import VersionedCordons
 from loadbalancer.policy import Balancer
 
 
@@ -43,11 +44,14 @@
             "cordons": self._cordons.handover_state(),
         }
 
-    def restore_predecessor(self, state: dict[str, Any]) -> None:
-        """Restore the predecessor's state as far as it is valid."""
+    def restore_predecessor(self, state: dict[str, Any], saved_cordons: VersionedCordons) -> None:
+        """Restore the predecessor's state as far as it is valid.
+
+        `saved_cordons` were in the file before it was sent.
+        """
         if "cordons" in state:  # older versions do not send them
             try:
-                self._cordons.restore_cordons(state["cordons"])
+                self._cordons.restore_cordons(state["cordons"], saved_cordons)
             except ValueError as error:
                 self._log.event(
                     "cordons_unreadable",
--- a/tests/loopback.py
+++ b/tests/loopback.py
@@ -19,6 +19,7 @@
 from loadbalancer.net.config import EndpointList
 from loadbalancer.net.config_reader import read_config
 from loadbalancer.net.endpoint_list_codec import decode_endpoint_list
+from loadbalancer.net.hot_restart import Predecessor
 from loadbalancer.net.proxy import Proxy
 from loadbalancer.net.upstream_connection import UpstreamConnection
 from loadbalancer.net.upstream_pool import ConnectionPool
@@ -243,6 +244,7 @@
         console: str = "127.0.0.1:0",
         folder: Path | None = None,
         memory_mb: float = 192,
+        predecessor: Predecessor | None = None,
         **settings: Any,
     ) -> None:
         self.upstreams = upstreams
@@ -250,6 +252,7 @@
         self._memory_mb = memory_mb
         self._console = console
         self._folder = folder
+        self._predecessor = predecessor
         self.discovery = ListServer()
         self.entries: list[dict[str, Any]] = []
         self.proxy: Proxy
@@ -259,7 +262,7 @@
             self.entries.append(endpoint_entry(f"s{i}", await upstream.start()))
         text = config_text(await self.discovery.start(), self.entries, self._console, **self._settings)
         config = replace(read_config(text, lambda note: None), memory_mb=self._memory_mb)
-        self.proxy = Proxy(config, asyncio.get_running_loop(), self._folder)
+        self.proxy = Proxy(config, asyncio.get_running_loop(), self._folder, self._predecessor)
         self.proxy.start()
         return self
 
