Tell the other process of a hot restart each order before its call is answered

While the folder can't be written or read, an order that was answered with 200 held in one process of a hot restart only: one that came after the state had been sent reached the next process by the file alone, and ended with the old one. Orders now go over the connection on which the two exchange IDs, at first all that are known, then each before its call is answered, and are passed on along a chain. The new process asks for this with a command of its own, which an older version refuses; it is then asked for IDs alone. The first look at the file waits for its lock; later ones don't.

--- a/loadbalancer/net/cordon_controller.py
+++ b/loadbalancer/net/cordon_controller.py
@@ -9,6 +9,7 @@
 from loadbalancer.net.clock import Clock
 from loadbalancer.net.cordon_file import CordonFile
 from loadbalancer.net.endpoint_list import EndpointListFollower
+from loadbalancer.net.hot_restart.state_exchange import OtherProcess
 from loadbalancer.net.log import Log
 from loadbalancer.net.upstream_pool import UpstreamPools
 from loadbalancer.net.versioned_cordons import VersionedCordons
@@ -53,6 +54,7 @@
         self._file = cordon_file
         self._log = log
         self._dispatch = dispatch
+        self._others: list[OtherProcess] = []
         self._applied_returns: dict[str, float] = {}  # by server, Unix ms
         self._applied_zones: dict[str, interface.ZoneEvacuation] = {}
 
@@ -86,12 +88,34 @@
         """Return the cordons as the next process reads them."""
         return self._file.encode()
 
+    def attach(self, other: OtherProcess) -> None:
+        """Exchange orders with another process from now on: it gets all that are known first."""
+        self._others.append(other)
+        other.report_orders(self._file.state)
+
+    def detach(self, other: OtherProcess) -> None:
+        """Exchange no more orders with a process that has ended."""
+        if other in self._others:
+            self._others.remove(other)
+
+    def merge_orders(self, orders: VersionedCordons, source: OtherProcess) -> None:
+        """Apply the orders that a process has sent, and pass them on if any of them is new."""
+        if self._file.merge(orders):
+            self._apply()
+            self._report(orders, source)
+
+    def _report(self, orders: VersionedCordons, source: OtherProcess | None = None) -> None:
+        for other in tuple(self._others):
+            if other is not source:
+                other.report_orders(orders)
+
     def set_cordon(self, server: str, *, is_cordoned: bool) -> bool:
         """Cordon or uncordon a server; return False if it was never listed."""
         if not self._endpoint_list.was_ever_listed(server) and server not in self._file.cordons.servers:
             return False
         if problem := self._file.set_cordon(server, is_cordoned=is_cordoned):
             self._report_unsaved(problem)
+        self._report(self._file.state.of_server(server))
         self._apply()
         return True
 
@@ -115,6 +139,7 @@
         evacuation = interface.ZoneEvacuation(zone, is_evacuating, now, duration_ms, initial_fraction)
         if problem := self._file.set_evacuation(evacuation):
             self._report_unsaved(problem)
+        self._report(self._file.state.of_zone(zone))
         self._apply()
         if is_evacuating:
             self._log.event("zone_evacuation_started", "evacuation of the zone was ordered", zone=zone)
--- a/loadbalancer/net/cordon_file.py
+++ b/loadbalancer/net/cordon_file.py
@@ -13,7 +13,7 @@
 
 from loadbalancer.interface import ZoneEvacuation
 from loadbalancer.net.clock import Clock
-from loadbalancer.net.cordon_storage import CordonStorage, FileIdentity, StoredCordons
+from loadbalancer.net.cordon_storage import MAX_LOCK_ATTEMPTS, CordonStorage, FileIdentity, StoredCordons
 from loadbalancer.net.cordons import Cordons, decode_cordons, encode_cordons
 from loadbalancer.net.versioned_cordons import VERSION_STEP_MS, VersionedCordons
 
@@ -65,8 +65,9 @@
     def _read(self) -> bool:
         """Read files that have changed; raises OSError if that is not possible."""
         assert self._storage is not None
+        max_attempts = MAX_LOCK_ATTEMPTS if self._identity is None else 1  # nothing is known at first
         try:
-            with self._storage.locked(max_attempts=1):
+            with self._storage.locked(max_attempts):
                 return self._merge_stored(is_locked=True)
         except BlockingIOError:
             raise  # another process is writing: its content is read when it has done so
@@ -181,6 +182,14 @@
         last_version = max(self.state.last_version(), self._saved.last_version())
         return max(self._clock.now(), last_version + VERSION_STEP_MS)
 
+    def merge(self, orders: VersionedCordons) -> bool:
+        """Take over later orders of another process; return whether there are any."""
+        if not orders.has_later_orders_than(self.state):
+            return False
+        self.state = self.state.merged(orders, self._clock.now())
+        self._is_unsaved = self.state.has_later_orders_than(self._saved)
+        return True
+
     # ---- the predecessor --------------------------------------------------------------------
 
     def adopt(self, raw: object, saved_before: VersionedCordons | None = None) -> Adoption:
--- a/loadbalancer/net/hot_restart/listener.py
+++ b/loadbalancer/net/hot_restart/listener.py
@@ -10,9 +10,9 @@
 from typing import Any, Protocol
 
 from loadbalancer.net.executed_ids import ExecutedIds
-from loadbalancer.net.hot_restart.executed_exchange import ExecutedExchange
 from loadbalancer.net.hot_restart.protocol import (
     EXCHANGE,
+    EXCHANGE_ALL,
     LISTENER_PADDING,
     READY,
     DescriptorCounts,
@@ -21,6 +21,7 @@
     encode_state,
     socket_path,
 )
+from loadbalancer.net.hot_restart.state_exchange import OrderKeeper, StateExchange
 
 ACCEPT_RETRY_INTERVAL_S = 0.05  # after a failed accept, mostly for lack of descriptors
 COUNT_INTERVAL_S = 0.05  # between checks of the descriptor counts
@@ -51,6 +52,9 @@
     def executed_ids(self) -> ExecutedIds:
         """Return the IDs of requests that may have run, as this process knows them."""
 
+    def orders(self) -> OrderKeeper:
+        """Return the keeper of operators' orders."""
+
 
 class HotRestartListener:
     """Waits for the next process, and hands over to it."""
@@ -101,9 +105,10 @@
             socket.send_fds(connection, [LISTENER_PADDING], [self._process.listening_socket().fileno()])
             await self._loop.sock_sendall(connection, encode_state(self._process.handover_state()))
             command = await self._loop.sock_recv(connection, len(READY))
-            if command == EXCHANGE:
+            if command in (EXCHANGE, EXCHANGE_ALL):
                 await self._loop.sock_sendall(connection, encode_clock(self._process.clock_offset_ms()))
-                await ExecutedExchange(connection, self._process.executed_ids(), self._loop).run()
+                orders = self._process.orders() if command == EXCHANGE_ALL else None
+                await StateExchange(connection, self._process.executed_ids(), self._loop, orders).run()
             if command == READY:
                 self._process.stop_accepting()
                 with suppress(OSError):
--- a/loadbalancer/net/hot_restart/predecessor.py
+++ b/loadbalancer/net/hot_restart/predecessor.py
@@ -14,6 +14,7 @@
     CLOCK_MESSAGE_BYTES,
     END_OF_MESSAGE,
     EXCHANGE,
+    EXCHANGE_ALL,
     READY,
     DescriptorCounts,
     decode_clock,
@@ -34,6 +35,7 @@
 
     connection: socket.socket
     clock_offset_ms: float
+    has_orders: bool
 
 
 class Predecessor:
@@ -51,7 +53,9 @@
         self.saved_cordons = saved_cordons or VersionedCordons()
         """The cordons that were in the folder before the state was sent."""
         self.exchange = exchange.connection if exchange else None
-        """The connection for the IDs of requests that may have run."""
+        """The connection for the IDs of requests that may have run, and for orders."""
+        self.exchanges_orders = exchange.has_orders if exchange else False
+        """Whether the old process sends and takes orders on it."""
         self.clock_offset_ms = exchange.clock_offset_ms if exchange else None
         """The offset of the clock that the times in the state are of, if it is known."""
         self.listener = listener
@@ -119,18 +123,27 @@
 
 
 def _connect_exchange(folder: Path) -> Exchange | None:
-    """Return a second connection, on which IDs are exchanged; None if that is not possible."""
-    try:
-        with ExitStack() as opened:
-            connection, listener, _ = _connect(folder)
-            opened.enter_context(connection)
-            listener.close()
-            connection.sendall(EXCHANGE)
-            offset_ms = decode_clock(_receive_exactly(connection, CLOCK_MESSAGE_BYTES))
-            opened.pop_all()
-    except (OSError, ValueError):
-        return None
-    return Exchange(connection, offset_ms)
+    """Return a second connection, for the exchange; None if that is not possible."""
+    for command in (EXCHANGE_ALL, EXCHANGE):
+        try:
+            return _start_exchange(folder, command)
+        except (ValueError, ConnectionError):
+            continue  # the old process is of a version that does not know the command
+        except OSError:
+            return None
+    return None
+
+
+def _start_exchange(folder: Path, command: bytes) -> Exchange:
+    """Return a connection after a command; ValueError or OSError if the old process does not answer it."""
+    with ExitStack() as opened:
+        connection, listener, _ = _connect(folder)
+        opened.enter_context(connection)
+        listener.close()
+        connection.sendall(command)
+        offset_ms = decode_clock(_receive_exactly(connection, CLOCK_MESSAGE_BYTES))
+        opened.pop_all()
+    return Exchange(connection, offset_ms, command == EXCHANGE_ALL)
 
 
 def _receive_exactly(connection: socket.socket, size_bytes: int) -> bytes:
--- a/loadbalancer/net/hot_restart/protocol.py
+++ b/loadbalancer/net/hot_restart/protocol.py
@@ -5,7 +5,8 @@
 Older and newer versions read the keys too: they are fixed, and differ from the fields' names.
 
 On a second connection the new process answers the state with `EXCHANGE`, and gets the offset of the clock
-that the times in the state are of; then IDs are exchanged, see `executed_exchange`. Older versions close it.
+that the times in the state are of; then IDs are exchanged, see `state_exchange`. With `EXCHANGE_ALL`, orders
+are exchanged, too. Versions that don't know a command close the connection.
 """
 
 from __future__ import annotations
@@ -20,6 +21,7 @@
 
 READY = b"ready\n"
 EXCHANGE = b"ids  \n"  # as long as READY, which older versions expect
+EXCHANGE_ALL = b"all  \n"
 CLOCK_MESSAGE_BYTES = 32
 END_OF_MESSAGE = b"\n"
 LISTENER_PADDING = b" "  # descriptors need at least one byte of data; JSON ignores leading spaces
--- a/loadbalancer/net/proxy.py
+++ b/loadbalancer/net/proxy.py
@@ -180,6 +180,7 @@
             self.membership,
             self._transfer,
             self.executed,
+            self.cordons,
             self.clock,
             self.log,
             self._decisions.dispatch,
--- a/loadbalancer/net/takeover.py
+++ b/loadbalancer/net/takeover.py
@@ -14,7 +14,7 @@
 from loadbalancer.net.endpoint_list import EndpointListFollower
 from loadbalancer.net.executed_ids import ExecutedIds
 from loadbalancer.net.hot_restart import DescriptorCounts, HotRestartListener, Predecessor
-from loadbalancer.net.hot_restart.executed_exchange import ExecutedExchange
+from loadbalancer.net.hot_restart.state_exchange import OrderKeeper, StateExchange
 from loadbalancer.net.log import Log
 from loadbalancer.net.state_transfer import StateTransfer
 from loadbalancer.net.upstream_pool import UpstreamPools
@@ -37,6 +37,7 @@
         membership: MembershipHost | None,
         transfer: StateTransfer,
         executed: ExecutedIds,
+        orders: OrderKeeper,
         clock: Clock,
         log: Log,
         dispatch: Callable[[interface.Event], None],
@@ -48,6 +49,7 @@
         self._membership = membership
         self._transfer = transfer
         self._executed = executed
+        self._orders = orders
         self._clock = clock
         self._log = log
         self._dispatch = dispatch
@@ -77,7 +79,8 @@
     async def _take_over(self, predecessor: Predecessor, endpoint_list: EndpointListFollower) -> None:
         """Wait for the endpoint list, have the old process stop accepting, then accept in its place."""
         if predecessor.exchange is not None:
-            exchange = ExecutedExchange(predecessor.exchange, self._executed, self._loop)
+            orders = self._orders if predecessor.exchanges_orders else None
+            exchange = StateExchange(predecessor.exchange, self._executed, self._loop, orders)
             self._exchange_task = self._loop.create_task(exchange.run())
         await endpoint_list.wait_for_first_response()
         self._limit_connections(await predecessor.take_over())
@@ -128,6 +131,10 @@
         """Return the IDs of requests that may have run, as this process knows them."""
         return self._executed
 
+    def orders(self) -> OrderKeeper:
+        """Return the keeper of operators' orders."""
+        return self._orders
+
     def descriptor_counts(self) -> DescriptorCounts:
         """Return how many connections this process will hold at most from now on.
 
--- a/loadbalancer/net/versioned_cordons.py
+++ b/loadbalancer/net/versioned_cordons.py
@@ -81,6 +81,21 @@
             if server not in self.cordons.servers and server not in self.cordons.returned_at_ms:
                 yield server
 
+    def of_server(self, server: str) -> VersionedCordons:
+        """Return the latest order for one server."""
+        returned_at_ms = self.cordons.returned_at_ms.get(server)
+        cordons = Cordons(
+            servers=self.cordons.servers & {server},
+            returned_at_ms={} if returned_at_ms is None else {server: returned_at_ms},
+        )
+        return VersionedCordons(cordons, OrderVersions(servers={server: self.server_version(server)}))
+
+    def of_zone(self, zone: str) -> VersionedCordons:
+        """Return the latest order for one zone."""
+        evacuations = {zone: self.cordons.evacuations[zone]}
+        versions = OrderVersions(zones={zone: self.zone_version(zone)})
+        return VersionedCordons(Cordons(evacuations=evacuations), versions)
+
     def with_cordon(
         self, server: str, *, is_cordoned: bool, now_ms: float, version: float
     ) -> VersionedCordons:
--- a/tests/test_executed_exchange.py
+++ b/tests/test_executed_exchange.py
@@ -14,7 +14,7 @@
 from loadbalancer.net.clock import Clock
 from loadbalancer.net.downstream_request import DownstreamRequest
 from loadbalancer.net.executed_ids import ExecutedIds
-from loadbalancer.net.hot_restart.executed_exchange import ExecutedExchange
+from loadbalancer.net.hot_restart.state_exchange import StateExchange
 from tests.loopback import run_scenario, wait_at_least
 
 PAY = RequestClass("pay", 1_000, 3_000, Idempotency.NOT_IDEMPOTENT)
@@ -45,7 +45,7 @@
     """Connect two processes; both have exchanged what they knew."""
     loop = asyncio.get_running_loop()
     ends = socket.socketpair()
-    exchanges = [ExecutedExchange(end, ids, loop) for end, ids in zip(ends, (first, second), strict=True)]
+    exchanges = [StateExchange(end, ids, loop) for end, ids in zip(ends, (first, second), strict=True)]
     tasks = [asyncio.create_task(exchange.run()) for exchange in exchanges]
     await wait_at_least(0.02)
     yield
--- a/tests/test_executed_requests.py
+++ b/tests/test_executed_requests.py
@@ -4,7 +4,7 @@
 
 import pytest
 
-from loadbalancer.net.hot_restart.executed_exchange import decode_executed, encode_executed
+from loadbalancer.net.hot_restart.state_exchange import decode_executed, encode_executed
 from loadbalancer.policy.executed_requests import (
     KEPT_MS,
     MAX_ID_BYTES,
