Split what an attempt works with, and the merge with a predecessor's cordons, into modules of their own

What a predecessor has sent is merged by a function of values (cordon_adoption.py). The next version of an order looks at one state, as the saved one is part of it.

--- a/loadbalancer/drill/defects/proxy.py
+++ b/loadbalancer/drill/defects/proxy.py
@@ -16,7 +16,6 @@
 from loadbalancer.net.proxy import Proxy
 from loadbalancer.net.request_attempts import RequestAttempt
 from loadbalancer.net.request_intake import RequestIntake
-from loadbalancer.net.upstream_attempt import Attempt
 from loadbalancer.net.upstream_response import UpstreamResponse
 
 UNREAD_CLOSE_DELAY_S = 0.5  # from SIGTERM until a connection that is no longer read is closed
@@ -29,7 +28,7 @@
     def on_request_written(self) -> None:
         """Count no attempt."""
 
-    def on_response_started(self, attempt: Attempt, answer: UpstreamResponse) -> DownstreamRequest | None:
+    def on_response_started(self, answer: UpstreamResponse) -> DownstreamRequest | None:
         """Forward nothing."""
         return None
 
--- a/loadbalancer/net/action_executor.py
+++ b/loadbalancer/net/action_executor.py
@@ -8,12 +8,12 @@
 
 from loadbalancer import interface
 from loadbalancer.interface import Outcome
+from loadbalancer.net.attempt_handler import AttemptHandler
 from loadbalancer.net.clock import Clock
 from loadbalancer.net.endpoint_list import EndpointListFollower
 from loadbalancer.net.log import Log
 from loadbalancer.net.request_attempts import RequestAttempts
 from loadbalancer.net.request_table import RequestTable
-from loadbalancer.net.upstream_attempt import AttemptHandler
 from loadbalancer.net.upstream_pool import UpstreamPools
 from loadbalancer.net.upstream_response import UpstreamResponse
 
--- a/loadbalancer/net/cordon_file.py
+++ b/loadbalancer/net/cordon_file.py
@@ -8,11 +8,11 @@
 
 from collections.abc import Callable, Iterator
 from contextlib import contextmanager
-from dataclasses import dataclass
 from pathlib import Path
 
 from loadbalancer.interface import ZoneEvacuation
 from loadbalancer.net.clock import Clock
+from loadbalancer.net.cordon_adoption import Adoption, adopt_cordons
 from loadbalancer.net.cordon_storage import MAX_LOCK_ATTEMPTS, CordonStorage, FileIdentity, StoredCordons
 from loadbalancer.net.cordons import Cordons, decode_cordons, encode_cordons
 from loadbalancer.net.versioned_cordons import VERSION_STEP_MS, VersionedCordons
@@ -21,16 +21,6 @@
 """Returns the state after an order, given the state before and the version of the order."""
 
 
-@dataclass(frozen=True)
-class Adoption:
-    """What came of the cordons that a predecessor has sent: the numbers of orders."""
-
-    adopted: int
-    """Those that the files lacked."""
-    outdated: int
-    """Those that were older than what has been saved since they were sent."""
-
-
 class CordonFile:
     """The cordons, kept in files; only in memory without a folder, or until writing succeeds."""
 
@@ -179,8 +169,7 @@
         self.state = order(self.state, self._next_version())
 
     def _next_version(self) -> float:
-        last_version = max(self.state.last_version(), self._saved.last_version())
-        return max(self._clock.now(), last_version + VERSION_STEP_MS)
+        return max(self._clock.now(), self.state.last_version() + VERSION_STEP_MS)
 
     def merge(self, orders: VersionedCordons) -> bool:
         """Take over later orders of another process; return whether there are any."""
@@ -204,44 +193,7 @@
         self.refresh()
         if self._identity is None:  # there is no content, or it can't be read now
             before = self._saved
-        adopted = 0
-        outdated = 0
-        for server in sorted(sent.servers ^ self.cordons.servers):
-            if self._is_server_saved_since(server, before):
-                outdated += 1
-            elif server in sent.servers or server in sent.returned_at_ms:
-                adopted += 1
-                self._adopt_server(server, sent)
-        for zone, evacuation in sent.evacuations.items():
-            if self.cordons.evacuations.get(zone) == evacuation:
-                continue
-            if self._is_zone_saved_since(zone, before):
-                outdated += 1
-            else:
-                adopted += 1
-                self._adopt_evacuation(evacuation)
-        self.state = self.state.with_returns(sent.returned_at_ms)
-        return Adoption(adopted, outdated)
-
-    def _adopt_server(self, server: str, sent: Cordons) -> None:
-        """Take over an order with the least version that it may have: what came after it has a higher one."""
-        self.state = self.state.with_cordon(
-            server,
-            is_cordoned=server in sent.servers,
-            now_ms=sent.returned_at_ms.get(server, self._clock.now()),
-            version=self.state.server_version(server) + VERSION_STEP_MS,
-        )
-        self._is_unsaved = True
-
-    def _adopt_evacuation(self, evacuation: ZoneEvacuation) -> None:
-        """Take over an order for a zone, likewise."""
-        version = self.state.zone_version(evacuation.zone) + VERSION_STEP_MS
-        self.state = self.state.with_evacuation(evacuation, version)
-        self._is_unsaved = True
-
-    def _is_server_saved_since(self, server: str, before: VersionedCordons) -> bool:
-        is_changed = (server in self._saved.cordons.servers) != (server in before.cordons.servers)
-        return is_changed or self._saved.server_version(server) != before.server_version(server)
-
-    def _is_zone_saved_since(self, zone: str, before: VersionedCordons) -> bool:
-        return self._saved.cordons.evacuations.get(zone) != before.cordons.evacuations.get(zone)
+        adoption = adopt_cordons(self.state, sent, before, self._saved, self._clock.now())
+        self.state = adoption.state
+        self._is_unsaved = self._is_unsaved or adoption.adopted > 0
+        return adoption
--- a/loadbalancer/net/hot_restart/listener.py
+++ b/loadbalancer/net/hot_restart/listener.py
@@ -21,7 +21,7 @@
     encode_state,
     socket_path,
 )
-from loadbalancer.net.hot_restart.state_exchange import OrderKeeper, StateExchange
+from loadbalancer.net.hot_restart.state_exchange import OrderStore, StateExchange
 
 ACCEPT_RETRY_INTERVAL_S = 0.05  # after a failed accept, mostly for lack of descriptors
 COUNT_INTERVAL_S = 0.05  # between checks of the descriptor counts
@@ -52,8 +52,8 @@
     def executed_ids(self) -> ExecutedIds:
         """Return the IDs of requests that may have run, as this process knows them."""
 
-    def orders(self) -> OrderKeeper:
-        """Return the keeper of operators' orders."""
+    def orders(self) -> OrderStore:
+        """Return the store of operators' orders."""
 
 
 class HotRestartListener:
--- a/loadbalancer/net/hot_restart/state_exchange.py
+++ b/loadbalancer/net/hot_restart/state_exchange.py
@@ -39,8 +39,8 @@
         """Send it orders, at once."""
 
 
-class OrderKeeper(Protocol):
-    """The keeper of a process's orders."""
+class OrderStore(Protocol):
+    """The store of a process's orders."""
 
     def attach(self, other: OtherProcess) -> None:
         """Exchange orders with another process from now on: it gets all that are known first."""
@@ -60,7 +60,7 @@
         connection: socket.socket,
         executed: ExecutedIds,
         loop: asyncio.AbstractEventLoop,
-        orders: OrderKeeper | None = None,
+        orders: OrderStore | None = None,
     ) -> None:
         """`orders` is None if the other process is of a version that exchanges IDs alone."""
         self._connection = connection
--- a/loadbalancer/net/request_attempts.py
+++ b/loadbalancer/net/request_attempts.py
@@ -7,11 +7,12 @@
 
 from loadbalancer import interface
 from loadbalancer.interface import OUTCOMES_WITHOUT_EFFECT, Outcome
+from loadbalancer.net.attempt_handler import AttemptHandler
 from loadbalancer.net.downstream_request import DownstreamRequest
 from loadbalancer.net.log import Log
 from loadbalancer.net.request_counters import RequestCounters
 from loadbalancer.net.request_table import RESPONSE_MARGIN_MS, RequestInFlight, RequestTable, log_repeated_id
-from loadbalancer.net.upstream_attempt import Attempt, AttemptHandler
+from loadbalancer.net.upstream_attempt import Attempt
 from loadbalancer.net.upstream_pool import UpstreamPools
 from loadbalancer.net.upstream_response import UpstreamResponse
 
@@ -64,9 +65,9 @@
         """Count the attempt."""
         self._attempts.on_attempt_written()
 
-    def on_response_started(self, attempt: Attempt, answer: UpstreamResponse) -> DownstreamRequest | None:
+    def on_response_started(self, answer: UpstreamResponse) -> DownstreamRequest | None:
         """Stream a long response to the client."""
-        return self._attempts.on_response_started(self._request, self._index, attempt, answer)
+        return self._attempts.on_response_started(self._request, self._index, answer)
 
     def on_attempt_ended(self, outcome: Outcome, answer: UpstreamResponse | None) -> None:
         """Report the outcome."""
@@ -148,10 +149,11 @@
         self._counters.record_attempt()
 
     def on_response_started(
-        self, request: RequestInFlight, index: int, attempt: Attempt, answer: UpstreamResponse
+        self, request: RequestInFlight, index: int, answer: UpstreamResponse
     ) -> DownstreamRequest | None:
         """Handle the start of a long response: only the first one of a request is streamed."""
-        if not request.is_open or request.streaming_attempt is not None:
+        attempt = request.attempts[index]
+        if not request.is_open or request.streaming_attempt is not None or attempt is None:
             return None
         request.streaming_attempt = attempt
         request.cancel_safety_timer()
--- a/loadbalancer/net/takeover.py
+++ b/loadbalancer/net/takeover.py
@@ -14,7 +14,7 @@
 from loadbalancer.net.endpoint_list import EndpointListFollower
 from loadbalancer.net.executed_ids import ExecutedIds
 from loadbalancer.net.hot_restart import DescriptorCounts, HotRestartListener, Predecessor
-from loadbalancer.net.hot_restart.state_exchange import OrderKeeper, StateExchange
+from loadbalancer.net.hot_restart.state_exchange import OrderStore, StateExchange
 from loadbalancer.net.log import Log
 from loadbalancer.net.state_transfer import StateTransfer
 from loadbalancer.net.upstream_pool import UpstreamPools
@@ -37,7 +37,7 @@
         membership: MembershipHost | None,
         transfer: StateTransfer,
         executed: ExecutedIds,
-        orders: OrderKeeper,
+        orders: OrderStore,
         clock: Clock,
         log: Log,
         dispatch: Callable[[interface.Event], None],
@@ -131,8 +131,8 @@
         """Return the IDs of requests that may have run, as this process knows them."""
         return self._executed
 
-    def orders(self) -> OrderKeeper:
-        """Return the keeper of operators' orders."""
+    def orders(self) -> OrderStore:
+        """Return the store of operators' orders."""
         return self._orders
 
     def descriptor_counts(self) -> DescriptorCounts:
--- a/loadbalancer/net/upstream_attempt.py
+++ b/loadbalancer/net/upstream_attempt.py
@@ -9,12 +9,11 @@
 import asyncio
 import math
 import time
-from typing import Protocol
 
 from loadbalancer.interface import Outcome
+from loadbalancer.net.attempt_handler import AttemptHandler, AttemptPool, ResponseSink
 from loadbalancer.net.attempt_timers import AttemptTimers
 from loadbalancer.net.http_framing import LENGTH_NOT_GIVEN
-from loadbalancer.net.message_body import Body
 from loadbalancer.net.message_head import ResponseHead
 from loadbalancer.net.response_progress import MAX_LONG_RESPONSE_PAUSE_S, ResponseProgress
 from loadbalancer.net.upstream_connection import UpstreamConnection
@@ -28,60 +27,6 @@
 UNREAD_RESPONSE_GRACE_S = 0.02
 
 
-class AttemptPool(Protocol):
-    """The pool of connections to an attempt's server."""
-
-    loop: asyncio.AbstractEventLoop
-    connect_timeout_s: float
-
-    def can_start_attempt(self) -> bool:
-        """Return whether a request may still be sent on a connection that was just established."""
-
-    def take_idle(self) -> UpstreamConnection | None:
-        """Take an idle connection."""
-
-    def create_connection(self) -> UpstreamConnection | None:
-        """Return a new connection, to be opened by `connect`, or None if there are too many."""
-
-    async def connect(self, connection: UpstreamConnection) -> None:
-        """Open a connection; close it and raise OSError if that fails."""
-
-
-class ResponseSink(Protocol):
-    """The receiver of a streamed response."""
-
-    def send_body_part(self, data: bytes) -> None:
-        """Send a part of the body; the attempt's `pause` and `resume` control the flow."""
-
-
-class AttemptHandler:
-    """The owner of an attempt: provides its request and is notified of its progress. Serves health checks."""
-
-    body: Body | None = None  # if it is streamed after the head
-
-    def is_needed(self) -> bool:
-        """Return whether the attempt is still to be sent; called right before it is."""
-        return True
-
-    def remaining_s(self) -> float:
-        """Return the time until the response to the request is due; it moves while the body arrives."""
-        return math.inf
-
-    def build_request(self) -> bytes:
-        """Return the request, or its head if the body follows; called once there is a connection."""
-        raise NotImplementedError
-
-    def on_request_written(self) -> None:
-        """Handle that the last byte of the request was sent."""
-
-    def on_response_started(self, attempt: Attempt, answer: UpstreamResponse) -> ResponseSink | None:
-        """Return the sink for a response to be streamed, or None if it is no longer needed."""
-        return None
-
-    def on_attempt_ended(self, outcome: Outcome, answer: UpstreamResponse | None) -> None:
-        """Handle the end; `answer` is the response if it is complete and was not streamed."""
-
-
 def _outcome_of(head: ResponseHead) -> Outcome:
     if head.status == 200:
         return Outcome.SERVED
@@ -233,7 +178,7 @@
         length = None if reader.length == LENGTH_NOT_GIVEN else reader.length
         self._progress = ResponseProgress(length, reader.buffered_bytes, self._last_progress_s)
         self._has_waited_for_read = False
-        self._sink = self._handler.on_response_started(self, reader.response())
+        self._sink = self._handler.on_response_started(reader.response())
         if self._sink is None:
             self.cancel()
         else:
@@ -316,12 +261,12 @@
         return self._progress.due_s(now_s + self._handler.remaining_s()) - now_s
 
     def _on_stall(self) -> None:
-        if self._is_held_up():
+        if self._has_unread_rest():
             self._set_timer(UNREAD_RESPONSE_GRACE_S, self._check_progress)
         else:
             self._end(Outcome.TIMED_OUT)
 
-    def _is_held_up(self) -> bool:
+    def _has_unread_rest(self) -> bool:
         """Return whether more of a streamed response is there, and is given the time to be read."""
         if self._progress is None or self._is_paused or not self.has_unread_response():
             return False
--- a/loadbalancer/net/upstream_pool.py
+++ b/loadbalancer/net/upstream_pool.py
@@ -9,11 +9,12 @@
 
 from loadbalancer.interface import Readiness
 from loadbalancer.net.address import Address
+from loadbalancer.net.attempt_handler import AttemptHandler
 from loadbalancer.net.config import AddressedEndpoint, Config, EndpointList
 from loadbalancer.net.long_heads import LongHeads
 from loadbalancer.net.message_body import BufferBudget
 from loadbalancer.net.turn_queue import TurnQueue
-from loadbalancer.net.upstream_attempt import Attempt, AttemptHandler
+from loadbalancer.net.upstream_attempt import Attempt
 from loadbalancer.net.upstream_connection import UpstreamConnection
 
 # Of the upstream's idle timeout: a request that is sent while the upstream closes would be reset.
--- a/tests/test_upstream_attempts.py
+++ b/tests/test_upstream_attempts.py
@@ -11,10 +11,11 @@
 
 from loadbalancer import interface
 from loadbalancer.interface import Outcome
+from loadbalancer.net.attempt_handler import AttemptHandler
 from loadbalancer.net.config_reader import read_config
 from loadbalancer.net.message_body import BufferBudget
 from loadbalancer.net.turn_queue import TurnQueue
-from loadbalancer.net.upstream_attempt import Attempt, AttemptHandler
+from loadbalancer.net.upstream_attempt import Attempt
 from loadbalancer.net.upstream_pool import UpstreamPools
 from loadbalancer.net.upstream_response import UpstreamResponse
 from tests.loopback import (
