Save no order again that the other process has saved, and apply what a look at the file brings

An order told by the other process counted as unsaved until the next look at the file, which then wrote it once more and logged that cordons could not be saved before. Whether something is unsaved is now asked of the two states after each look, and the controller applies a state because it is another one, whichever call has brought it.

--- a/loadbalancer/net/cordon_controller.py
+++ b/loadbalancer/net/cordon_controller.py
@@ -55,15 +55,16 @@
         self._log = log
         self._dispatch = dispatch
         self._others: list[OtherProcess] = []
+        self._applied_state = cordon_file.state
         self._applied_returns: dict[str, float] = {}  # by server, Unix ms
         self._applied_zones: dict[str, interface.ZoneEvacuation] = {}
 
     def start(self) -> None:
         """Apply the cordons in the file, now and whenever it has changed."""
-        is_saved = self._file.save_pending()
-        if is_saved:
+        self._file.refresh()
+        if self._file.save_pending():
             self._log.event("cordons_saved", "cordons that could not be saved before are saved now")
-        if self._file.refresh() or is_saved:
+        if self._file.state is not self._applied_state:
             self._apply()
         self._loop.call_later(CORDON_FILE_POLL_INTERVAL_S, self.start)
 
@@ -151,6 +152,7 @@
 
     def _apply(self) -> None:
         """Apply the changes since the last call."""
+        self._applied_state = self._file.state
         cordons = self._file.cordons
         applied = self._upstreams.cordoned
         for server in sorted(cordons.servers - applied):
--- a/loadbalancer/net/cordon_file.py
+++ b/loadbalancer/net/cordon_file.py
@@ -83,7 +83,7 @@
         self._identity = stored.identity
         self._saved = saved
         self.state = self.state.merged(saved, self._clock.now())
-        self._is_unsaved = self._is_unsaved or self.state.has_later_orders_than(saved)
+        self._is_unsaved = self.state.has_later_orders_than(saved)
         return True
 
     def _with_versions(self, stored: StoredCordons) -> VersionedCordons:
@@ -111,6 +111,8 @@
         try:
             with self._storage.locked(max_attempts=1):
                 self._merge_stored(is_locked=True)
+                if not self._is_unsaved:  # the other process has saved it
+                    return False
                 self._write()
         except OSError:
             return False
--- a/tests/test_order_versions.py
+++ b/tests/test_order_versions.py
@@ -376,6 +376,17 @@
     assert is_out(old)
 
 
+def test_what_the_other_process_has_told_and_saved_is_not_saved_again(tmp_path: Path) -> None:
+    """Guards against writes, and a log line on a folder that failed, for each order of the other process."""
+    old, new = CordonFile(tmp_path), CordonFile(tmp_path)
+    for out in (True, False):
+        set_server(old, out=out)
+        assert new.merge(old.state.of_server("s0"))
+        assert not new.merge(old.state)
+        assert not new.save_pending()
+        assert new.state == old.state
+
+
 @pytest.mark.parametrize("seed", range(60))
 def test_the_latest_orders_hold_in_all_processes_whatever_fails_in_between(
     seed: int, tmp_path: Path, monkeypatch: pytest.MonkeyPatch
