--- a/loadbalancer/net/cordon_controller.py
+++ b/loadbalancer/net/cordon_controller.py
@@ -61,12 +61,12 @@
 
     def start(self) -> None:
         """Apply the cordons in the file, now and whenever it has changed."""
+        self._loop.call_later(CORDON_FILE_POLL_INTERVAL_S, self.start)
         self._file.refresh()
         if self._file.save_pending():
             self._log.event("cordons_saved", "cordons that could not be saved before are saved now")
         if self._file.state is not self._applied_state:
             self._apply()
-        self._loop.call_later(CORDON_FILE_POLL_INTERVAL_S, self.start)
 
     def restore_cordons(self, cordons: object, saved_before: VersionedCordons) -> None:
         """Apply the predecessor's cordons; if they are malformed, apply the file's and raise ValueError.
--- a/loadbalancer/net/versioned_cordons.py
+++ b/loadbalancer/net/versioned_cordons.py
@@ -39,7 +39,7 @@
     try:
         servers = {str(name): float(version) for name, version in raw["servers"].items()}
         zones = {str(name): float(version) for name, version in raw["zones"].items()}
-    except (TypeError, KeyError, AttributeError) as error:
+    except (TypeError, KeyError, AttributeError, OverflowError) as error:
         raise ValueError(f"not valid versions of orders: {error!r}") from error
     if not all(0 <= version < MAX_VERSION_MS for version in (*servers.values(), *zones.values())):
         raise ValueError("not valid versions of orders: not a time")
